Build, checks and the contracts between the modules

Cause: nothing exists; every part needs its module, its seams and its checks to grow in. Conclusion: parts can be built side by side against these interfaces.

--- /dev/null
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Loads, experiments and measurements. */
+package org.cuminlatch.bench;
--- /dev/null
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command-line tool. */
+package org.cuminlatch.cli;
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/LogRecord.java
@@ -0,0 +1,19 @@
+package org.cuminlatch.core.config;
+
+import static org.cuminlatch.core.Preconditions.notNegative;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+/**
+ * A record as the platform's log returns it.
+ *
+ * @param offset position on the stream, from 0
+ * @param content the encoded {@link RecordEnvelope}, or whatever else an appender wrote
+ */
+public record LogRecord(long offset, Bytes content) {
+
+  /** Checks the fields. */
+  public LogRecord {
+    notNegative(offset, "offset");
+    notNull(content, "content");
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RecordKinds.java
@@ -0,0 +1,25 @@
+package org.cuminlatch.core.config;
+
+/** Names of the record kinds that this release understands. */
+public final class RecordKinds {
+
+  /** A {@link Route}. */
+  public static final String ROUTE = "route";
+
+  /** A {@link TargetVersion}. */
+  public static final String TARGET_VERSION = "target-version";
+
+  /** A {@link Move}. */
+  public static final String MOVE = "move";
+
+  /** An operator's request to stop a move, a {@link MoveStop}. */
+  public static final String MOVE_STOP = "move-stop";
+
+  /** The end of a move, a {@link MoveOutcome}, appended by a node. */
+  public static final String MOVE_OUTCOME = "move-outcome";
+
+  /** Removal of a route. */
+  public static final String ROUTE_REMOVAL = "route-removal";
+
+  private RecordKinds() {}
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RouteRemoval.java
@@ -0,0 +1,16 @@
+package org.cuminlatch.core.config;
+
+import static org.cuminlatch.core.Preconditions.notBlank;
+
+/**
+ * Request to remove a route.
+ *
+ * @param name name of the route
+ */
+public record RouteRemoval(String name) implements Resource {
+
+  /** Checks the field. */
+  public RouteRemoval {
+    notBlank(name, "name");
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
@@ -0,0 +1,41 @@
+package org.cuminlatch.core.config;
+
+import static org.cuminlatch.core.Preconditions.notNegative;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.util.Map;
+
+/**
+ * A whole configuration, closed under references, at one configuration version.
+ *
+ * @param version configuration version: the offset after the last record folded, 0 before any
+ * @param stateHash hash over the state; equal versions have equal hashes
+ * @param routes routes by name
+ * @param services services by name
+ * @param moves moves by name, ended ones included while they are kept
+ */
+public record Snapshot(
+    long version,
+    String stateHash,
+    Map<String, Route> routes,
+    Map<String, ServiceState> services,
+    Map<String, MoveState> moves) {
+
+  /** Checks the fields and copies the maps. */
+  public Snapshot {
+    notNegative(version, "version");
+    notNull(stateHash, "stateHash");
+    routes = Map.copyOf(notNull(routes, "routes"));
+    services = Map.copyOf(notNull(services, "services"));
+    moves = Map.copyOf(notNull(moves, "moves"));
+  }
+
+  /**
+   * Returns the configuration before any record.
+   *
+   * @return an empty snapshot at version 0
+   */
+  public static Snapshot empty() {
+    return new Snapshot(0, "", Map.of(), Map.of(), Map.of());
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/control/Outbox.java
@@ -0,0 +1,16 @@
+package org.cuminlatch.core.control;
+
+import org.cuminlatch.core.membership.Address;
+
+/** Takes the messages that a state machine sends; delivery is not guaranteed. */
+@FunctionalInterface
+public interface Outbox {
+
+  /**
+   * Sends a message.
+   *
+   * @param to control address of the receiver
+   * @param message the message
+   */
+  void send(Address to, ControlMessage message);
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/error/package-info.java
@@ -0,0 +1,2 @@
+/** The error type shared by all modules and the codes that it carries. */
+package org.cuminlatch.core.error;
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Address.java
@@ -0,0 +1,43 @@
+package org.cuminlatch.core.membership;
+
+import static org.cuminlatch.core.Preconditions.check;
+import static org.cuminlatch.core.Preconditions.notBlank;
+
+/**
+ * IP number and port of an instance.
+ *
+ * @param host IP number
+ * @param port port, from 1 to 65535
+ */
+public record Address(String host, int port) {
+
+  /** Largest port. */
+  public static final int MAX_PORT = 65_535;
+
+  /** Checks the fields. */
+  public Address {
+    notBlank(host, "host");
+    check(port >= 1 && port <= MAX_PORT, "port", "must be between 1 and " + MAX_PORT);
+  }
+
+  /**
+   * Parses {@code host:port}.
+   *
+   * @param text the text
+   * @return the address
+   * @throws IllegalArgumentException if the text has another form
+   */
+  public static Address parse(String text) {
+    notBlank(text, "address");
+    int colon = text.lastIndexOf(':');
+    check(colon > 0, "address", "must have the form host:port but is \"" + text + "\"");
+    String port = text.substring(colon + 1);
+    check(port.matches("\\d{1,5}"), "address", "must end with a port but is \"" + text + "\"");
+    return new Address(text.substring(0, colon), Integer.parseInt(port));
+  }
+
+  @Override
+  public String toString() {
+    return host + ":" + port;
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Membership of the mesh by gossip: members, their facts and the detection of failures. */
+package org.cuminlatch.core.membership;
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Outcomes of attempts and the rules by which a request may be tried again. */
+package org.cuminlatch.core.retry;
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/package-info.java
@@ -0,0 +1,2 @@
+/** Distribution of log records between the nodes: readers, push and repair. */
+package org.cuminlatch.core.spread;
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon that runs beside each target instance. */
+package org.cuminlatch.node;
--- /dev/null
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/package-info.java
@@ -0,0 +1,2 @@
+/** Frames and channels of forwarded calls. */
+package org.cuminlatch.wire.call;
--- /dev/null
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/config/package-info.java
@@ -0,0 +1,2 @@
+/** Codecs of records and checkpoints. */
+package org.cuminlatch.wire.config;
--- /dev/null
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/control/package-info.java
@@ -0,0 +1,2 @@
+/** Codec and channels of the control messages. */
+package org.cuminlatch.wire.control;
--- /dev/null
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/move/package-info.java
@@ -0,0 +1,2 @@
+/** Codec of the evidence about moves. */
+package org.cuminlatch.wire.move;
