Configuration replica, log client and the tool's publish, thin

Cause: nothing folds the log yet, and every other part needs a replica and a way to append.

Changed: the envelope carries its references and one body a schema version, so that every node reaches the same verdict whether or not it can read the newer bodies.

--- /dev/null
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/ValidateCommand.java
@@ -0,0 +1,38 @@
+package org.cuminlatch.cli;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.cuminlatch.cli.publish.Publication;
+import org.cuminlatch.cli.publish.PublicationFile;
+import org.cuminlatch.wire.log.LogClient;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Checks a publication, against the state of the log too if the log is given. */
+final class ValidateCommand implements Command {
+
+  @Argument(required = true, metaVar = "FILE.toml", usage = "file to check")
+  private Path file;
+
+  @Option(
+      name = "--log",
+      metaVar = "URL",
+      usage = "also check against the configuration on this log, as http://host:port[,...]")
+  private String log;
+
+  @Option(name = "--json", usage = "print JSON")
+  private boolean json;
+
+  @Override
+  public int run(CommandContext context) {
+    Publication publication = PublicationFile.read(file, context.clock().instant());
+    if (log == null) {
+      return VerdictReport.valid(context.console(), publication, json);
+    }
+    try (LogClient client = LogOptions.connect(log)) {
+      Publisher publisher = new Publisher(client, LogReplica.load(client), attempt -> {});
+      List<Publisher.Verdict> verdicts = publisher.rehearse(publication.entries());
+      return VerdictReport.print(context.console(), verdicts, json);
+    }
+  }
+}
--- /dev/null
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/Verb.java
@@ -0,0 +1,46 @@
+package org.cuminlatch.cli;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/** The verbs of the tool. */
+enum Verb {
+  VALIDATE("validate", "check a file without appending anything", ValidateCommand::new),
+  PUBLISH("publish", "append the records of a file and wait for the verdicts", PublishCommand::new),
+  LOG_TAIL("log tail", "print the last records of the log", LogTailCommand::new);
+
+  private final List<String> words;
+  private final String summary;
+  private final Supplier<Command> factory;
+
+  Verb(String words, String summary, Supplier<Command> factory) {
+    this.words = List.of(words.split(" "));
+    this.summary = summary;
+    this.factory = factory;
+  }
+
+  static Optional<Verb> of(List<String> arguments) {
+    return Arrays.stream(values())
+        .filter(verb -> arguments.size() >= verb.words.size())
+        .filter(verb -> arguments.subList(0, verb.words.size()).equals(verb.words))
+        .findFirst();
+  }
+
+  List<String> words() {
+    return words;
+  }
+
+  String title() {
+    return String.join(" ", words);
+  }
+
+  String summary() {
+    return summary;
+  }
+
+  Command newCommand() {
+    return factory.get();
+  }
+}
--- /dev/null
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/publish/package-info.java
@@ -0,0 +1,2 @@
+/** Files of resources that operators publish. */
+package org.cuminlatch.cli.publish;
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/CheckpointCodec.java
@@ -0,0 +1,23 @@
+package org.cuminlatch.core.config;
+
+/** Encodes and decodes the state of the fold; equal states have equal bytes in every release. */
+public interface CheckpointCodec {
+
+  /**
+   * Encodes a state.
+   *
+   * @param state the state
+   * @return the bytes
+   */
+  Bytes encode(LedgerState state);
+
+  /**
+   * Decodes a state.
+   *
+   * @param content the bytes
+   * @return the state
+   * @throws org.cuminlatch.core.error.CuminlatchException with {@code INVALID_CHECKPOINT} if the
+   *     bytes are malformed
+   */
+  LedgerState decode(Bytes content);
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/CheckpointFrame.java
@@ -0,0 +1,54 @@
+package org.cuminlatch.core.config;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import org.cuminlatch.core.error.CuminlatchException;
+import org.cuminlatch.core.error.ErrorCode;
+import org.cuminlatch.core.error.Step;
+
+/**
+ * Frame round an encoded state that shows whether it is whole: magic, format, length, SHA-256 and
+ * the state itself.
+ */
+final class CheckpointFrame {
+
+  private static final byte[] MAGIC = "CLCP".getBytes(StandardCharsets.US_ASCII);
+  private static final int FORMAT = 1;
+  private static final int HEADER_BYTES = MAGIC.length + 2 * Integer.BYTES + StateHash.BYTES;
+
+  private CheckpointFrame() {}
+
+  static Bytes wrap(Bytes state) {
+    byte[] content = state.toArray();
+    ByteBuffer frame = ByteBuffer.allocate(HEADER_BYTES + content.length);
+    frame.put(MAGIC).putInt(FORMAT).putInt(content.length);
+    frame.put(StateHash.digest(content)).put(content);
+    return Bytes.copyOf(frame.array());
+  }
+
+  static Bytes unwrap(Bytes checkpoint) {
+    ByteBuffer frame = ByteBuffer.wrap(checkpoint.toArray());
+    require(frame.remaining() >= HEADER_BYTES, "is cut short at " + frame.remaining() + " bytes");
+    byte[] magic = new byte[MAGIC.length];
+    frame.get(magic);
+    require(Arrays.equals(magic, MAGIC), "does not start with the mark of a checkpoint");
+    int format = frame.getInt();
+    require(format == FORMAT, "has format " + format + ", want " + FORMAT);
+    int length = frame.getInt();
+    byte[] digest = new byte[StateHash.BYTES];
+    frame.get(digest);
+    require(length == frame.remaining(), "holds " + frame.remaining() + " bytes, want " + length);
+    byte[] content = new byte[length];
+    frame.get(content);
+    require(Arrays.equals(digest, StateHash.digest(content)), "does not match its checksum");
+    return Bytes.copyOf(content);
+  }
+
+  private static void require(boolean holds, String problem) {
+    if (!holds) {
+      throw CuminlatchException.of(
+          ErrorCode.INVALID_CHECKPOINT, Step.CHECKPOINT, "checkpoint " + problem);
+    }
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/FoldingReplica.java
@@ -0,0 +1,229 @@
+package org.cuminlatch.core.config;
+
+import static org.cuminlatch.core.Preconditions.notNegative;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NoSuchElementException;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.cuminlatch.core.error.CuminlatchException;
+import org.cuminlatch.core.error.ErrorCode;
+import org.cuminlatch.core.error.Step;
+
+/** Replica that folds record by record and builds its snapshot when asked for it. */
+final class FoldingReplica implements ConfigurationReplica {
+
+  private final ReplicaCodecs codecs;
+  private final Set<Integer> schemaVersions;
+  private final Consumer<FoldEvent> events;
+  private final RecordRules rules;
+  private final RetainedRecords retained = new RetainedRecords();
+  private Ledger ledger = new Ledger();
+  private RouteReader routes;
+  private long version;
+  private Bytes encodedState;
+  private Snapshot snapshot;
+
+  FoldingReplica(ReplicaCodecs codecs, Set<Integer> schemaVersions, Consumer<FoldEvent> events) {
+    this.codecs = codecs;
+    this.schemaVersions = Set.copyOf(schemaVersions);
+    this.events = events;
+    this.rules = new RecordRules(codecs.bodies());
+    this.routes = new RouteReader(codecs.bodies(), schemaVersions);
+  }
+
+  @Override
+  public long version() {
+    return version;
+  }
+
+  @Override
+  public Snapshot snapshot() {
+    if (snapshot == null) {
+      snapshot = buildSnapshot();
+    }
+    return snapshot;
+  }
+
+  @Override
+  public int fold(List<LogRecord> records) {
+    int folded = 0;
+    for (LogRecord record : notNull(records, "records")) {
+      if (record.offset() > version) {
+        events.accept(new FoldEvent.OffsetGap(version, record.offset()));
+        return folded;
+      }
+      if (record.offset() == version) {
+        foldOne(record);
+        folded++;
+      }
+    }
+    return folded;
+  }
+
+  @Override
+  public List<LogRecord> recordsFrom(long offset, int maxBytes) {
+    return retained.from(notNegative(offset, "offset"), maxBytes);
+  }
+
+  @Override
+  public long oldestRetained() {
+    return retained.oldest(version);
+  }
+
+  @Override
+  public Bytes checkpoint() {
+    return CheckpointFrame.wrap(encodedState());
+  }
+
+  @Override
+  public boolean restore(Bytes checkpoint) {
+    LedgerState state = codecs.checkpoints().decode(CheckpointFrame.unwrap(checkpoint));
+    if (state.version() <= version) {
+      return false;
+    }
+    Ledger restored = rebuild(state);
+    RouteReader reader = new RouteReader(codecs.bodies(), schemaVersions);
+    ledger = restored;
+    routes = reader;
+    version = state.version();
+    encodedState = null;
+    snapshot = null;
+    retained.clear();
+    routesOnLedger().forEach(this::readRoute);
+    return true;
+  }
+
+  private void foldOne(LogRecord record) {
+    version = record.offset() + 1;
+    encodedState = null;
+    snapshot = null;
+    retained.add(record);
+    Optional<RecordEnvelope> envelope = Optional.empty();
+    Optional<Refusal> refusal = Optional.empty();
+    try {
+      RecordEnvelope decoded = decode(record.content());
+      envelope = Optional.of(decoded);
+      decide(decoded);
+    } catch (RefusalException e) {
+      refusal = Optional.of(e.refusal());
+    }
+    events.accept(
+        new FoldEvent.Decided(
+            record.offset(),
+            envelope.map(RecordEnvelope::recordId),
+            envelope.map(RecordEnvelope::key),
+            refusal));
+    if (refusal.isEmpty()) {
+      envelope.map(RecordEnvelope::key).flatMap(ledger::resource).ifPresent(this::reportUnreadable);
+    }
+  }
+
+  private RecordEnvelope decode(Bytes content) {
+    RefusalException.refuseUnless(
+        content.length() <= RecordEnvelope.MAX_RECORD_BYTES,
+        RefusalReason.TOO_LARGE,
+        "record has %d bytes, want at most %d"
+            .formatted(content.length(), RecordEnvelope.MAX_RECORD_BYTES));
+    try {
+      return codecs.envelopes().decode(content);
+    } catch (CuminlatchException e) {
+      throw RefusalException.of(RefusalReason.MALFORMED, e.getMessage());
+    }
+  }
+
+  private void decide(RecordEnvelope envelope) {
+    RefusalException.refuseUnless(
+        !ledger.remembers(envelope.recordId()),
+        RefusalReason.REPEATED_RECORD_ID,
+        "record id " + envelope.recordId() + " was decided before");
+    ledger.remember(envelope.recordId());
+    Optional<Resource> resource = rules.check(envelope, ledger);
+    new RecordApplier(ledger).apply(envelope, resource, version);
+    refreshRoute(envelope);
+  }
+
+  private void refreshRoute(RecordEnvelope envelope) {
+    ResourceKey key = ResourceKey.route(envelope.resource());
+    if (envelope.kind().equals(RecordKinds.ROUTE)) {
+      ledger.resource(key).ifPresent(this::readRoute);
+    } else if (envelope.kind().equals(RecordKinds.ROUTE_REMOVAL)) {
+      routes.forget(key.name());
+    }
+  }
+
+  private void readRoute(StoredResource stored) {
+    routes.read(stored);
+  }
+
+  private void reportUnreadable(StoredResource stored) {
+    ResourceStatus status = status(stored);
+    if (status.isBehind()) {
+      events.accept(new FoldEvent.Unreadable(stored.key(), status));
+    }
+  }
+
+  private ResourceStatus status(StoredResource stored) {
+    if (stored.key().kind().equals(RecordKinds.ROUTE)) {
+      long inForce =
+          routes.reading(stored.key().name()).map(RouteReader.Reading::version).orElse(0L);
+      return new ResourceStatus(stored.version(), inForce);
+    }
+    boolean readable = !RecordKinds.isExtension(stored.key().kind());
+    return new ResourceStatus(stored.version(), readable ? stored.version() : 0);
+  }
+
+  private Bytes encodedState() {
+    if (encodedState == null) {
+      encodedState = codecs.checkpoints().encode(ledger.state(version));
+    }
+    return encodedState;
+  }
+
+  private Snapshot buildSnapshot() {
+    Map<String, Route> readable = new HashMap<>();
+    Map<ResourceKey, ResourceStatus> statuses = new HashMap<>();
+    for (StoredResource stored : ledger.resources().values()) {
+      statuses.put(stored.key(), status(stored));
+    }
+    routesOnLedger()
+        .forEach(
+            stored -> {
+              String name = stored.key().name();
+              routes.reading(name).ifPresent(reading -> readable.put(name, reading.route()));
+            });
+    return new Snapshot(
+        version,
+        StateHash.text(encodedState()),
+        readable,
+        ledger.services(),
+        ledger.moves(),
+        statuses);
+  }
+
+  private List<StoredResource> routesOnLedger() {
+    return ledger.resources().values().stream()
+        .filter(stored -> stored.key().kind().equals(RecordKinds.ROUTE))
+        .toList();
+  }
+
+  private Ledger rebuild(LedgerState state) {
+    try {
+      return Ledger.of(state, codecs.bodies());
+    } catch (CuminlatchException
+        | IllegalArgumentException
+        | ClassCastException
+        | NoSuchElementException e) {
+      throw CuminlatchException.of(
+          ErrorCode.INVALID_CHECKPOINT,
+          Step.CHECKPOINT,
+          "-",
+          "checkpoint contradicts itself: " + e.getMessage(),
+          e);
+    }
+  }
+}
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RecordEnvelope.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RecordEnvelope.java
@@ -4,37 +4,93 @@
 import static org.cuminlatch.core.Preconditions.notBlank;
 import static org.cuminlatch.core.Preconditions.notNull;
 
+import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
- * A configuration record as it stands on the log, its body still opaque.
+ * A configuration record as it stands on the log, its bodies still opaque.
+ *
+ * <p>The envelope holds all that the fold needs to accept or refuse a record, so that a node
+ * reaches the same verdict whether or not it can read the newer bodies. Its format never changes.
  *
  * @param recordId unique id chosen by the appender; repeats of an id are dropped by the fold
- * @param kind name of the kind, one of {@link RecordKinds} or a kind of a newer release
+ * @param kind name of the kind, one of {@link RecordKinds} or an extension kind of a newer release
  * @param resource name of the resource that the record is about
- * @param schemaVersion version of the schema of the body, from 1
- * @param expectedVersion configuration version of the resource that the operator last saw; 0 asks
- *     that the resource does not exist; empty asks nothing
- * @param body the encoded resource
+ * @param expectedVersion version of the resource that the operator last saw: the offset of its last
+ *     accepted record plus one; 0 asks that the resource does not exist; empty asks nothing
+ * @param references resources that must exist for the bodies to make sense
+ * @param bodies the same resource in one or more schema versions, ascending; none removes the
+ *     resource of an extension kind
  */
 public record RecordEnvelope(
     String recordId,
     String kind,
     String resource,
-    int schemaVersion,
     OptionalLong expectedVersion,
-    Bytes body) {
+    List<ResourceKey> references,
+    List<SchemaBody> bodies) {
 
   /** Largest body that the fold accepts, in bytes. */
   public static final int MAX_BODY_BYTES = 16 * 1024;
 
-  /** Checks the fields. */
+  /** Largest encoded record that the fold accepts, in bytes. */
+  public static final int MAX_RECORD_BYTES = 64 * 1024;
+
+  /** Most characters in a record id or a name. */
+  public static final int MAX_NAME_LENGTH = 128;
+
+  /** Most references of a record. */
+  public static final int MAX_REFERENCES = 32;
+
+  /** Schema version that every release reads. */
+  public static final int BASE_SCHEMA_VERSION = 1;
+
+  /** Checks the fields and copies the lists. */
   public RecordEnvelope {
-    notBlank(recordId, "recordId");
-    notBlank(kind, "kind");
-    notBlank(resource, "resource");
-    check(schemaVersion >= 1, "schemaVersion", "must be at least 1");
+    requireName(recordId, "recordId");
+    requireName(kind, "kind");
+    requireName(resource, "resource");
     notNull(expectedVersion, "expectedVersion");
-    notNull(body, "body");
+    check(expectedVersion.orElse(0) >= 0, "expectedVersion", "must not be negative");
+    references = List.copyOf(notNull(references, "references"));
+    check(references.size() <= MAX_REFERENCES, "references", "must be at most " + MAX_REFERENCES);
+    references.forEach(reference -> requireName(reference.name(), "references"));
+    bodies = List.copyOf(notNull(bodies, "bodies"));
+    check(isAscending(bodies), "bodies", "must be ascending by schema version");
+  }
+
+  /**
+   * Returns the key of the resource that the record is about.
+   *
+   * @return kind and name
+   */
+  public ResourceKey key() {
+    return new ResourceKey(kind, resource);
+  }
+
+  /**
+   * Returns the body in a schema version.
+   *
+   * @param schemaVersion the schema version
+   * @return the body, empty if the record carries none in that version
+   */
+  public Optional<SchemaBody> body(int schemaVersion) {
+    return bodies.stream().filter(body -> body.schemaVersion() == schemaVersion).findFirst();
+  }
+
+  private static void requireName(String value, String name) {
+    notBlank(value, name);
+    check(value.length() <= MAX_NAME_LENGTH, name, "must be at most " + MAX_NAME_LENGTH + " long");
+    check(value.chars().noneMatch(Character::isISOControl), name, "must have no control character");
+  }
+
+  private static boolean isAscending(List<SchemaBody> bodies) {
+    for (int i = 1; i < bodies.size(); i++) {
+      if (bodies.get(i).schemaVersion() <= bodies.get(i - 1).schemaVersion()) {
+        return false;
+      }
+    }
+    return true;
   }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RecordKinds.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RecordKinds.java
@@ -21,5 +21,21 @@
   /** Removal of a route. */
   public static final String ROUTE_REMOVAL = "route-removal";
 
+  /**
+   * Prefix of extension kinds: the fold stores and relays them by their envelope alone, so that a
+   * newer release can add a kind while older nodes still run.
+   */
+  public static final String EXTENSION_PREFIX = "ext-";
+
   private RecordKinds() {}
+
+  /**
+   * Returns whether a kind is an extension kind.
+   *
+   * @param kind name of the kind
+   * @return true if it starts with {@link #EXTENSION_PREFIX}
+   */
+  public static boolean isExtension(String kind) {
+    return kind.startsWith(EXTENSION_PREFIX);
+  }
 }
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/ResourceStatus.java
@@ -0,0 +1,28 @@
+package org.cuminlatch.core.config;
+
+import static org.cuminlatch.core.Preconditions.notNegative;
+
+/**
+ * How far an instance has a resource in force.
+ *
+ * @param version version of the resource: the offset of its last accepted record plus one
+ * @param versionInForce version of the record that this instance has in force; 0 if it can read
+ *     none
+ */
+public record ResourceStatus(long version, long versionInForce) {
+
+  /** Checks the fields. */
+  public ResourceStatus {
+    notNegative(version, "version");
+    notNegative(versionInForce, "versionInForce");
+  }
+
+  /**
+   * Returns whether the newest record of the resource is not in force here.
+   *
+   * @return true if this instance cannot read the newest record
+   */
+  public boolean isBehind() {
+    return versionInForce < version;
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/SchemaBody.java
@@ -0,0 +1,19 @@
+package org.cuminlatch.core.config;
+
+import static org.cuminlatch.core.Preconditions.check;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+/**
+ * A resource encoded in one schema version.
+ *
+ * @param schemaVersion version of the schema, from 1
+ * @param content the encoded resource
+ */
+public record SchemaBody(int schemaVersion, Bytes content) {
+
+  /** Checks the fields. */
+  public SchemaBody {
+    check(schemaVersion >= 1, "schemaVersion", "must be at least 1");
+    notNull(content, "content");
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/ServiceAssignment.java
@@ -0,0 +1,38 @@
+package org.cuminlatch.core.config;
+
+import static org.cuminlatch.core.Preconditions.notBlank;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.util.List;
+
+/**
+ * Target version that holds the traffic of a service.
+ *
+ * @param service name of the service
+ * @param current the target version
+ * @param routes routes on another target version, ascending by name
+ */
+public record ServiceAssignment(String service, String current, List<RouteAssignment> routes) {
+
+  /** Checks the fields and copies the list. */
+  public ServiceAssignment {
+    notBlank(service, "service");
+    notBlank(current, "current");
+    routes = List.copyOf(notNull(routes, "routes"));
+  }
+
+  /**
+   * Target version that holds the traffic of one route.
+   *
+   * @param route name of the route
+   * @param current the target version
+   */
+  public record RouteAssignment(String route, String current) {
+
+    /** Checks the fields. */
+    public RouteAssignment {
+      notBlank(route, "route");
+      notBlank(current, "current");
+    }
+  }
+}
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
@@ -3,6 +3,7 @@
 import static org.cuminlatch.core.Preconditions.notNegative;
 import static org.cuminlatch.core.Preconditions.notNull;
 
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -13,13 +14,15 @@
  * @param routes routes by name
  * @param services services by name
  * @param moves moves by name, ended ones included while they are kept
+ * @param resources version and readability of each resource on the log
  */
 public record Snapshot(
     long version,
     String stateHash,
     Map<String, Route> routes,
     Map<String, ServiceState> services,
-    Map<String, MoveState> moves) {
+    Map<String, MoveState> moves,
+    Map<ResourceKey, ResourceStatus> resources) {
 
   /** Checks the fields and copies the maps. */
   public Snapshot {
@@ -28,6 +31,38 @@
     routes = Map.copyOf(notNull(routes, "routes"));
     services = Map.copyOf(notNull(services, "services"));
     moves = Map.copyOf(notNull(moves, "moves"));
+    resources = Map.copyOf(notNull(resources, "resources"));
+  }
+
+  /**
+   * Creates a snapshot that says nothing of the versions of its resources.
+   *
+   * @param version configuration version
+   * @param stateHash hash over the state
+   * @param routes routes by name
+   * @param services services by name
+   * @param moves moves by name
+   */
+  public Snapshot(
+      long version,
+      String stateHash,
+      Map<String, Route> routes,
+      Map<String, ServiceState> services,
+      Map<String, MoveState> moves) {
+    this(version, stateHash, routes, services, moves, Map.of());
+  }
+
+  /**
+   * Returns the resources whose newest record this instance cannot read.
+   *
+   * @return their keys in order
+   */
+  public List<ResourceKey> behind() {
+    return resources.entrySet().stream()
+        .filter(entry -> entry.getValue().isBehind())
+        .map(Map.Entry::getKey)
+        .sorted()
+        .toList();
   }
 
   /**
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/StoredBody.java
@@ -0,0 +1,21 @@
+package org.cuminlatch.core.config;
+
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.util.List;
+
+/**
+ * A body that the fold keeps, with what its record said of it.
+ *
+ * @param version version of the resource at that record
+ * @param references resources that the record refers to
+ * @param body the body with its schema version
+ */
+public record StoredBody(long version, List<ResourceKey> references, SchemaBody body) {
+
+  /** Checks the fields and copies the list. */
+  public StoredBody {
+    references = List.copyOf(notNull(references, "references"));
+    notNull(body, "body");
+  }
+}
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/log/LogClient.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/log/LogClient.java
@@ -34,9 +34,28 @@
    */
   CompletableFuture<LogBatch> read(String stream, long from, int maxRecords, Duration wait);
 
+  /**
+   * Finds out which offsets the log holds.
+   *
+   * @param stream name of the stream
+   * @return the first offset retained and the next one
+   */
+  default CompletableFuture<LogExtent> extent(String stream) {
+    return read(stream, 0, 1, Duration.ZERO)
+        .thenApply(batch -> new LogExtent(batch.firstOffset(), batch.nextOffset()));
+  }
+
   @Override
   void close();
 
+  /**
+   * Offsets that the log holds of a stream.
+   *
+   * @param firstOffset oldest offset that the log retains
+   * @param nextOffset offset that the next appended record will get
+   */
+  record LogExtent(long firstOffset, long nextOffset) {}
+
   /**
    * Records read from a stream.
    *
