--- /dev/null
+++ b/cuminlatch-testkit/src/main/java/org/cuminlatch/testkit/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Relay between two processes that loses, delays, cuts or silences what passes through it. */
+package org.cuminlatch.testkit.relay;
