--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlThread.java
@@ -0,0 +1,105 @@
+package org.cuminlatch.node.control;
+
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * The one thread that owns all control state of a node.
+ *
+ * <p>A task that fails is logged and does not stop the ones after it.
+ */
+public final class ControlThread implements Executor, AutoCloseable {
+
+  private static final Logger LOG = LogManager.getLogger(ControlThread.class);
+  private static final long STOP_SECONDS = 2;
+
+  private final ScheduledExecutorService executor;
+
+  private ControlThread(ScheduledExecutorService executor) {
+    this.executor = executor;
+  }
+
+  /**
+   * Starts the thread.
+   *
+   * @return the running thread
+   */
+  public static ControlThread start() {
+    return new ControlThread(
+        Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control")));
+  }
+
+  @Override
+  public void execute(Runnable task) {
+    notNull(task, "task");
+    try {
+      executor.execute(() -> runLogged(task));
+    } catch (RejectedExecutionException stopped) {
+      LOG.debug("a task came after the control thread had stopped");
+    }
+  }
+
+  /**
+   * Runs a task on the thread once after a delay.
+   *
+   * @param delay how long to wait
+   * @param task the task
+   */
+  public void after(Duration delay, Runnable task) {
+    if (!executor.isShutdown()) {
+      executor.schedule(() -> runLogged(task), delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /**
+   * Runs a task on the thread again and again.
+   *
+   * @param period time between the ends and the starts of the runs
+   * @param task the task
+   */
+  public void every(Duration period, Runnable task) {
+    long millis = period.toMillis();
+    executor.scheduleWithFixedDelay(() -> runLogged(task), millis, millis, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Computes a value on the thread.
+   *
+   * @param supplier computes the value
+   * @param <T> type of the value
+   * @return the value, once computed
+   */
+  public <T> CompletableFuture<T> ask(Supplier<T> supplier) {
+    return CompletableFuture.supplyAsync(supplier, executor);
+  }
+
+  @Override
+  public void close() {
+    executor.shutdown();
+    try {
+      if (!executor.awaitTermination(STOP_SECONDS, TimeUnit.SECONDS)) {
+        executor.shutdownNow();
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void runLogged(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException failure) {
+      LOG.error("a control task failed", failure);
+    }
+  }
+}
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/target/package-info.java
@@ -0,0 +1,2 @@
+/** What the node learns of the target beside it by its health endpoint. */
+package org.cuminlatch.node.target;
