--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/CommandLine.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/CommandLine.java
@@ -38,7 +38,8 @@
     }
     Optional<Verb> verb = Verb.of(words);
     if (verb.isEmpty()) {
-      return fail("verb is \"" + String.join(" ", words) + "\", see cuminlatch --help");
+      return fail(
+          "verb had " + String.join(" ", words) + "; it wants one of those in cuminlatch --help");
     }
     List<String> options = words.subList(verb.get().words().size(), words.size());
     return run(verb.get(), options);
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/LogOptions.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/LogOptions.java
@@ -69,6 +69,6 @@
     return CuminlatchException.of(
         ErrorCode.INVALID_SETTING,
         Step.SETTINGS,
-        option + " is \"" + address + "\", want http://host:port");
+        option + " had " + address + "; it wants http://host:port");
   }
 }
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/PublishCommand.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/PublishCommand.java
@@ -71,7 +71,7 @@
       throw CuminlatchException.of(
           ErrorCode.INVALID_SETTING,
           Step.SETTINGS,
-          "--expect is %d with %d resources, want 0 or more with a file of one resource"
+          "--expect had %d for %d resources; it wants 0 or more and a file of one resource"
               .formatted(expect, entries.size()));
     }
     Publication.Entry entry = entries.get(0);
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/publish/InvalidFile.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/publish/InvalidFile.java
@@ -3,6 +3,7 @@
 import org.cuminlatch.core.error.CuminlatchException;
 import org.cuminlatch.core.error.ErrorCode;
 import org.cuminlatch.core.error.Step;
+import org.tomlj.TomlTable;
 
 /** Errors of a file in one line: the key, what it had and what it wants. */
 final class InvalidFile {
@@ -10,12 +11,12 @@
   private InvalidFile() {}
 
   static CuminlatchException had(String key, Object found, String wanted) {
-    String shown = found instanceof String ? "\"" + found + "\"" : String.valueOf(found);
-    return because(key + " is " + shown + ", want " + wanted);
+    String shown = found instanceof TomlTable ? "a table" : String.valueOf(found);
+    return because(key + " had " + shown + "; it wants " + wanted);
   }
 
   static CuminlatchException missing(String key, String wanted) {
-    return because(key + " is missing, want " + wanted);
+    return had(key, "nothing", wanted);
   }
 
   static CuminlatchException because(String problem) {
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/publish/PublicationFile.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/publish/PublicationFile.java
@@ -66,7 +66,7 @@
   public static Publication parse(String text, Instant now) {
     TomlParseResult result = Toml.parse(text);
     if (result.hasErrors()) {
-      throw InvalidFile.because("file is no TOML: " + result.errors().get(0).toString());
+      throw InvalidFile.because("file had no TOML: " + result.errors().get(0).toString());
     }
     return new PublicationFile(result, now).publication();
   }
@@ -78,8 +78,7 @@
     addAll(MOVE, table -> ResourceTables.move(table, now));
     addAll(ROUTE_REMOVAL, ResourceTables::routeRemoval);
     if (entries.isEmpty()) {
-      throw InvalidFile.because(
-          "file holds nothing, want one of " + TABLES.stream().sorted().toList());
+      throw InvalidFile.had("file", "nothing", "tables of " + TABLES.stream().sorted().toList());
     }
     return new Publication(entries);
   }
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/publish/TableReader.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/publish/TableReader.java
@@ -31,8 +31,8 @@
   void allowOnly(Set<String> keys) {
     for (String key : table.keySet()) {
       if (!keys.contains(key)) {
-        String wanted = "one of " + String.join(", ", keys.stream().sorted().toList());
-        throw InvalidFile.because(path(key) + " is an unknown key, want " + wanted);
+        String wanted = "no such key; known are " + keys.stream().sorted().toList();
+        throw InvalidFile.had(path(key), table.get(List.of(key)), wanted);
       }
     }
   }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Ledger.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Ledger.java
@@ -62,8 +62,11 @@
         : resources.containsKey(key);
   }
 
+  /** Returns whether a resource refers to a key; moves do not count, they end by themselves. */
   boolean isReferenced(ResourceKey key) {
-    return resources.values().stream().anyMatch(resource -> resource.refersTo(key));
+    return resources.values().stream()
+        .filter(resource -> !resource.key().kind().equals(RecordKinds.MOVE))
+        .anyMatch(resource -> resource.refersTo(key));
   }
 
   long count(String kind) {
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Readiness.java
@@ -0,0 +1,17 @@
+package org.cuminlatch.core.config;
+
+import static org.cuminlatch.core.Preconditions.notBlank;
+
+/**
+ * Whether an instance may serve with the configuration that it holds.
+ *
+ * @param isReady whether it may
+ * @param reason one line that says why
+ */
+public record Readiness(boolean isReady, String reason) {
+
+  /** Checks the field. */
+  public Readiness {
+    notBlank(reason, "reason");
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Report.java
@@ -0,0 +1,48 @@
+package org.cuminlatch.core.config;
+
+import static org.cuminlatch.core.Preconditions.notBlank;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.time.Instant;
+
+/**
+ * Report to the operators.
+ *
+ * @param id names what is reported; two reports with one id say the same
+ * @param kind kind of report
+ * @param version configuration version that it is about
+ * @param subject what it is about: a resource, an instance
+ * @param text one line
+ * @param at when it arose
+ */
+public record Report(String id, Kind kind, long version, String subject, String text, Instant at) {
+
+  /** Checks the fields. */
+  public Report {
+    notBlank(id, "id");
+    notNull(kind, "kind");
+    notNull(subject, "subject");
+    notNull(text, "text");
+    notNull(at, "at");
+  }
+
+  /** Kinds of reports. */
+  public enum Kind {
+    /** A record was accepted. */
+    ACCEPTED,
+    /** A record was refused. */
+    REFUSED,
+    /** A version is in force on n of m instances. */
+    IN_FORCE,
+    /** Some instances cannot read the newest record of a resource. */
+    UNREADABLE,
+    /** Two instances hold different states at one version. */
+    DIVERGENCE,
+    /** The log skips offsets. */
+    OFFSET_GAP,
+    /** A checkpoint on the log is truncated, corrupt or of an unknown format. */
+    INVALID_CHECKPOINT,
+    /** Reports were dropped because there were too many. */
+    DROPPED
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/config/ReportQueueTests.java
@@ -0,0 +1,122 @@
+package org.cuminlatch.core.config;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.cuminlatch.core.config.ReportQueue.Action;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("The queue of reports")
+class ReportQueueTests {
+
+  private static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
+  private static final Duration STAND_BY = Duration.ofSeconds(10);
+
+  private final ReportQueue queue =
+      new ReportQueue(
+          new ReportPolicy(Duration.ofSeconds(1), 2, 3, STAND_BY, 1, Duration.ofSeconds(15)));
+
+  @Test
+  void givesTheFirstInRankItsReportsAtOnce() {
+    queue.add(report("a"));
+    assertThat(queue.next(0, START), is(Action.APPEND));
+    assertThat(ids(queue.batch(START)), contains("a"));
+  }
+
+  @Test
+  void keepsReportsOfOneIdOnce() {
+    queue.add(report("a"));
+    queue.add(report("a"));
+    assertThat(queue.batch(START), hasSize(1));
+    queue.onAppended(queue.batch(START), START);
+    queue.add(report("a"));
+    assertThat(queue.pending(), is(0));
+  }
+
+  @Test
+  void boundsTheRateAndTheSizeOfAppends() {
+    queue.add(report("a"));
+    queue.add(report("b"));
+    queue.add(report("c"));
+    List<Report> batch = queue.batch(START);
+    assertThat(ids(batch), contains("a", "b"));
+    queue.onAppended(batch, START);
+    assertThat(queue.next(0, START.plusMillis(999)), is(Action.WAIT));
+    assertThat(queue.next(0, START.plusSeconds(1)), is(Action.APPEND));
+    assertThat(ids(queue.batch(START)), contains("c"));
+  }
+
+  @Test
+  void saysHowManyItDropped() {
+    for (String id : new String[] {"a", "b", "c", "d", "e"}) {
+      queue.add(report(id));
+    }
+    List<Report> batch = queue.batch(START);
+    assertThat(batch.get(2).kind(), is(Report.Kind.DROPPED));
+    assertThat(batch.get(2).text(), is("2 reports were dropped because too many waited"));
+    queue.onAppended(batch, START);
+    assertThat(queue.batch(START), hasSize(1));
+  }
+
+  @Test
+  void keepsReportsThatCouldNotBeAppended() {
+    queue.add(report("a"));
+    queue.onFailure(START);
+    assertThat(queue.next(0, START.plusSeconds(1)), is(Action.WAIT));
+    assertThat(queue.next(0, START.plus(STAND_BY)), is(Action.APPEND));
+  }
+
+  @Nested
+  class OfStandBy {
+
+    @Test
+    void looksAfterItsDelayAndAppendsOnlyWhatIsMissing() {
+      queue.add(report("a"));
+      queue.add(report("b"));
+      assertThat(queue.next(1, START.plus(STAND_BY).minusMillis(1)), is(Action.WAIT));
+      Instant later = START.plus(STAND_BY);
+      assertThat(queue.next(1, later), is(Action.LOOK));
+      queue.onSeen(List.of("a"));
+      assertThat(queue.next(1, later), is(Action.APPEND));
+      assertThat(ids(queue.batch(later)), contains("b"));
+    }
+
+    @Test
+    void appendsNothingIfAllIsThere() {
+      queue.add(report("a"));
+      queue.onSeen(List.of("a"));
+      assertThat(queue.next(1, START.plus(STAND_BY)), is(Action.WAIT));
+    }
+
+    @Test
+    void forgetsReportsBeyondTheLastRank() {
+      queue.add(report("a"));
+      assertThat(queue.next(2, START.plus(STAND_BY)), is(Action.WAIT));
+      assertThat(queue.pending(), is(1));
+      queue.next(2, START.plus(STAND_BY.multipliedBy(2)).plusMillis(1));
+      assertThat(queue.pending(), is(0));
+    }
+  }
+
+  private static List<String> ids(List<Report> reports) {
+    return reports.stream().map(Report::id).toList();
+  }
+
+  private static Report report(String id) {
+    return new Report(id, Report.Kind.ACCEPTED, 1, "route/r", "text", START);
+  }
+
+  @Test
+  void isEmptyAtFirst() {
+    assertThat(queue.next(0, START), is(Action.WAIT));
+    assertThat(queue.batch(START), equalTo(List.of()));
+  }
+}
--- /dev/null
+++ b/cuminlatch-wire/src/test/java/org/cuminlatch/wire/log/HttpLogClientTests.java
@@ -0,0 +1,173 @@
+package org.cuminlatch.wire.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.cuminlatch.core.config.Bytes;
+import org.cuminlatch.core.config.LogRecord;
+import org.cuminlatch.core.error.CuminlatchException;
+import org.cuminlatch.core.error.ErrorCode;
+import org.cuminlatch.core.error.Step;
+import org.cuminlatch.wire.log.LogClient.LogBatch;
+import org.cuminlatch.wire.log.LogClient.LogExtent;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+@DisplayName("The client of the log")
+class HttpLogClientTests {
+
+  private static final Bytes CONTENT = Bytes.copyOf(new byte[] {1, 2, 3});
+
+  private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
+  private HttpServer server;
+  private HttpLogClient client;
+  private volatile int status = 200;
+  private volatile String answer = "";
+  private volatile boolean closes;
+
+  @BeforeEach
+  void start() throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.createContext(
+        "/",
+        exchange -> {
+          requests.add(exchange.getRequestMethod() + " " + exchange.getRequestURI());
+          exchange.getRequestBody().readAllBytes();
+          if (closes) {
+            exchange.close();
+            return;
+          }
+          byte[] body = answer.getBytes(StandardCharsets.UTF_8);
+          exchange.sendResponseHeaders(status, body.length);
+          exchange.getResponseBody().write(body);
+          exchange.close();
+        });
+    server.start();
+    client = HttpLogClient.create(List.of(address(server)), Duration.ofSeconds(20));
+  }
+
+  @AfterEach
+  void stop() {
+    client.close();
+    server.stop(0);
+  }
+
+  @Test
+  void appends() {
+    answer = "{\"offset\": 17}";
+    assertThat(client.append("configuration", CONTENT).join(), is(17L));
+    assertThat(requests, contains("POST /streams/configuration/records"));
+  }
+
+  @Test
+  void reads() {
+    answer =
+        "{\"firstOffset\": 3, \"nextOffset\": 19, \"extra\": 1,"
+            + " \"records\": [{\"offset\": 17, \"data\": \"AQID\"}]}";
+    LogBatch batch = read();
+    assertThat(batch, equalTo(new LogBatch(3, 19, List.of(new LogRecord(17, CONTENT)))));
+    assertThat(
+        requests, contains("GET /streams/configuration/records?from=17&max=9&waitMillis=50"));
+  }
+
+  @Test
+  void findsTheExtentOfTruncatedStream() {
+    status = 410;
+    answer = "{\"firstOffset\": 3, \"nextOffset\": 19}";
+    assertThat(client.extent("checkpoints").join(), equalTo(new LogExtent(3, 19)));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"410, LOG_TRUNCATED", "503, LOG_UNAVAILABLE", "500, LOG_UNAVAILABLE"})
+  void saysWhyReadFailed(int given, ErrorCode expected) {
+    status = given;
+    answer = "{}";
+    CuminlatchException error = failure(client.read("configuration", 17, 9, Duration.ZERO));
+    assertThat(error.code(), is(expected));
+    assertThat(error.step(), is(Step.LOG_READ));
+    assertThat(error.peer(), is(address(server).getAuthority()));
+  }
+
+  @Test
+  void saysThatAppendsCameTooFast() {
+    status = 429;
+    CuminlatchException error = failure(client.append("configuration", CONTENT));
+    assertThat(error.code(), is(ErrorCode.LOG_RATE_LIMITED));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "{\"firstOffset\": 3, \"nextOffset\": 19, \"records\": [{\"offset\": 17, \"da",
+        "{\"firstOffset\": 3, \"nextOffset\": 19, \"records\": [{\"offset\": 17}]}",
+        "{\"firstOffset\": 3, \"nextOffset\": 19, \"records\": [{\"offset\": 17, \"data\":\"?\"}]}",
+        "{\"firstOffset\": 3, \"records\": []}"
+      })
+  void takesNoAnswerThatIsCutShortOrMalformed(String given) {
+    answer = given;
+    CuminlatchException error = failure(client.read("configuration", 17, 9, Duration.ZERO));
+    assertThat(error.code(), is(ErrorCode.LOG_UNAVAILABLE));
+  }
+
+  @Test
+  void neverRepeatsAnAppendWhoseAnswerIsLost() {
+    closes = true;
+    CuminlatchException error = failure(client.append("configuration", CONTENT));
+    assertThat(error.code(), is(ErrorCode.LOG_UNAVAILABLE));
+    assertThat(error.step(), is(Step.LOG_APPEND));
+    assertThat(requests.size(), is(1));
+  }
+
+  @Nested
+  class WithSeveralAddresses {
+
+    @Test
+    void goesToTheNextOneAfterFailure() throws IOException {
+      HttpServer gone =
+          HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+      URI unused = address(gone);
+      gone.stop(0);
+      answer = "{\"offset\": 4}";
+      try (HttpLogClient two =
+          HttpLogClient.create(List.of(unused, address(server)), Duration.ofSeconds(20))) {
+        failure(two.append("configuration", CONTENT));
+        assertThat(two.append("configuration", CONTENT).join(), is(4L));
+      }
+    }
+  }
+
+  private LogBatch read() {
+    return client.read("configuration", 17, 9, Duration.ofMillis(50)).join();
+  }
+
+  private static CuminlatchException failure(CompletableFuture<?> future) {
+    CompletionException error = assertThrows(CompletionException.class, future::join);
+    return (CuminlatchException) error.getCause();
+  }
+
+  private static URI address(HttpServer server) {
+    return URI.create("http://127.0.0.1:" + server.getAddress().getPort());
+  }
+}
