--- /dev/null
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
@@ -0,0 +1,25 @@
+package org.cuminlatch.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** All experiments that the bench can run. */
+final class Experiments {
+
+  private static final List<Experiment> ALL = new ArrayList<>();
+
+  static {
+    ALL.add(new CallerExperiment());
+  }
+
+  private Experiments() {}
+
+  static List<Experiment> all() {
+    return List.copyOf(ALL);
+  }
+
+  static Optional<Experiment> named(String name) {
+    return ALL.stream().filter(experiment -> experiment.name().equals(name)).findFirst();
+  }
+}
