Moves: steps, evidence, sequential judge and one outcome

Cause: nothing carried traffic from one target version to the next.

What changed: core.move holds the engine of a node (shares, counters, grants), the aggregator of a zone (sums, steps, capacity) and the judge, a sequential test by likelihood ratios whose error rate holds over routes, measures and looks. MovePlanCheck tells the fold whether a plan is possible. wire.move translates the messages.

Ruled out: a fixed threshold on the failure share (no error rate can be stated for it) and counts summed on the way (they count twice when a parent changes).

Conclusion: with two nodes of one zone a good version ends done, a bad one rolled back, a stop and missing slots are obeyed.

--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/AggregatorRank.java
@@ -0,0 +1,58 @@
+package org.cuminlatch.core.move;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.cuminlatch.core.membership.Locality;
+import org.cuminlatch.core.membership.Member;
+
+/**
+ * Ranks the members that may aggregate a move's evidence.
+ *
+ * <p>Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates" (rendezvous
+ * hashing), 1998.
+ */
+final class AggregatorRank {
+
+  private AggregatorRank() {}
+
+  static Optional<Member> aggregator(Collection<Member> members, Locality zone, MoveId move) {
+    return best(members, member -> member.locality().equals(zone), move);
+  }
+
+  static List<Member> aggregators(Collection<Member> members, MoveId move) {
+    TreeMap<String, Member> byZone = new TreeMap<>();
+    for (Member member : members) {
+      if (eligible(member)) {
+        byZone.merge(
+            member.locality().region() + '/' + member.locality().zone(),
+            member,
+            (one, other) -> weight(one, move) >= weight(other, move) ? one : other);
+      }
+    }
+    return byZone.values().stream()
+        .sorted(Comparator.comparingLong((Member member) -> weight(member, move)).reversed())
+        .toList();
+  }
+
+  static boolean eligible(Member member) {
+    return member.status() != Member.Status.DEAD && member.phase() != Member.Phase.LEFT;
+  }
+
+  private static Optional<Member> best(
+      Collection<Member> members, Predicate<Member> filter, MoveId move) {
+    return members.stream()
+        .filter(AggregatorRank::eligible)
+        .filter(filter)
+        .max(
+            Comparator.comparingLong((Member member) -> weight(member, move))
+                .thenComparing(Member::instance));
+  }
+
+  private static long weight(Member member, MoveId move) {
+    return Fnv.hash(member.instance() + '@' + move);
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/Counts.java
@@ -0,0 +1,111 @@
+package org.cuminlatch.core.move;
+
+import static org.cuminlatch.core.Preconditions.notNegative;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Cumulative counts of calls to one target version; each number only grows.
+ *
+ * @param calls calls to warm targets that tell something about the version
+ * @param failures those of them that failed
+ * @param coldCalls calls to targets within their cold start
+ * @param coldFailures those of them that failed
+ * @param latencies successful calls to warm targets per {@link LatencyBuckets bucket}, trailing
+ *     zeros left out
+ */
+public record Counts(
+    long calls, long failures, long coldCalls, long coldFailures, List<Long> latencies) {
+
+  /** No calls at all. */
+  public static final Counts NONE = new Counts(0, 0, 0, 0, List.of());
+
+  /** Checks the fields and copies the latencies. */
+  public Counts {
+    notNegative(calls, "calls");
+    notNegative(failures, "failures");
+    notNegative(coldCalls, "coldCalls");
+    notNegative(coldFailures, "coldFailures");
+    latencies = List.copyOf(notNull(latencies, "latencies"));
+    latencies.forEach(count -> notNegative(count, "latencies"));
+  }
+
+  /**
+   * Returns the number of successful calls in a latency bucket.
+   *
+   * @param bucket index of the bucket
+   * @return the number, 0 beyond the last bucket held
+   */
+  public long latency(int bucket) {
+    return bucket < latencies.size() ? latencies.get(bucket) : 0;
+  }
+
+  /**
+   * Returns the number of successful calls in a bucket or a slower one.
+   *
+   * @param bucket index of the fastest bucket to count
+   * @return the number
+   */
+  public long slowerFrom(int bucket) {
+    long sum = 0;
+    for (int i = bucket; i < latencies.size(); i++) {
+      sum += latencies.get(i);
+    }
+    return sum;
+  }
+
+  /**
+   * Returns the number of calls with a latency.
+   *
+   * @return the sum over all buckets
+   */
+  public long timed() {
+    return slowerFrom(0);
+  }
+
+  /**
+   * Adds counts of another source.
+   *
+   * @param other counts that share no call with these
+   * @return the sums
+   */
+  public Counts plus(Counts other) {
+    return combine(other, Long::sum);
+  }
+
+  /**
+   * Joins two readings of the same growing counts.
+   *
+   * @param other another reading, older or newer
+   * @return the larger of each two numbers
+   */
+  public Counts join(Counts other) {
+    return combine(other, Math::max);
+  }
+
+  /**
+   * Returns what was added since an earlier reading.
+   *
+   * @param earlier the earlier reading
+   * @return the differences, never below 0
+   */
+  public Counts since(Counts earlier) {
+    return combine(earlier, (now, then) -> Math.max(0, now - then));
+  }
+
+  private Counts combine(Counts other, java.util.function.LongBinaryOperator operator) {
+    int buckets = Math.max(latencies.size(), other.latencies.size());
+    List<Long> combined = new ArrayList<>(buckets);
+    for (int i = 0; i < buckets; i++) {
+      combined.add(operator.applyAsLong(latency(i), other.latency(i)));
+    }
+    return new Counts(
+        operator.applyAsLong(calls, other.calls),
+        operator.applyAsLong(failures, other.failures),
+        operator.applyAsLong(coldCalls, other.coldCalls),
+        operator.applyAsLong(coldFailures, other.coldFailures),
+        combined);
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/Evidence.java
@@ -0,0 +1,131 @@
+package org.cuminlatch.core.move;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BinaryOperator;
+import org.cuminlatch.core.move.EvidenceRow.Side;
+
+/**
+ * Cumulative counts of a move by route and side.
+ *
+ * @param routes the routes by name
+ */
+public record Evidence(Map<String, RouteEvidence> routes) {
+
+  /** No calls at all. */
+  public static final Evidence NONE = new Evidence(Map.of());
+
+  /** Copies the map, sorted by route. */
+  public Evidence {
+    routes = java.util.Collections.unmodifiableMap(new TreeMap<>(routes));
+  }
+
+  /**
+   * Collects rows.
+   *
+   * @param rows at most one row per route and side
+   * @return the evidence
+   */
+  public static Evidence of(List<EvidenceRow> rows) {
+    Map<String, RouteEvidence> routes = new TreeMap<>();
+    for (EvidenceRow row : rows) {
+      RouteEvidence route = routes.getOrDefault(row.route(), RouteEvidence.NONE);
+      routes.put(row.route(), route.with(row.side(), row.counts()));
+    }
+    return new Evidence(routes);
+  }
+
+  /**
+   * Adds the evidence of another source.
+   *
+   * @param other evidence that shares no call with this
+   * @return the sums
+   */
+  public Evidence plus(Evidence other) {
+    return merge(other, Counts::plus);
+  }
+
+  /**
+   * Joins two readings of the same growing evidence.
+   *
+   * @param other another reading, older or newer
+   * @return the larger of each two numbers
+   */
+  public Evidence join(Evidence other) {
+    return merge(other, Counts::join);
+  }
+
+  /**
+   * Returns the sum over all routes of one side.
+   *
+   * @param side the side
+   * @return the sum
+   */
+  public Counts total(Side side) {
+    Counts sum = Counts.NONE;
+    for (RouteEvidence route : routes.values()) {
+      sum = sum.plus(route.counts(side));
+    }
+    return sum;
+  }
+
+  /**
+   * Returns the evidence as rows.
+   *
+   * @return one row per route and side with calls
+   */
+  public List<EvidenceRow> rows() {
+    List<EvidenceRow> rows = new ArrayList<>();
+    routes.forEach(
+        (name, route) -> {
+          for (Side side : Side.values()) {
+            if (!route.counts(side).equals(Counts.NONE)) {
+              rows.add(new EvidenceRow(name, side, route.counts(side)));
+            }
+          }
+        });
+    return rows;
+  }
+
+  private Evidence merge(Evidence other, BinaryOperator<Counts> operator) {
+    Map<String, RouteEvidence> merged = new TreeMap<>(routes);
+    other.routes.forEach(
+        (name, route) ->
+            merged.merge(
+                name,
+                route,
+                (one, two) ->
+                    new RouteEvidence(
+                        operator.apply(one.old(), two.old()),
+                        operator.apply(one.fresh(), two.fresh()))));
+    return new Evidence(merged);
+  }
+
+  /**
+   * Counts of both sides on one route.
+   *
+   * @param old counts of the old version
+   * @param fresh counts of the new version
+   */
+  public record RouteEvidence(Counts old, Counts fresh) {
+
+    /** No calls at all. */
+    public static final RouteEvidence NONE = new RouteEvidence(Counts.NONE, Counts.NONE);
+
+    /**
+     * Returns the counts of a side.
+     *
+     * @param side the side
+     * @return the counts
+     */
+    public Counts counts(Side side) {
+      return side == Side.OLD ? old : fresh;
+    }
+
+    RouteEvidence with(Side side, Counts counts) {
+      return side == Side.OLD ? new RouteEvidence(counts, fresh) : new RouteEvidence(old, counts);
+    }
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/EvidenceRow.java
@@ -0,0 +1,29 @@
+package org.cuminlatch.core.move;
+
+import static org.cuminlatch.core.Preconditions.notBlank;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+/**
+ * Counts of one route's calls to one side of a move.
+ *
+ * @param route name of the route
+ * @param side old or new target version
+ * @param counts cumulative counts
+ */
+public record EvidenceRow(String route, Side side, Counts counts) {
+
+  /** Checks the fields. */
+  public EvidenceRow {
+    notBlank(route, "route");
+    notNull(side, "side");
+    notNull(counts, "counts");
+  }
+
+  /** The two sides of a move. */
+  public enum Side {
+    /** The target version that held the traffic. */
+    OLD,
+    /** The target version that is to take it. */
+    NEW
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/LatencyBuckets.java
@@ -0,0 +1,39 @@
+package org.cuminlatch.core.move;
+
+import java.time.Duration;
+
+/** Latency buckets whose bounds grow by the square root of two. */
+public final class LatencyBuckets {
+
+  /** Number of buckets; the last one has no upper bound. */
+  public static final int COUNT = 32;
+
+  private static final double FIRST_BOUND_NANOS = 500_000;
+  private static final double HALF_OCTAVE = Math.log(2) / 2;
+
+  private LatencyBuckets() {}
+
+  /**
+   * Returns the bucket of a latency.
+   *
+   * @param latency the latency
+   * @return index from 0
+   */
+  public static int indexOf(Duration latency) {
+    double ratio = latency.toNanos() / FIRST_BOUND_NANOS;
+    if (ratio <= 1) {
+      return 0;
+    }
+    return Math.min(COUNT - 1, (int) Math.ceil(Math.log(ratio) / HALF_OCTAVE));
+  }
+
+  /**
+   * Returns the upper bound of a bucket.
+   *
+   * @param index index of the bucket
+   * @return the bound in milliseconds
+   */
+  public static double upperBoundMillis(int index) {
+    return FIRST_BOUND_NANOS * Math.exp(index * HALF_OCTAVE) / 1e6;
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/move/MovePlanCheckTests.java
@@ -0,0 +1,96 @@
+package org.cuminlatch.core.move;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.cuminlatch.core.config.Move;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class MovePlanCheckTests {
+
+  private static final Instant START = Instant.parse("2026-03-01T08:00:00Z");
+
+  @Nested
+  class PossiblePlan {
+
+    @ParameterizedTest
+    @CsvSource({"20, 0", "30, 5", "3600, 1800"})
+    void isAccepted(long seconds, long soakSeconds) {
+      Move move = move("1", "2", seconds, soakSeconds, List.of());
+
+      assertThat(MovePlanCheck.reasonAgainst(move), equalTo(Optional.empty()));
+    }
+
+    @Test
+    void endsAtAllTrafficAlthoughItsStepsStopShort() {
+      MovePlan plan = MovePlan.of(move("1", "2", 600, 60, List.of(0.1, 0.5)));
+
+      assertThat(plan.shares(), equalTo(List.of(0.1, 0.5, 1.0)));
+    }
+
+    @Test
+    void leavesTheSoakBeforeTheDeadline() {
+      MovePlan plan = MovePlan.of(move("1", "2", 600, 60, List.of()));
+
+      Instant wholeAtLatest = plan.latest(plan.lastStep());
+      assertThat(wholeAtLatest.plusSeconds(60).isBefore(plan.decideBy()), equalTo(true));
+      assertThat(plan.decideBy().isBefore(START.plusSeconds(600)), equalTo(true));
+    }
+  }
+
+  @Nested
+  class ImpossiblePlan {
+
+    @ParameterizedTest
+    @CsvSource({
+      "10, 0, the deadline is impossible",
+      "60, 55, the deadline is impossible",
+      "0, 0, is not after the start",
+      "-5, 0, is not after the start"
+    })
+    void isRefusedForItsDeadline(long seconds, long soakSeconds, String reason) {
+      Move move = move("1", "2", seconds, soakSeconds, List.of());
+
+      assertThat(MovePlanCheck.reasonAgainst(move).orElse(""), containsString(reason));
+    }
+
+    @Test
+    void isRefusedForStepsThatDoNotRise() {
+      for (List<Double> steps : List.of(List.of(0.0, 1.0), List.of(0.5, 0.2), List.of(0.5, 0.5))) {
+        Move move = move("1", "2", 600, 0, steps);
+        assertThat(
+            MovePlanCheck.reasonAgainst(move).orElse(""), containsString("the steps must rise"));
+      }
+    }
+
+    @Test
+    void isRefusedForEqualVersions() {
+      Move move = move("1", "1", 600, 0, List.of());
+
+      assertThat(MovePlanCheck.reasonAgainst(move).orElse(""), containsString("same version"));
+    }
+  }
+
+  private static Move move(
+      String from, String to, long seconds, long soakSeconds, List<Double> steps) {
+    return new Move(
+        "m",
+        "siparis",
+        Optional.empty(),
+        from,
+        to,
+        START,
+        START.plusSeconds(seconds),
+        steps,
+        Duration.ofSeconds(soakSeconds),
+        false);
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/move/TwoNodes.java
@@ -0,0 +1,216 @@
+package org.cuminlatch.core.move;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.cuminlatch.core.config.Move;
+import org.cuminlatch.core.config.MoveOutcome;
+import org.cuminlatch.core.config.MoveState;
+import org.cuminlatch.core.config.MoveStop;
+import org.cuminlatch.core.config.Route;
+import org.cuminlatch.core.config.ServiceState;
+import org.cuminlatch.core.config.Snapshot;
+import org.cuminlatch.core.control.ControlMessage;
+import org.cuminlatch.core.membership.Address;
+import org.cuminlatch.core.membership.Locality;
+import org.cuminlatch.core.membership.Member;
+import org.cuminlatch.core.membership.MembershipView;
+import org.cuminlatch.core.move.VersionShares.VersionShare;
+
+/** Two nodes of one zone with their engines, a log and calls at a steady rate, on virtual time. */
+final class TwoNodes {
+
+  private static final Instant START = Instant.parse("2026-03-01T08:00:00Z");
+  private static final Duration TICK = Duration.ofMillis(100);
+  private static final int CALLS_PER_TICK = 20;
+  private static final int SLOTS = 8;
+  private static final Route ROUTE = Route.of("orders", "/orders", "siparis");
+  private static final ServiceState SERVICE = new ServiceState("siparis", Set.of("1", "2"), "1");
+  private static final Duration LATENCY = Duration.ofMillis(20);
+
+  private final SplittableRandom random = new SplittableRandom(6);
+  private final List<MoveOutcome> outcomes = new ArrayList<>();
+  private final Map<Address, MoveEngine> engines = new LinkedHashMap<>();
+  private final Deque<Runnable> deliveries = new ArrayDeque<>();
+  private Optional<MoveState> state = Optional.empty();
+  private Instant now = START;
+  private long version;
+  private double newFailures;
+  private int newSlots = SLOTS;
+
+  TwoNodes() {
+    for (Member member : members()) {
+      engines.put(member.controlAddress(), engineOf(member));
+    }
+  }
+
+  private MoveEngine engineOf(Member member) {
+    return MoveEngine.create(
+        member.instance(),
+        member.locality(),
+        this::snapshot,
+        new View(),
+        (to, message) -> send(member.controlAddress(), to, message),
+        this::append,
+        decision -> {},
+        MoveSettings.defaults());
+  }
+
+  private void send(Address from, Address to, ControlMessage message) {
+    deliveries.add(() -> engines.get(to).onMessage(from, (EvidenceMessage) message, now));
+  }
+
+  MoveEngine engine() {
+    return engines.values().iterator().next();
+  }
+
+  List<String> reasons() {
+    return engines.values().stream().map(each -> each.progress().get(0).reason()).toList();
+  }
+
+  Move move(long seconds, long soakSeconds) {
+    return moveOfRoute(Optional.empty(), seconds, soakSeconds);
+  }
+
+  Move moveOfRoute(Optional<String> route, long seconds, long soakSeconds) {
+    return new Move(
+        "m",
+        "siparis",
+        route,
+        "1",
+        "2",
+        now,
+        now.plusSeconds(seconds),
+        List.of(),
+        Duration.ofSeconds(soakSeconds),
+        false);
+  }
+
+  void start(Move move) {
+    version++;
+    state = Optional.of(new MoveState(move, 1, Optional.empty(), Optional.empty()));
+  }
+
+  void stop(MoveStop stop) {
+    version++;
+    state = state.map(open -> new MoveState(open.move(), 1, Optional.of(stop), Optional.empty()));
+  }
+
+  void failNew(double share) {
+    newFailures = share;
+  }
+
+  void slotsOfNew(int slots) {
+    newSlots = slots;
+  }
+
+  void run(double seconds) {
+    Instant end = now.plusMillis((long) (seconds * 1_000));
+    while (now.isBefore(end)) {
+      now = now.plus(TICK);
+      engines.values().forEach(this::callAndTick);
+      deliver();
+    }
+  }
+
+  private void callAndTick(MoveEngine engine) {
+    for (int i = 0; i < CALLS_PER_TICK; i++) {
+      call(engine);
+    }
+    engine.onTick(now);
+  }
+
+  private void deliver() {
+    while (!deliveries.isEmpty()) {
+      deliveries.removeFirst().run();
+    }
+  }
+
+  List<VersionShare> shares() {
+    return engine().sharesOf(snapshot(), ROUTE);
+  }
+
+  double newShare() {
+    return shares().stream()
+        .filter(share -> share.version().equals("2"))
+        .mapToDouble(VersionShare::share)
+        .sum();
+  }
+
+  List<MoveOutcome> outcomes() {
+    return outcomes;
+  }
+
+  MoveOutcome outcome() {
+    return outcomes.get(0);
+  }
+
+  private void call(MoveEngine engine) {
+    boolean toNew = random.nextDouble() < newShare();
+    boolean failed = random.nextDouble() < (toNew ? newFailures : 0);
+    CallOutcome.Result result = failed ? CallOutcome.Result.FAILURE : CallOutcome.Result.SUCCESS;
+    engine.observed(
+        new CallOutcome("orders", "siparis", toNew ? "2" : "1", result, LATENCY, false));
+  }
+
+  private void append(MoveOutcome outcome) {
+    outcomes.add(outcome);
+    version++;
+    state =
+        state.map(
+            open ->
+                new MoveState(
+                    open.move(), 1, open.stop(), open.outcome().or(() -> Optional.of(outcome))));
+  }
+
+  private Snapshot snapshot() {
+    Map<String, MoveState> moves = state.map(open -> Map.of("m", open)).orElse(Map.of());
+    long version = 1 + moves.hashCode();
+    return new Snapshot(
+        Math.abs(version), "", Map.of("orders", ROUTE), Map.of("siparis", SERVICE), moves);
+  }
+
+  private List<Member> members() {
+    return List.of(member("izmir-1", 1, "1", SLOTS), member("izmir-2", 2, "2", newSlots));
+  }
+
+  private static Member member(String instance, int port, String version, int slots) {
+    Address address = new Address("127.0.0.1", port);
+    return new Member(
+        instance,
+        0,
+        Member.Status.ALIVE,
+        address,
+        address,
+        new Locality("ege", "izmir"),
+        "siparis",
+        version,
+        slots,
+        slots > 0 ? Member.Phase.SERVING : Member.Phase.STARTING,
+        Set.of(1),
+        0,
+        "");
+  }
+
+  private final class View implements MembershipView {
+
+    @Override
+    public Collection<Member> members() {
+      return TwoNodes.this.members();
+    }
+
+    @Override
+    public Optional<Member> member(String instance) {
+      return members().stream().filter(member -> member.instance().equals(instance)).findFirst();
+    }
+  }
+}
--- /dev/null
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/move/EvidenceDecoder.java
@@ -0,0 +1,118 @@
+package org.cuminlatch.wire.move;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.cuminlatch.core.error.CuminlatchException;
+import org.cuminlatch.core.error.ErrorCode;
+import org.cuminlatch.core.error.Step;
+import org.cuminlatch.core.membership.Locality;
+import org.cuminlatch.core.move.Counts;
+import org.cuminlatch.core.move.EvidenceMessage;
+import org.cuminlatch.core.move.EvidenceMessage.NodeReport;
+import org.cuminlatch.core.move.EvidenceMessage.RollbackNotice;
+import org.cuminlatch.core.move.EvidenceMessage.StepGrant;
+import org.cuminlatch.core.move.EvidenceMessage.ZoneReport;
+import org.cuminlatch.core.move.EvidenceRow;
+import org.cuminlatch.core.move.EvidenceRow.Side;
+import org.cuminlatch.core.move.LatencyBuckets;
+import org.cuminlatch.core.move.MoveEvidence;
+import org.cuminlatch.core.move.MoveId;
+import org.cuminlatch.core.move.Rollback;
+import org.cuminlatch.wire.proto.move.EvidenceFrame;
+import org.cuminlatch.wire.proto.move.EvidenceRowFrame;
+import org.cuminlatch.wire.proto.move.MoveEvidenceFrame;
+import org.cuminlatch.wire.proto.move.NodeReportFrame;
+import org.cuminlatch.wire.proto.move.RollbackFrame;
+import org.cuminlatch.wire.proto.move.StepGrantFrame;
+import org.cuminlatch.wire.proto.move.ZoneReportFrame;
+
+/** Translates frames into messages about moves and refuses malformed ones. */
+final class EvidenceDecoder {
+
+  private EvidenceDecoder() {}
+
+  static EvidenceMessage fromFrame(EvidenceFrame frame) {
+    return switch (frame.getKindCase()) {
+      case NODE_REPORT -> fromFrame(frame.getNodeReport());
+      case ZONE_REPORT -> fromFrame(frame.getZoneReport());
+      case STEP_GRANT -> fromFrame(frame.getStepGrant());
+      case ROLLBACK_NOTICE ->
+          new RollbackNotice(fromFrames(frame.getRollbackNotice().getRollbacksList()));
+      case KIND_NOT_SET -> throw malformed("the message has no known kind");
+    };
+  }
+
+  private static NodeReport fromFrame(NodeReportFrame frame) {
+    return new NodeReport(
+        frame.getInstance(),
+        new Locality(frame.getRegion(), frame.getZone()),
+        frame.getEpoch(),
+        frame.getSequence(),
+        frame.getMovesList().stream().map(EvidenceDecoder::fromFrame).toList(),
+        fromFrames(frame.getRollbacksList()));
+  }
+
+  private static ZoneReport fromFrame(ZoneReportFrame frame) {
+    return new ZoneReport(
+        new Locality(frame.getRegion(), frame.getZone()),
+        fromFrame(frame.getMove()),
+        fromFrames(frame.getRollbacksList()));
+  }
+
+  private static StepGrant fromFrame(StepGrantFrame frame) {
+    return new StepGrant(
+        new MoveId(frame.getMove()),
+        frame.getStep() - 1,
+        frame.getShareCap(),
+        frame.getHighestShare(),
+        frame.getEchoedEpoch(),
+        frame.getEchoedSequence());
+  }
+
+  private static MoveEvidence fromFrame(MoveEvidenceFrame frame) {
+    return new MoveEvidence(
+        new MoveId(frame.getMove()),
+        frame.getStep() - 1,
+        frame.getHighestShare(),
+        frame.getClosed(),
+        frame.getRowsList().stream().map(EvidenceDecoder::fromFrame).toList());
+  }
+
+  private static EvidenceRow fromFrame(EvidenceRowFrame frame) {
+    int buckets = frame.getFirstBucket() + frame.getLatenciesCount();
+    if (frame.getFirstBucket() < 0 || buckets > LatencyBuckets.COUNT) {
+      throw malformed("a row has " + buckets + " latency buckets");
+    }
+    List<Long> latencies = new ArrayList<>(buckets);
+    for (int i = 0; i < frame.getFirstBucket(); i++) {
+      latencies.add(0L);
+    }
+    latencies.addAll(frame.getLatenciesList());
+    Counts counts =
+        new Counts(
+            frame.getCalls(),
+            frame.getFailures(),
+            frame.getColdCalls(),
+            frame.getColdFailures(),
+            latencies);
+    return new EvidenceRow(frame.getRoute(), frame.getNewVersion() ? Side.NEW : Side.OLD, counts);
+  }
+
+  private static List<Rollback> fromFrames(List<RollbackFrame> frames) {
+    return frames.stream()
+        .map(
+            frame ->
+                new Rollback(
+                    new MoveId(frame.getMove()),
+                    frame.getReason(),
+                    Instant.ofEpochMilli(frame.getDecidedAtMillis()),
+                    frame.getHighestShare()))
+        .toList();
+  }
+
+  static CuminlatchException malformed(String why) {
+    return CuminlatchException.of(
+        ErrorCode.INVALID_FRAME, Step.CODEC, "malformed evidence: " + why);
+  }
+}
