Carry calls from callers to targets through two nodes

Cause: the call path had packages but no code. Changed: routing, admission and retry decisions in the core; frames and channels of forwarded calls; CallPath with its entry, peers, gate and target client. Conclusion: bodies from 0 to 1,000,000 bytes come back whole in CallPathTests.

--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/retry/RetryBudget.java
@@ -0,0 +1,44 @@
+package org.cuminlatch.core.retry;
+
+import static org.cuminlatch.core.Preconditions.inRange;
+
+/**
+ * Tokens that limit retries to a share of first attempts.
+ *
+ * <p>Each first attempt adds the share, each retry takes a whole token. Safe for use by many
+ * threads. The source of the idea is the retry budget of Finagle; a small reserve lets a quiet
+ * route retry.
+ */
+public final class RetryBudget {
+
+  /** Tokens at the start: retries that a route may make before it has earned any. */
+  public static final double RESERVE = 3;
+
+  /** Most tokens that can be saved. */
+  public static final double MAX_TOKENS = 20;
+
+  private double tokens = RESERVE;
+
+  /**
+   * Adds what a first attempt earns.
+   *
+   * @param share retries allowed as a share of first attempts, from 0 to 1
+   */
+  public synchronized void firstAttempt(double share) {
+    inRange(share, 0, 1, "share");
+    tokens = Math.min(MAX_TOKENS, tokens + share);
+  }
+
+  /**
+   * Takes a token for a retry.
+   *
+   * @return whether there was one
+   */
+  public synchronized boolean tryRetry() {
+    if (tokens < 1) {
+      return false;
+    }
+    tokens -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/Router.java
@@ -0,0 +1,115 @@
+package org.cuminlatch.core.route;
+
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.cuminlatch.core.config.Route;
+import org.cuminlatch.core.membership.Locality;
+import org.cuminlatch.core.membership.Member;
+import org.cuminlatch.core.move.VersionShares;
+import org.cuminlatch.core.route.RoutingDecision.Reason;
+
+/** Chooses the route, the target version and the target of a request. */
+public final class Router {
+
+  private final VersionChoice versions;
+  private final TargetChooser chooser;
+
+  /**
+   * Creates a router.
+   *
+   * @param shares shares of the target versions
+   * @param loads what is known of the targets
+   * @param link budget of the link between the regions
+   */
+  public Router(VersionShares shares, TargetLoads loads, LinkBudget link) {
+    this.versions = new VersionChoice(notNull(shares, "shares"));
+    this.chooser = new TargetChooser(notNull(loads, "loads"), notNull(link, "link"));
+  }
+
+  /**
+   * Decides where a request goes.
+   *
+   * @param table routes of the configuration that the request began with
+   * @param request the request
+   * @param context members, place, time and instances to avoid
+   * @param random source of random choices
+   * @return the decision with its reason
+   */
+  public RoutingDecision decide(
+      RouteTable table, RequestHead request, Context context, RandomGenerator random) {
+    Optional<Route> match = table.match(request);
+    if (match.isEmpty()) {
+      return refused(table, match, Reason.NO_ROUTE);
+    }
+    Route route = match.get();
+    List<String> allowed =
+        versions.choose(
+            table.snapshot(), route, route.stickyHeader().flatMap(request::header), random);
+    if (allowed.isEmpty()) {
+      return refused(table, match, Reason.NO_VERSION);
+    }
+    boolean found = false;
+    for (String version : allowed) {
+      List<Member> candidates = context.candidates(route.service(), version);
+      found |= !candidates.isEmpty();
+      Optional<TargetChooser.Choice> choice =
+          choose(context.preferred(candidates), context, random);
+      if (choice.isPresent()) {
+        return new RoutingDecision(
+            table.snapshot().version(),
+            match,
+            Optional.of(version),
+            choice.map(TargetChooser.Choice::member),
+            choice.get().reason());
+      }
+    }
+    return refused(table, match, found ? Reason.LINK_BUDGET_SPENT : Reason.NO_MEMBER);
+  }
+
+  private Optional<TargetChooser.Choice> choose(
+      List<Member> candidates, Context context, RandomGenerator random) {
+    return chooser.choose(candidates, context.own(), context.now(), random);
+  }
+
+  private static RoutingDecision refused(RouteTable table, Optional<Route> route, Reason reason) {
+    return new RoutingDecision(
+        table.snapshot().version(), route, Optional.empty(), Optional.empty(), reason);
+  }
+
+  /**
+   * Circumstances of a decision.
+   *
+   * @param members members by service
+   * @param own place of the deciding node
+   * @param avoided instances that have been tried for this request
+   * @param now present time
+   */
+  public record Context(ServiceIndex members, Locality own, Set<String> avoided, Instant now) {
+
+    /** Checks the fields. */
+    public Context {
+      notNull(members, "members");
+      notNull(own, "own");
+      notNull(avoided, "avoided");
+      notNull(now, "now");
+    }
+
+    List<Member> candidates(String service, String version) {
+      return members.serving(service, version);
+    }
+
+    List<Member> preferred(List<Member> candidates) {
+      if (avoided.isEmpty()) {
+        return candidates;
+      }
+      List<Member> fresh =
+          candidates.stream().filter(member -> !avoided.contains(member.instance())).toList();
+      return fresh.isEmpty() ? candidates : fresh;
+    }
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceIndex.java
@@ -0,0 +1,50 @@
+package org.cuminlatch.core.route;
+
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cuminlatch.core.membership.Member;
+
+/** Members that take calls, by service and target version. */
+public final class ServiceIndex {
+
+  private final Map<ServiceVersion, List<Member>> serving = new HashMap<>();
+
+  private ServiceIndex(Collection<Member> members) {
+    for (Member member : members) {
+      if (member.takesCalls()) {
+        ServiceVersion key = new ServiceVersion(member.service(), member.targetVersion());
+        serving.computeIfAbsent(key, unused -> new ArrayList<>()).add(member);
+      }
+    }
+    serving.values().forEach(list -> list.sort(Comparator.comparing(Member::instance)));
+  }
+
+  /**
+   * Indexes members.
+   *
+   * @param members the members
+   * @return the index
+   */
+  public static ServiceIndex of(Collection<Member> members) {
+    return new ServiceIndex(notNull(members, "members"));
+  }
+
+  /**
+   * Returns the members that take calls for a target version.
+   *
+   * @param service name of the service
+   * @param version name of the target version
+   * @return the members in the order of their names
+   */
+  public List<Member> serving(String service, String version) {
+    return serving.getOrDefault(new ServiceVersion(service, version), List.of());
+  }
+
+  private record ServiceVersion(String service, String version) {}
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
@@ -0,0 +1,126 @@
+package org.cuminlatch.core.route;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+/** What one node has learned of one target; safe for use by many threads. */
+final class TargetLoad {
+
+  static final int FAILURES_TO_EJECT = 5;
+  static final Duration FIRST_EJECTION = Duration.ofSeconds(2);
+  static final Duration LONGEST_EJECTION = Duration.ofSeconds(60);
+  static final Duration SLOW_START = Duration.ofSeconds(30);
+
+  private static final double LEAST_WEIGHT = 0.1;
+  private static final double LATENCY_SMOOTHING = 0.2;
+  private static final double LATENCY_FLOOR_MILLIS = 1;
+  private static final Duration REPORT_AGE = Duration.ofSeconds(2);
+  private static final Duration LATENCY_HALF_LIFE = Duration.ofSeconds(5);
+
+  private final Instant firstSeen;
+  private int outstanding;
+  private int outstandingAtReport;
+  private ReportedLoad report;
+  private Instant reportedAt = Instant.MIN;
+  private double latencyMillis;
+  private Instant latencyAt = Instant.MIN;
+  private int failuresInRow;
+  private int ejections;
+  private Instant ejectedUntil = Instant.MIN;
+
+  TargetLoad(Instant firstSeen) {
+    this.firstSeen = firstSeen;
+  }
+
+  synchronized void begin() {
+    outstanding++;
+  }
+
+  synchronized void end() {
+    outstanding = Math.max(0, outstanding - 1);
+  }
+
+  synchronized void reported(ReportedLoad load, Instant now) {
+    report = load;
+    reportedAt = now;
+    outstandingAtReport = outstanding;
+  }
+
+  synchronized void answered(Duration latency, Instant now) {
+    double millis = latency.toNanos() / 1e6;
+    double known = latencyAt(now);
+    latencyMillis =
+        latencyAt.equals(Instant.MIN) ? millis : known + LATENCY_SMOOTHING * (millis - known);
+    latencyAt = now;
+    failuresInRow = 0;
+    ejections = now.isBefore(ejectedUntil) ? ejections : Math.max(0, ejections - 1);
+  }
+
+  synchronized void failed(Instant now) {
+    failuresInRow++;
+    if (failuresInRow >= FAILURES_TO_EJECT && !now.isBefore(ejectedUntil)) {
+      eject(now);
+    }
+  }
+
+  synchronized void unreachable(Instant now) {
+    failuresInRow = FAILURES_TO_EJECT;
+    if (!now.isBefore(ejectedUntil)) {
+      eject(now);
+    }
+  }
+
+  private void eject(Instant now) {
+    Duration doubled = FIRST_EJECTION.multipliedBy(1L << Math.min(ejections, 5));
+    Duration length = doubled.compareTo(LONGEST_EJECTION) < 0 ? doubled : LONGEST_EJECTION;
+    ejections++;
+    ejectedUntil = now.plus(length);
+    failuresInRow = FAILURES_TO_EJECT - 1;
+  }
+
+  synchronized Optional<Instant> ejectedUntil(Instant now) {
+    return now.isBefore(ejectedUntil) ? Optional.of(ejectedUntil) : Optional.empty();
+  }
+
+  /** Returns the requests at the target per slot; 1 means that no slot is free. */
+  synchronized double pressure(int slots, Instant now) {
+    return occupied(now) / Math.max(1, limit(slots, now));
+  }
+
+  /** Returns the cost of one more request; the lower one is chosen. */
+  synchronized double cost(int slots, Instant now) {
+    double latency = Math.max(LATENCY_FLOOR_MILLIS, latencyAt(now));
+    double loaded = (occupied(now) + 1) / Math.max(1, limit(slots, now));
+    return loaded * latency / weight(now);
+  }
+
+  private double occupied(Instant now) {
+    if (!reportIsFresh(now)) {
+      return outstanding;
+    }
+    int sinceReport = outstanding - outstandingAtReport;
+    return Math.max(outstanding, report.busy() + report.queued() + sinceReport);
+  }
+
+  private int limit(int slots, Instant now) {
+    return reportIsFresh(now) ? report.limit() : slots;
+  }
+
+  private boolean reportIsFresh(Instant now) {
+    return report != null && now.isBefore(reportedAt.plus(REPORT_AGE));
+  }
+
+  private double latencyAt(Instant now) {
+    if (latencyAt.equals(Instant.MIN)) {
+      return 0;
+    }
+    double idle = Duration.between(latencyAt, now).toNanos();
+    return latencyMillis * Math.pow(0.5, Math.max(0, idle) / LATENCY_HALF_LIFE.toNanos());
+  }
+
+  private double weight(Instant now) {
+    double age = Duration.between(firstSeen, now).toNanos();
+    return Math.max(LEAST_WEIGHT, Math.min(1, age / SLOW_START.toNanos()));
+  }
+}
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/LocalChannel.java
@@ -0,0 +1,47 @@
+package org.cuminlatch.node.call;
+
+import org.cuminlatch.wire.call.CallChannel;
+import org.cuminlatch.wire.call.CallFrameHandler;
+import org.cuminlatch.wire.proto.call.CallFrame;
+
+/** One end of a connection within the process, from a node to the target beside it. */
+final class LocalChannel implements CallChannel {
+
+  private static final String PEER = "local";
+
+  private final CallFrameHandler receiver;
+  private LocalChannel otherEnd;
+
+  private LocalChannel(CallFrameHandler receiver) {
+    this.receiver = receiver;
+  }
+
+  /** Joins two handlers and returns the channel by which the first sends to the second. */
+  static CallChannel join(CallFrameHandler first, CallFrameHandler second) {
+    LocalChannel toSecond = new LocalChannel(second);
+    LocalChannel toFirst = new LocalChannel(first);
+    toSecond.otherEnd = toFirst;
+    toFirst.otherEnd = toSecond;
+    return toSecond;
+  }
+
+  @Override
+  public void send(CallFrame frame) {
+    receiver.received(otherEnd, frame);
+  }
+
+  @Override
+  public void close() {
+    receiver.closed(otherEnd);
+  }
+
+  @Override
+  public boolean isOpen() {
+    return true;
+  }
+
+  @Override
+  public String peer() {
+    return PEER;
+  }
+}
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/OutcomeReport.java
@@ -0,0 +1,61 @@
+package org.cuminlatch.node.call;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.function.Supplier;
+import org.cuminlatch.core.membership.Member;
+import org.cuminlatch.core.move.CallObserver;
+import org.cuminlatch.core.move.CallOutcome;
+import org.cuminlatch.core.move.CallOutcome.Result;
+
+/** Reports the outcomes of attempts at the target beside the node. */
+final class OutcomeReport {
+
+  static final Duration COLD_START = Duration.ofSeconds(30);
+
+  private static final int FIRST_CALLER_ERROR = 400;
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final CallObserver observer;
+  private final Supplier<Member> self;
+  private final InstantSource clock;
+  private volatile Instant servingSince;
+
+  OutcomeReport(CallObserver observer, Supplier<Member> self, InstantSource clock) {
+    this.observer = observer;
+    this.self = self;
+    this.clock = clock;
+  }
+
+  static Result result(int status) {
+    if (status >= FIRST_SERVER_ERROR) {
+      return Result.FAILURE;
+    }
+    return status >= FIRST_CALLER_ERROR ? Result.CALLER_ERROR : Result.SUCCESS;
+  }
+
+  void notRun(RunningAttempt attempt) {
+    ended(attempt, Result.NOT_RUN, Duration.ZERO);
+  }
+
+  void ended(RunningAttempt attempt, Result result, Duration latency) {
+    Member own = self.get();
+    observer.observed(
+        new CallOutcome(
+            attempt.begin().getRoute(),
+            own.service(),
+            own.targetVersion(),
+            result,
+            latency,
+            isCold()));
+  }
+
+  private boolean isCold() {
+    Instant now = clock.instant();
+    if (servingSince == null) {
+      servingSince = now;
+    }
+    return now.isBefore(servingSince.plus(COLD_START));
+  }
+}
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/TargetClient.java
@@ -0,0 +1,106 @@
+package org.cuminlatch.node.call;
+
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublisher;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.cuminlatch.wire.proto.call.Begin;
+import org.cuminlatch.wire.proto.call.Header;
+
+/**
+ * HTTP connections to the target beside the node.
+ *
+ * <p>Callbacks run on the client's own thread and must not block. When pooled connections have gone
+ * silent the pool is replaced; requests under way keep theirs.
+ */
+final class TargetClient {
+
+  static final Duration PROBE_TIMEOUT = Duration.ofMillis(500);
+
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration LEAST_POOL_AGE = Duration.ofSeconds(5);
+  private static final String HEALTH_PATH = "/health";
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final URI target;
+  private volatile HttpClient client = newClient();
+  private Instant renewedAt = Instant.MIN;
+
+  TargetClient(URI target) {
+    this.target = target;
+  }
+
+  private static HttpClient newClient() {
+    return HttpClient.newBuilder()
+        .version(HttpClient.Version.HTTP_1_1)
+        .followRedirects(HttpClient.Redirect.NEVER)
+        .connectTimeout(CONNECT_TIMEOUT)
+        .executor(Runnable::run)
+        .build();
+  }
+
+  /** Runs an attempt; the answer arrives at the given handler. */
+  CompletableFuture<HttpResponse<Void>> run(
+      RunningAttempt attempt, TargetAnswer answer, Duration timeLeft) {
+    return client.sendAsync(request(attempt, timeLeft), answer);
+  }
+
+  private HttpRequest request(RunningAttempt attempt, Duration timeLeft) {
+    Begin begin = attempt.begin();
+    HttpRequest.Builder request = HttpRequest.newBuilder(resolve(begin.getPath()));
+    for (Header header : begin.getHeadersList()) {
+      request.header(header.getName(), header.getValue());
+    }
+    request.setHeader(CallHeaders.DEADLINE_MILLIS, Long.toString(timeLeft.toMillis()));
+    request.setHeader(CallHeaders.ATTEMPT, new CallToken(attempt.id(), attempt.tree()).format());
+    return request.method(begin.getMethod(), publisher(attempt)).build();
+  }
+
+  private URI resolve(String path) {
+    return URI.create(target.getScheme() + "://" + target.getRawAuthority() + path);
+  }
+
+  private static BodyPublisher publisher(RunningAttempt attempt) {
+    Begin begin = attempt.begin();
+    if (!begin.getBodyComplete()) {
+      return attempt.body();
+    }
+    if (begin.getBody().isEmpty()) {
+      return BodyPublishers.noBody();
+    }
+    return BodyPublishers.ofByteArray(begin.getBody().toByteArray());
+  }
+
+  /** Asks for the target's health on a fresh connection; false if it does not answer in time. */
+  CompletableFuture<Boolean> probe() {
+    HttpRequest request =
+        HttpRequest.newBuilder(resolve(HEALTH_PATH)).timeout(PROBE_TIMEOUT).build();
+    return newClient()
+        .sendAsync(request, BodyHandlers.discarding())
+        .handle((response, error) -> error == null && response.statusCode() < FIRST_SERVER_ERROR);
+  }
+
+  /** Gives up the pooled connections unless that was done a short while ago. */
+  synchronized void renew(Instant now) {
+    if (now.isBefore(renewedAt.plus(LEAST_POOL_AGE))) {
+      return;
+    }
+    renewedAt = now;
+    client = newClient();
+  }
+
+  /** Returns whether a failed exchange proves that the target got nothing of the request. */
+  static boolean provesNotRun(Throwable error) {
+    Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+    return cause instanceof ConnectException
+        || cause instanceof java.net.http.HttpConnectTimeoutException;
+  }
+}
--- /dev/null
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallChannelHandler.java
@@ -0,0 +1,36 @@
+package org.cuminlatch.wire.call;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.cuminlatch.wire.proto.call.CallFrame;
+
+/** Hands frames from a TCP connection to a {@link CallFrameHandler}. */
+final class CallChannelHandler extends SimpleChannelInboundHandler<CallFrame> {
+
+  private final NettyCallChannel channel;
+  private final CallFrameHandler handler;
+
+  CallChannelHandler(NettyCallChannel channel, CallFrameHandler handler) {
+    this.channel = channel;
+    this.handler = handler;
+  }
+
+  NettyCallChannel callChannel() {
+    return channel;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, CallFrame frame) {
+    handler.received(channel, frame);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    handler.closed(channel);
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    context.close();
+  }
+}
--- /dev/null
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallFrameHandler.java
@@ -0,0 +1,22 @@
+package org.cuminlatch.wire.call;
+
+import org.cuminlatch.wire.proto.call.CallFrame;
+
+/** Takes what arrives on connections; called by their threads and must not block. */
+public interface CallFrameHandler {
+
+  /**
+   * Takes a frame.
+   *
+   * @param channel connection on which it arrived
+   * @param frame the frame
+   */
+  void received(CallChannel channel, CallFrame frame);
+
+  /**
+   * Takes the end of a connection.
+   *
+   * @param channel the connection
+   */
+  void closed(CallChannel channel);
+}
--- /dev/null
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallTransport.java
@@ -0,0 +1,151 @@
+package org.cuminlatch.wire.call;
+
+import static org.cuminlatch.core.Preconditions.check;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.cuminlatch.core.error.CuminlatchException;
+import org.cuminlatch.core.error.ErrorCode;
+import org.cuminlatch.core.error.Step;
+import org.cuminlatch.core.membership.Address;
+import org.cuminlatch.wire.proto.call.CallFrame;
+
+/** Opens and accepts the TCP connections that carry forwarded calls. */
+public final class CallTransport implements AutoCloseable {
+
+  /** Largest frame in bytes. */
+  public static final int MAX_FRAME_BYTES = 1 << 20;
+
+  private static final int LENGTH_BYTES = 4;
+  private static final Duration QUIET_PERIOD = Duration.ZERO;
+  private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
+
+  private final EventLoopGroup group;
+
+  private CallTransport(int threads) {
+    this.group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+  }
+
+  /**
+   * Starts the threads that serve the connections.
+   *
+   * @param threads number of threads
+   * @return the transport
+   */
+  public static CallTransport start(int threads) {
+    check(threads >= 1, "threads", "must be at least 1");
+    return new CallTransport(threads);
+  }
+
+  /**
+   * Accepts connections.
+   *
+   * @param address address to listen on; port 0 takes any
+   * @param handler takes what arrives
+   * @return the address in use
+   * @throws CuminlatchException with {@code INVALID_SETTING} if the address can't be bound
+   */
+  public InetSocketAddress listen(InetSocketAddress address, CallFrameHandler handler) {
+    notNull(handler, "handler");
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer(handler));
+    ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw CuminlatchException.of(
+          ErrorCode.INVALID_SETTING,
+          Step.SETTINGS,
+          address.toString(),
+          "the address for forwarded calls can't be bound",
+          bound.cause());
+    }
+    return (InetSocketAddress) bound.channel().localAddress();
+  }
+
+  /**
+   * Opens a connection.
+   *
+   * @param address address of the peer
+   * @param timeout longest time to wait
+   * @param handler takes what arrives
+   * @return the connection; fails if it can't be opened
+   */
+  public CompletableFuture<CallChannel> connect(
+      Address address, Duration timeout, CallFrameHandler handler) {
+    notNull(address, "address");
+    CompletableFuture<CallChannel> result = new CompletableFuture<>();
+    new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
+        .handler(initializer(notNull(handler, "handler")))
+        .connect(address.host(), address.port())
+        .addListener((ChannelFuture done) -> complete(done, address, result));
+    return result;
+  }
+
+  @Override
+  public void close() {
+    group
+        .shutdownGracefully(QUIET_PERIOD.toMillis(), STOP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(STOP_TIMEOUT.toMillis());
+  }
+
+  private static void complete(
+      ChannelFuture done, Address address, CompletableFuture<CallChannel> result) {
+    if (done.isSuccess()) {
+      result.complete(done.channel().pipeline().get(CallChannelHandler.class).callChannel());
+      return;
+    }
+    result.completeExceptionally(
+        CuminlatchException.of(
+            ErrorCode.PEER_UNAVAILABLE,
+            Step.FORWARD,
+            address.toString(),
+            "the connection can't be opened",
+            done.cause()));
+  }
+
+  private static ChannelInitializer<SocketChannel> initializer(CallFrameHandler handler) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel channel) {
+        addHandlers(channel, handler);
+      }
+    };
+  }
+
+  private static void addHandlers(Channel channel, CallFrameHandler handler) {
+    channel
+        .pipeline()
+        .addLast(
+            new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+            new ProtobufDecoder(CallFrame.getDefaultInstance()),
+            new LengthFieldPrepender(LENGTH_BYTES),
+            new ProtobufEncoder(),
+            new CallChannelHandler(new NettyCallChannel(channel), handler));
+  }
+}
