--- /dev/null
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The table that {@code bin/demo} prints: promises observed, checks and violations. */
+package org.cuminlatch.bench.demo;
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/OutcomeAppender.java
@@ -0,0 +1,47 @@
+package org.cuminlatch.node.control;
+
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.util.OptionalLong;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.cuminlatch.core.config.Bytes;
+import org.cuminlatch.core.config.MoveOutcome;
+import org.cuminlatch.core.move.OutcomeSink;
+import org.cuminlatch.wire.config.ConfigurationCodecs;
+import org.cuminlatch.wire.log.LogClient;
+import org.cuminlatch.wire.log.LogStreams;
+
+/**
+ * Appends the outcomes of moves to the platform's log.
+ *
+ * <p>The engine asks again until the outcome shows, so a failed append is only logged. The record id
+ * depends on the move and the result alone: repeats are dropped by the fold.
+ */
+final class OutcomeAppender implements OutcomeSink {
+
+  private static final Logger LOG = LogManager.getLogger(OutcomeAppender.class);
+
+  private final LogClient client;
+
+  OutcomeAppender(LogClient client) {
+    this.client = notNull(client, "client");
+  }
+
+  @Override
+  public void append(MoveOutcome outcome) {
+    String recordId = "outcome/" + outcome.name() + "/" + outcome.result();
+    Bytes content = ConfigurationCodecs.encode(recordId, outcome, OptionalLong.empty());
+    client
+        .append(LogStreams.CONFIGURATION, content)
+        .whenComplete((offset, failure) -> logged(outcome, offset, failure));
+  }
+
+  private static void logged(MoveOutcome outcome, Long offset, Throwable failure) {
+    if (failure == null) {
+      LOG.info("outcome of {} appended at offset {}: {}", outcome.name(), offset, outcome.result());
+    } else {
+      LOG.warn("outcome of {} could not be appended: {}", outcome.name(), failure.toString());
+    }
+  }
+}
