Membership by gossip, spread of records and the control transport

Changed: MembershipEngine (probes, suspicion, refutation, delegates between zones, comparison of rosters, floors remembered by keepers), SpreadEngine (ranked readers, tree push, pull repair, checkpoints), frame and payload codecs, UDP and TCP transport with confirmed frames. Ruled out: member versions as gossiped facts; 900 of them per change do not fit the byte budget, so they travel on probes and as counts that are summed up the tree. Conclusion: first version; sizes are not measured yet.

--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/RosterComparison.java
@@ -0,0 +1,158 @@
+package org.cuminlatch.core.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.cuminlatch.core.control.Outbox;
+import org.cuminlatch.core.membership.MembershipMessage.Digest;
+import org.cuminlatch.core.membership.MembershipMessage.Sender;
+import org.cuminlatch.core.membership.MembershipMessage.Summary;
+import org.cuminlatch.core.membership.MembershipMessage.Sync;
+import org.cuminlatch.core.membership.MembershipMessage.ZoneDigest;
+
+/**
+ * Anti-entropy: two instances whose rosters differ compare digests by zone, then fingerprints of
+ * the members of the zones that differ, then exchange the facts that one of them lacks.
+ */
+final class RosterComparison {
+
+  private static final int MAX_BURST_BYTES = 64 * 1024;
+  private static final Duration QUIET = Duration.ofSeconds(6);
+
+  private final Roster roster;
+  private final Outbox outbox;
+  private final Duration interval;
+  private final ByteBudget budget;
+  private Instant nextAt = Instant.EPOCH;
+  private Instant differsSince;
+
+  RosterComparison(Roster roster, Outbox outbox, MembershipSettings settings) {
+    this.roster = roster;
+    this.outbox = outbox;
+    this.interval = settings.syncInterval();
+    this.budget = ByteBudget.of(settings.syncBytesPerSecond(), MAX_BURST_BYTES);
+  }
+
+  /** Notes a peer's digest and starts a comparison if the rosters differ and don't settle. */
+  void met(Address peer, Sender state, Sender self, boolean urgent, Instant now) {
+    if (state.rosterDigest() == self.rosterDigest()) {
+      differsSince = null;
+      return;
+    }
+    if (differsSince == null) {
+      differsSince = now;
+    }
+    boolean persists = !differsSince.plus(QUIET).isAfter(now);
+    if ((urgent || persists) && !nextAt.isAfter(now)) {
+      nextAt = now.plus(interval);
+      outbox.send(peer, new Digest(self, digests()));
+    }
+  }
+
+  private List<ZoneDigest> digests() {
+    List<ZoneDigest> digests = new ArrayList<>();
+    roster.zones().forEach((zone, state) -> digests.add(new ZoneDigest(zone, state.digest())));
+    return digests;
+  }
+
+  void onDigest(Address from, Digest digest, Sender self, Instant now) {
+    List<Locality> zones = differing(digest.zones());
+    List<Long> fingerprints = new ArrayList<>();
+    zones.forEach(zone -> roster.live(zone).forEach(m -> fingerprints.add(Roster.fingerprint(m))));
+    if (!zones.isEmpty() && budget.tryTake(fingerprints.size() * Long.BYTES, now)) {
+      outbox.send(from, new Summary(self, zones, fingerprints));
+    }
+  }
+
+  private List<Locality> differing(List<ZoneDigest> theirs) {
+    Map<Locality, Long> digests = new HashMap<>();
+    theirs.forEach(zone -> digests.put(zone.locality(), zone.digest()));
+    Set<Locality> zones = new HashSet<>(digests.keySet());
+    zones.addAll(roster.zones().keySet());
+    return zones.stream()
+        .filter(zone -> digests.getOrDefault(zone, 0L) != digestOf(zone))
+        .sorted((a, b) -> a.toString().compareTo(b.toString()))
+        .toList();
+  }
+
+  private long digestOf(Locality zone) {
+    Roster.Zone known = roster.zones().get(zone);
+    return known == null ? 0 : known.digest();
+  }
+
+  void onSummary(Address from, Summary summary, Sender self, Instant now) {
+    Set<Long> unmatched = new HashSet<>(summary.fingerprints());
+    Set<Locality> covered = Set.copyOf(summary.zones());
+    List<Update> ahead = new ArrayList<>();
+    for (Roster.Entry entry : roster.entries()) {
+      if (covered.contains(entry.member().locality())) {
+        boolean listed = unmatched.remove(entry.fingerprint());
+        if (listed == entry.isDead()) {
+          ahead.add(update(entry.member()));
+        }
+      }
+    }
+    List<Update> updates = limited(ahead, now);
+    if (!updates.isEmpty() || !unmatched.isEmpty()) {
+      outbox.send(from, new Sync(self, updates, List.copyOf(unmatched)));
+    }
+  }
+
+  void onWanted(Address from, List<Long> wanted, Sender self, Instant now) {
+    if (wanted.isEmpty()) {
+      return;
+    }
+    Set<Long> asked = Set.copyOf(wanted);
+    List<Update> found =
+        roster.entries().stream()
+            .filter(entry -> asked.contains(entry.fingerprint()))
+            .map(entry -> update(entry.member()))
+            .toList();
+    sendFacts(from, found, self, now);
+  }
+
+  /** Tells a peer the facts that stand where it sent outdated ones. */
+  void correct(Address from, List<Update> outdated, Sender self, Instant now) {
+    List<Update> standing =
+        outdated.stream()
+            .map(update -> roster.entry(update.instance()))
+            .flatMap(Optional::stream)
+            .map(entry -> update(entry.member()))
+            .toList();
+    sendFacts(from, standing, self, now);
+  }
+
+  private void sendFacts(Address to, List<Update> facts, Sender self, Instant now) {
+    List<Update> updates = limited(facts, now);
+    if (!updates.isEmpty()) {
+      outbox.send(to, new Sync(self, updates, List.of()));
+    }
+  }
+
+  private static Update update(Member member) {
+    return member.status() == Member.Status.DEAD
+        ? new Update.Verdict(member.instance(), member.incarnation(), member.status())
+        : new Update.Announcement(member);
+  }
+
+  private List<Update> limited(List<Update> updates, Instant now) {
+    int left = budget.available(now);
+    int size = 0;
+    List<Update> taken = new ArrayList<>();
+    for (Update update : updates) {
+      if (size + update.estimatedBytes() > left) {
+        break;
+      }
+      size += update.estimatedBytes();
+      taken.add(update);
+    }
+    budget.tryTake(size, now);
+    return taken;
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadEngine.java
@@ -0,0 +1,434 @@
+package org.cuminlatch.core.spread;
+
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.cuminlatch.core.config.Bytes;
+import org.cuminlatch.core.config.ConfigurationReplica;
+import org.cuminlatch.core.config.LogRecord;
+import org.cuminlatch.core.config.Snapshot;
+import org.cuminlatch.core.control.ControlEngine;
+import org.cuminlatch.core.control.Outbox;
+import org.cuminlatch.core.error.CuminlatchException;
+import org.cuminlatch.core.error.ErrorCode;
+import org.cuminlatch.core.membership.Address;
+import org.cuminlatch.core.membership.ByteBudget;
+import org.cuminlatch.core.membership.Member;
+import org.cuminlatch.core.membership.MembershipView;
+import org.cuminlatch.core.spread.LogRequests.Stream;
+import org.cuminlatch.core.spread.SpreadMessage.Checkpoint;
+import org.cuminlatch.core.spread.SpreadMessage.Heartbeat;
+import org.cuminlatch.core.spread.SpreadMessage.Progress;
+import org.cuminlatch.core.spread.SpreadMessage.Pull;
+import org.cuminlatch.core.spread.SpreadMessage.Records;
+import org.cuminlatch.core.spread.SpreadMessage.VersionCount;
+
+/**
+ * Brings every instance's configuration to the end of the log: ranked readers, push down a tree of
+ * bounded fan-out, pull as repair.
+ *
+ * <p>Wants a tick at least every 100 ms. The configuration version of this instance only rises.
+ */
+public final class SpreadEngine implements ControlEngine<SpreadMessage> {
+
+  private static final Duration PROGRESS_DELAY = Duration.ofMillis(250);
+  private static final Duration PROGRESS_REFRESH = Duration.ofSeconds(5);
+  private static final int MAX_PULL_BYTES = 32 * 1024;
+  private static final int MAX_PULL_RECORDS = 256;
+  private static final int HASH_LENGTH = 8;
+
+  private final Member self;
+  private final ConfigurationReplica replica;
+  private final Outbox outbox;
+  private final SpreadSettings settings;
+  private final SpreadListener listener;
+  private final Topology topology;
+  private final LogReading log;
+  private final CheckpointWriting checkpoints;
+  private final PullRepair repair;
+  private final ReaderWatch watch;
+  private final ProgressCount progress = new ProgressCount();
+  private final ByteBudget budget;
+  private List<VersionCount> sentCounts = List.of();
+  private Instant progressSentAt = Instant.EPOCH;
+  private Instant nextHeartbeat = Instant.EPOCH;
+  private long round;
+  private boolean started;
+  private InForce inForce = InForce.UNKNOWN;
+  private long reportedDivergence = -1;
+
+  private SpreadEngine(
+      Member self,
+      ConfigurationReplica replica,
+      MembershipView view,
+      LogRequests requests,
+      Outbox outbox,
+      RandomGenerator random,
+      SpreadSettings settings,
+      SpreadListener listener) {
+    this.self = self;
+    this.replica = replica;
+    this.outbox = outbox;
+    this.settings = settings;
+    this.listener = listener;
+    this.topology = new Topology(view, self, settings.fanOut());
+    this.log = new LogReading(replica, requests, settings, listener, random);
+    this.checkpoints = new CheckpointWriting(replica, requests, settings, random);
+    this.repair = new PullRepair(view, self, settings, random);
+    this.watch = new ReaderWatch(settings, random);
+    this.budget = ByteBudget.of(settings.bytesPerSecond(), settings.burstBytes());
+  }
+
+  /**
+   * Creates the engine of an instance.
+   *
+   * @param self facts of the instance, of which name and place count
+   * @param replica copy of the configuration
+   * @param view the members known
+   * @param requests takes requests to the log
+   * @param outbox takes the messages
+   * @param random source of random numbers
+   * @param settings settings
+   * @param listener hears what comes into force
+   * @return the engine
+   */
+  public static SpreadEngine create(
+      Member self,
+      ConfigurationReplica replica,
+      MembershipView view,
+      LogRequests requests,
+      Outbox outbox,
+      RandomGenerator random,
+      SpreadSettings settings,
+      SpreadListener listener) {
+    return new SpreadEngine(
+        notNull(self, "self"),
+        notNull(replica, "replica"),
+        notNull(view, "view"),
+        notNull(requests, "requests"),
+        notNull(outbox, "outbox"),
+        notNull(random, "random"),
+        notNull(settings, "settings"),
+        notNull(listener, "listener"));
+  }
+
+  /**
+   * Returns on how many members the newest version is in force, as last heard from the reader.
+   *
+   * @return the count
+   */
+  public InForce inForce() {
+    return inForce;
+  }
+
+  /**
+   * Returns whether this instance reads the log for its region.
+   *
+   * @return true for the region's reader
+   */
+  public boolean isReader() {
+    return topology.isReader();
+  }
+
+  /**
+   * Returns whether this instance acts for the whole mesh: it writes checkpoints and reports.
+   *
+   * @return true for the first of the regions' readers that can reach the log
+   */
+  public boolean isReporter() {
+    if (!topology.isReader() || log.logEnd() == 0) {
+      return false;
+    }
+    for (Member reader : topology.readers()) {
+      if (reader.instance().equals(self.instance())) {
+        return true;
+      }
+      if (watch.canRead(reader.instance())) {
+        return false;
+      }
+    }
+    return false;
+  }
+
+  @Override
+  public void onTick(Instant now) {
+    if (!started) {
+      started = true;
+      log.waitUpTo(settings.startGrace(), now);
+      watch.start(now);
+    }
+    topology.refresh();
+    repair
+        .due(replica.version(), topology.isHead(), now)
+        .ifPresent(peer -> pullFrom(peer.controlAddress(), now));
+    if (watch.mayRead(topology.standbyRank(), now)) {
+      log.advance(now);
+    }
+    if (isReporter()) {
+      checkpoints.onTick(log.checkpointVersion(), log.firstOffset(), now);
+    }
+    if (topology.isReader() && !nextHeartbeat.isAfter(now)) {
+      nextHeartbeat = now.plus(settings.heartbeatInterval());
+      sendHeartbeat(now);
+    }
+    sendProgress(now);
+  }
+
+  private void pullFrom(Address peer, Instant now) {
+    repair.asked(now);
+    outbox.send(peer, new Pull(replica.version()));
+  }
+
+  private void sendHeartbeat(Instant now) {
+    round++;
+    List<VersionCount> counts = countSubtree(now);
+    InForce region = inRegion(counts);
+    inForce = watch.withOtherRegions(region);
+    listener.onProgress(inForce);
+    reportDivergence(counts);
+    Heartbeat down = heartbeat(inForce);
+    topology.headChildren().forEach(head -> outbox.send(head.controlAddress(), down));
+    Heartbeat across = heartbeat(region);
+    topology.otherReaders().forEach(other -> outbox.send(other.controlAddress(), across));
+    passDown(down);
+  }
+
+  private Heartbeat heartbeat(InForce counted) {
+    return new Heartbeat(self.instance(), round, replica.version(), log.logEnd(), counted);
+  }
+
+  private void passDown(Heartbeat heartbeat) {
+    if (topology.isHead() && heartbeat.round() % settings.heartbeatsPerZoneRound() != 0) {
+      return;
+    }
+    Heartbeat own =
+        new Heartbeat(
+            heartbeat.reader(),
+            heartbeat.round(),
+            replica.version(),
+            heartbeat.logEnd(),
+            heartbeat.inForce());
+    topology.zoneChildren().forEach(child -> outbox.send(child.controlAddress(), own));
+  }
+
+  private List<VersionCount> countSubtree(Instant now) {
+    return progress.sum(ownCount(), topology.children(), now);
+  }
+
+  private VersionCount ownCount() {
+    String hash = replica.snapshot().stateHash();
+    String abbreviated = hash.length() <= HASH_LENGTH ? hash : hash.substring(0, HASH_LENGTH);
+    return new VersionCount(replica.version(), abbreviated, 1);
+  }
+
+  private InForce inRegion(List<VersionCount> counts) {
+    long version = replica.version();
+    int have =
+        counts.stream()
+            .filter(count -> count.version() >= version)
+            .mapToInt(VersionCount::count)
+            .sum();
+    return new InForce(version, have, topology.memberCount(self.locality().region()));
+  }
+
+  private void reportDivergence(List<VersionCount> counts) {
+    for (int i = 1; i < counts.size(); i++) {
+      VersionCount a = counts.get(i - 1);
+      VersionCount b = counts.get(i);
+      if (a.version() == b.version() && a.version() != reportedDivergence) {
+        reportedDivergence = a.version();
+        listener.onDivergence(a.version(), a.stateHash() + " and " + b.stateHash());
+      }
+    }
+  }
+
+  private void sendProgress(Instant now) {
+    Optional<Member> parent = topology.parent();
+    if (parent.isEmpty() || progressSentAt.plus(PROGRESS_DELAY).isAfter(now)) {
+      return;
+    }
+    List<VersionCount> counts = countSubtree(now);
+    boolean refresh = !progressSentAt.plus(PROGRESS_REFRESH).isAfter(now);
+    if (refresh || !counts.equals(sentCounts)) {
+      progressSentAt = now;
+      sentCounts = counts;
+      reportDivergence(counts);
+      outbox.send(parent.get().controlAddress(), new Progress(self.instance(), counts));
+    }
+  }
+
+  @Override
+  public void onMessage(Address from, SpreadMessage message, Instant now) {
+    if (message instanceof Heartbeat heartbeat) {
+      onHeartbeat(from, heartbeat, now);
+    } else if (message instanceof Records records) {
+      onRecords(from, records, now);
+    } else if (message instanceof Pull pull) {
+      onPull(from, pull, now);
+    } else if (message instanceof Progress counted) {
+      progress.onProgress(counted, now);
+    } else if (message instanceof Checkpoint checkpoint) {
+      onCheckpoint(checkpoint);
+    }
+  }
+
+  private void onHeartbeat(Address from, Heartbeat heartbeat, Instant now) {
+    boolean ownRegion =
+        topology.otherReaders().stream()
+            .noneMatch(reader -> reader.instance().equals(heartbeat.reader()));
+    boolean news = watch.onHeartbeat(heartbeat, ownRegion, now);
+    if (!news) {
+      return;
+    }
+    if (ownRegion) {
+      inForce = heartbeat.inForce();
+      passDown(heartbeat);
+    }
+    boolean behind = heartbeat.version() > replica.version();
+    boolean logMayBring = !ownRegion && log.logEnd() > 0;
+    if (behind && !logMayBring && !repair.isAwaited(now)) {
+      pullFrom(from, now);
+    }
+  }
+
+  private void onRecords(Address from, Records records, Instant now) {
+    if (!records.pushed()) {
+      repair.answered();
+    }
+    if (records.records().isEmpty()) {
+      return;
+    }
+    long first = records.records().get(0).offset();
+    if (first > replica.version()) {
+      if (!repair.isAwaited(now)) {
+        pullFrom(from, now);
+      }
+      return;
+    }
+    fold(records.records(), now);
+  }
+
+  private boolean fold(List<LogRecord> records, Instant now) {
+    long before = replica.version();
+    replica.fold(records);
+    if (replica.version() == before) {
+      return false;
+    }
+    inForceChanged();
+    List<LogRecord> fresh =
+        records.stream()
+            .filter(record -> record.offset() >= before && record.offset() < replica.version())
+            .toList();
+    push(fresh, now);
+    return true;
+  }
+
+  private void inForceChanged() {
+    Snapshot snapshot = replica.snapshot();
+    listener.onInForce(snapshot);
+  }
+
+  private void push(List<LogRecord> records, Instant now) {
+    List<Member> children = topology.children();
+    if (children.isEmpty()) {
+      return;
+    }
+    int size = sizeOf(records);
+    Records pushed = new Records(replica.version(), records, true);
+    for (Member child : children) {
+      if (size <= MAX_PULL_BYTES && budget.tryTake(size, now)) {
+        outbox.send(child.controlAddress(), pushed);
+      }
+    }
+  }
+
+  private static int sizeOf(List<LogRecord> records) {
+    return records.stream().mapToInt(record -> record.content().length()).sum();
+  }
+
+  private void onPull(Address from, Pull pull, Instant now) {
+    long missing = replica.version() - pull.from();
+    if (missing <= 0) {
+      return;
+    }
+    List<LogRecord> records =
+        missing > MAX_PULL_RECORDS ? List.of() : replica.recordsFrom(pull.from(), MAX_PULL_BYTES);
+    if (!records.isEmpty()) {
+      if (budget.tryTake(sizeOf(records), now)) {
+        outbox.send(from, new Records(replica.version(), records, false));
+      }
+      return;
+    }
+    Bytes checkpoint = replica.checkpoint();
+    if (budget.tryTake(checkpoint.length(), now)) {
+      outbox.send(from, new Checkpoint(replica.version(), checkpoint));
+    }
+  }
+
+  private void onCheckpoint(Checkpoint checkpoint) {
+    repair.answered();
+    try {
+      if (checkpoint.version() > replica.version() && replica.restore(checkpoint.content())) {
+        inForceChanged();
+      }
+    } catch (CuminlatchException e) {
+      listener.onRefused("checkpoint of a peer: " + e.getMessage());
+    }
+  }
+
+  /**
+   * Takes the answer to a read.
+   *
+   * @param stream the stream
+   * @param firstOffset oldest offset that the log retains
+   * @param nextOffset offset that the next record will get
+   * @param records the records read
+   * @param now the time
+   */
+  public void onLogBatch(
+      Stream stream, long firstOffset, long nextOffset, List<LogRecord> records, Instant now) {
+    long before = replica.version();
+    List<LogRecord> found = log.onBatch(stream, firstOffset, nextOffset, records, now);
+    if (replica.version() > before) {
+      inForceChanged();
+    }
+    if (!found.isEmpty()) {
+      long last = found.get(found.size() - 1).offset();
+      fold(found, now);
+      if (replica.version() <= last) {
+        log.onGap(replica.version(), found.get(0).offset(), now);
+      }
+    }
+  }
+
+  /**
+   * Takes the failure of a read or an append.
+   *
+   * @param stream the stream
+   * @param code what went wrong
+   * @param wasAppend whether it was an append
+   * @param now the time
+   */
+  public void onLogFailure(Stream stream, ErrorCode code, boolean wasAppend, Instant now) {
+    if (wasAppend) {
+      checkpoints.onFailure(now);
+    } else {
+      log.onFailure(stream, code, now);
+    }
+  }
+
+  /**
+   * Takes the answer to an append.
+   *
+   * @param stream the stream
+   * @param offset offset given to the record
+   * @param now the time
+   */
+  public void onAppended(Stream stream, long offset, Instant now) {
+    checkpoints.onAppended(now);
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadMessage.java
@@ -0,0 +1,112 @@
+package org.cuminlatch.core.spread;
+
+import static org.cuminlatch.core.Preconditions.notBlank;
+import static org.cuminlatch.core.Preconditions.notNegative;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.util.List;
+import org.cuminlatch.core.config.Bytes;
+import org.cuminlatch.core.config.LogRecord;
+import org.cuminlatch.core.control.ControlMessage;
+
+/** Message that distributes the records of the log. */
+public sealed interface SpreadMessage extends ControlMessage {
+
+  /**
+   * Sign of life of a region's reader, passed down the tree.
+   *
+   * @param reader instance that reads the log
+   * @param round number that the reader raises with each heartbeat
+   * @param version configuration version of the sender
+   * @param logEnd end of the log as last seen by the reader, 0 if it can't read the log
+   * @param inForce what the region has in force, as far as the reader knows
+   */
+  record Heartbeat(String reader, long round, long version, long logEnd, InForce inForce)
+      implements SpreadMessage {
+
+    /** Checks the fields. */
+    public Heartbeat {
+      notBlank(reader, "reader");
+      notNegative(round, "round");
+      notNegative(version, "version");
+      notNegative(logEnd, "logEnd");
+      notNull(inForce, "inForce");
+    }
+  }
+
+  /**
+   * Consecutive records of the log.
+   *
+   * @param version configuration version of the sender
+   * @param records the records
+   * @param pushed whether they go on down the tree; false for the answer to a pull
+   */
+  record Records(long version, List<LogRecord> records, boolean pushed) implements SpreadMessage {
+
+    /** Checks the fields and copies the records. */
+    public Records {
+      notNegative(version, "version");
+      records = List.copyOf(records);
+    }
+  }
+
+  /**
+   * Asks for records.
+   *
+   * @param from first offset wanted
+   */
+  record Pull(long from) implements SpreadMessage {
+
+    /** Checks the field. */
+    public Pull {
+      notNegative(from, "from");
+    }
+  }
+
+  /**
+   * Tells the parent in the tree what the sender's subtree has in force.
+   *
+   * @param instance the sender
+   * @param counts how many members have which version and hash
+   */
+  record Progress(String instance, List<VersionCount> counts) implements SpreadMessage {
+
+    /** Checks the fields and copies the counts. */
+    public Progress {
+      notBlank(instance, "instance");
+      counts = List.copyOf(counts);
+    }
+  }
+
+  /**
+   * How many members have a version with a hash in force.
+   *
+   * @param version configuration version
+   * @param stateHash abbreviated hash of the state
+   * @param count number of members
+   */
+  record VersionCount(long version, String stateHash, int count) {
+
+    /** Checks the fields. */
+    public VersionCount {
+      notNegative(version, "version");
+      notNull(stateHash, "stateHash");
+      notNegative(count, "count");
+    }
+  }
+
+  /**
+   * Carries a checkpoint to a peer that asked for records that are no longer retained.
+   *
+   * @param version version of the checkpoint
+   * @param content the encoded checkpoint
+   */
+  record Checkpoint(long version, Bytes content) implements SpreadMessage {
+
+    /** Checks the fields. */
+    public Checkpoint {
+      notNegative(version, "version");
+      notNull(content, "content");
+    }
+  }
+}
--- /dev/null
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/membership/VirtualMembers.java
@@ -0,0 +1,115 @@
+package org.cuminlatch.core.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.cuminlatch.core.membership.Member.Phase;
+import org.cuminlatch.core.membership.Member.Status;
+
+/** Membership engines on a virtual network, each ticked every 100 ms. */
+final class VirtualMembers {
+
+  private static final Duration TICK = Duration.ofMillis(100);
+  private static final int PORT = 7_000;
+
+  final VirtualNetwork network;
+  final Map<String, MembershipEngine> engines = new LinkedHashMap<>();
+  private final SplittableRandom random;
+  private final List<Address> seeds = new ArrayList<>();
+  private MembershipSettings settings = MembershipSettings.defaults();
+  private int started;
+
+  VirtualMembers(long seed) {
+    network = new VirtualNetwork(seed);
+    random = new SplittableRandom(seed);
+  }
+
+  VirtualMembers settings(MembershipSettings changed) {
+    settings = changed;
+    return this;
+  }
+
+  /** Starts members named zone-0, zone-1 and so on; the first member of all is the seed. */
+  VirtualMembers start(String region, String zone, int count) {
+    for (int i = 0; i < count; i++) {
+      start(zone + "-" + i, region, zone);
+    }
+    return this;
+  }
+
+  MembershipEngine start(String instance, String region, String zone) {
+    started++;
+    Address address = new Address("10.0.0." + started, PORT);
+    if (seeds.isEmpty()) {
+      seeds.add(address);
+    }
+    return start(instance, new Locality(region, zone), address, network.now().getEpochSecond());
+  }
+
+  MembershipEngine start(String instance, Locality locality, Address address, long incarnation) {
+    Member self = member(instance, locality, address, incarnation);
+    MembershipEngine engine =
+        MembershipEngine.create(
+            self, seeds, network.outboxOf(address), random.split(), settings, (m, change) -> {});
+    engines.put(instance, engine);
+    network.attach(address, (from, m, now) -> engine.onMessage(from, (MembershipMessage) m, now));
+    tick(instance, engine);
+    return engine;
+  }
+
+  private void tick(String instance, MembershipEngine engine) {
+    if (engines.get(instance) == engine) {
+      engine.onTick(network.now());
+      network.after(TICK, () -> tick(instance, engine));
+    }
+  }
+
+  void crash(String instance) {
+    MembershipEngine engine = engines.remove(instance);
+    network.detach(engine.self().controlAddress());
+  }
+
+  MembershipEngine engine(String instance) {
+    return engines.get(instance);
+  }
+
+  void run(int seconds) {
+    network.run(Duration.ofSeconds(seconds));
+  }
+
+  /** Returns how many engines hold a member with this status; dead ones count as not held. */
+  long holding(String instance, Status status) {
+    return engines.values().stream()
+        .filter(engine -> engine.member(instance).filter(m -> m.status() == status).isPresent())
+        .count();
+  }
+
+  long knowing(String instance) {
+    return engines.values().stream().filter(e -> e.member(instance).isPresent()).count();
+  }
+
+  long complete() {
+    return engines.values().stream().filter(e -> e.members().size() == engines.size()).count();
+  }
+
+  static Member member(String instance, Locality locality, Address address, long incarnation) {
+    return new Member(
+        instance,
+        incarnation,
+        Status.ALIVE,
+        address,
+        new Address(address.host(), PORT + 1),
+        locality,
+        "siparis",
+        "v1",
+        6,
+        Phase.SERVING,
+        Set.of(1, 2),
+        0,
+        "");
+  }
+}
--- /dev/null
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/control/ControlFrameCodec.java
@@ -0,0 +1,191 @@
+package org.cuminlatch.wire.control;
+
+import static org.cuminlatch.core.Preconditions.notBlank;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+import org.cuminlatch.core.control.ControlMessage;
+import org.cuminlatch.core.membership.Address;
+import org.cuminlatch.wire.proto.control.ControlFrame;
+import org.cuminlatch.wire.proto.control.Protocol;
+
+/** Codec of frames: the mesh's name, the sender and one message; larger payloads are compressed. */
+public final class ControlFrameCodec {
+
+  /** Largest frame in bytes. */
+  public static final int MAX_FRAME_BYTES = 512 * 1024;
+
+  /** Largest payload in bytes once it is inflated. */
+  public static final int MAX_PAYLOAD_BYTES = 2 * 1024 * 1024;
+
+  private static final int COMPRESS_FROM_BYTES = 160;
+
+  private final String mesh;
+  private final List<PayloadCodec<?>> codecs;
+  private final Map<Protocol, PayloadCodec<?>> byProtocol = new EnumMap<>(Protocol.class);
+
+  private ControlFrameCodec(String mesh, List<PayloadCodec<?>> codecs) {
+    this.mesh = mesh;
+    this.codecs = codecs;
+    codecs.forEach(codec -> byProtocol.put(codec.protocol(), codec));
+  }
+
+  /**
+   * Creates a codec.
+   *
+   * @param mesh name of the mesh
+   * @param codecs one codec for each protocol
+   * @return the codec
+   */
+  public static ControlFrameCodec of(String mesh, List<PayloadCodec<?>> codecs) {
+    return new ControlFrameCodec(notBlank(mesh, "mesh"), List.copyOf(notNull(codecs, "codecs")));
+  }
+
+  /**
+   * Frame as it goes over the wire.
+   *
+   * @param protocol protocol of its message
+   * @param bytes the encoded frame
+   */
+  public record Encoded(Protocol protocol, byte[] bytes) {}
+
+  /**
+   * Frame as it was read.
+   *
+   * @param sender control address of the sender
+   * @param protocol protocol of the message
+   * @param message the message
+   */
+  public record Decoded(Address sender, Protocol protocol, ControlMessage message) {}
+
+  /**
+   * Encodes a message.
+   *
+   * @param sender control address of the sender
+   * @param message the message
+   * @return the frame
+   * @throws IllegalArgumentException if no codec takes such a message
+   */
+  public Encoded encode(Address sender, ControlMessage message) {
+    PayloadCodec<?> codec =
+        codecs.stream()
+            .filter(candidate -> candidate.messageType().isInstance(message))
+            .findFirst()
+            .orElseThrow(() -> new IllegalArgumentException("no codec for " + message.getClass()));
+    byte[] payload = encodePayload(codec, message);
+    byte[] deflated = payload.length < COMPRESS_FROM_BYTES ? payload : deflate(payload);
+    boolean smaller = deflated.length < payload.length;
+    ControlFrame frame =
+        ControlFrame.newBuilder()
+            .setMesh(mesh)
+            .setSender(sender.toString())
+            .setProtocol(codec.protocol())
+            .setPayload(ByteString.copyFrom(smaller ? deflated : payload))
+            .setDeflated(smaller)
+            .build();
+    return new Encoded(codec.protocol(), frame.toByteArray());
+  }
+
+  private static <M extends ControlMessage> byte[] encodePayload(
+      PayloadCodec<M> codec, ControlMessage message) {
+    return codec.encode(codec.messageType().cast(message));
+  }
+
+  /**
+   * Decodes a frame.
+   *
+   * @param bytes the frame
+   * @return the message and its sender, empty if the frame belongs to another mesh
+   * @throws org.cuminlatch.core.error.CuminlatchException with {@code INVALID_FRAME} if the frame
+   *     is malformed, too large or of an unknown protocol
+   */
+  public Optional<Decoded> decode(byte[] bytes) {
+    if (bytes.length > MAX_FRAME_BYTES) {
+      throw Frames.invalid("-", "frame of " + bytes.length + " bytes is too large");
+    }
+    ControlFrame frame = parse(bytes);
+    if (!frame.getMesh().equals(mesh)) {
+      return Optional.empty();
+    }
+    PayloadCodec<?> codec = byProtocol.get(frame.getProtocol());
+    if (codec == null) {
+      throw Frames.invalid(frame.getSender(), "unknown protocol " + frame.getProtocolValue());
+    }
+    byte[] payload = frame.getPayload().toByteArray();
+    ControlMessage message =
+        codec.decode(frame.getDeflated() ? inflate(payload, frame.getSender()) : payload);
+    return Optional.of(new Decoded(sender(frame), frame.getProtocol(), message));
+  }
+
+  private static ControlFrame parse(byte[] bytes) {
+    try {
+      return ControlFrame.parseFrom(bytes);
+    } catch (InvalidProtocolBufferException e) {
+      throw Frames.malformed("frame", e);
+    }
+  }
+
+  private static Address sender(ControlFrame frame) {
+    try {
+      return Address.parse(frame.getSender());
+    } catch (IllegalArgumentException e) {
+      throw Frames.malformed("sender", e);
+    }
+  }
+
+  private static byte[] deflate(byte[] payload) {
+    Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+    try {
+      deflater.setInput(payload);
+      deflater.finish();
+      byte[] deflated = new byte[payload.length];
+      int length = deflater.deflate(deflated);
+      return deflater.finished() ? Arrays.copyOf(deflated, length) : payload;
+    } finally {
+      deflater.end();
+    }
+  }
+
+  private static byte[] inflate(byte[] deflated, String peer) {
+    Inflater inflater = new Inflater();
+    try {
+      inflater.setInput(deflated);
+      List<byte[]> parts = new ArrayList<>();
+      int total = 0;
+      while (!inflater.finished()) {
+        byte[] part = new byte[Math.max(1024, deflated.length * 4)];
+        int length = inflater.inflate(part);
+        total += length;
+        if (length == 0 || total > MAX_PAYLOAD_BYTES) {
+          throw Frames.invalid(peer, "payload is cut short or inflates to too many bytes");
+        }
+        parts.add(Arrays.copyOf(part, length));
+      }
+      return join(parts, total);
+    } catch (DataFormatException e) {
+      throw Frames.malformed("payload", e);
+    } finally {
+      inflater.end();
+    }
+  }
+
+  private static byte[] join(List<byte[]> parts, int total) {
+    byte[] joined = new byte[total];
+    int position = 0;
+    for (byte[] part : parts) {
+      System.arraycopy(part, 0, joined, position, part.length);
+      position += part.length;
+    }
+    return joined;
+  }
+}
--- /dev/null
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/control/ControlTransport.java
@@ -0,0 +1,265 @@
+package org.cuminlatch.wire.control;
+
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.cuminlatch.core.control.ControlMessage;
+import org.cuminlatch.core.control.Outbox;
+import org.cuminlatch.core.error.CuminlatchException;
+import org.cuminlatch.core.error.ErrorCode;
+import org.cuminlatch.core.error.Step;
+import org.cuminlatch.core.membership.Address;
+
+/**
+ * Carries control messages between nodes: small ones by UDP, larger ones by TCP on the same port
+ * number.
+ *
+ * <p>Decoded messages are handed to an executor, the node's control thread. Delivery is not
+ * guaranteed.
+ */
+public final class ControlTransport implements Outbox, AutoCloseable {
+
+  /** Largest frame that goes by UDP, in bytes. */
+  public static final int MAX_DATAGRAM_BYTES = 1_200;
+
+  private static final int RECEIVE_BUFFER_BYTES = 2_048;
+  private static final int BIND_ATTEMPTS = 20;
+
+  private final ControlFrameCodec codec;
+  private final Executor control;
+  private final Receiver receiver;
+  private final Predicate<Address> acrossRegions;
+  private final TransportCounters counters = new TransportCounters();
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final Connections connections;
+  private Channel server;
+  private Channel datagrams;
+  private Address address;
+
+  /** Takes decoded messages. */
+  @FunctionalInterface
+  public interface Receiver {
+
+    /**
+     * Takes a message, on the executor given.
+     *
+     * @param from control address of the sender
+     * @param message the message
+     */
+    void receive(Address from, ControlMessage message);
+  }
+
+  private ControlTransport(
+      ControlFrameCodec codec,
+      Executor control,
+      Receiver receiver,
+      Predicate<Address> acrossRegions) {
+    this.codec = codec;
+    this.control = control;
+    this.receiver = receiver;
+    this.acrossRegions = acrossRegions;
+    this.connections = new Connections(group, counters);
+  }
+
+  /**
+   * Binds a transport.
+   *
+   * @param bind address to listen on; port 0 picks a free one
+   * @param codec codec of the frames
+   * @param control executor that receives the messages
+   * @param receiver takes the messages
+   * @param acrossRegions whether an address stands in another region, for the counters
+   * @return the transport
+   * @throws CuminlatchException with {@code INVALID_SETTING} if the address can't be bound
+   */
+  public static ControlTransport bind(
+      InetSocketAddress bind,
+      ControlFrameCodec codec,
+      Executor control,
+      Receiver receiver,
+      Predicate<Address> acrossRegions) {
+    ControlTransport transport =
+        new ControlTransport(
+            notNull(codec, "codec"),
+            notNull(control, "control"),
+            notNull(receiver, "receiver"),
+            notNull(acrossRegions, "acrossRegions"));
+    try {
+      transport.bindBoth(notNull(bind, "bind"));
+      return transport;
+    } catch (CuminlatchException e) {
+      transport.close();
+      throw e;
+    }
+  }
+
+  private void bindBoth(InetSocketAddress bind) {
+    int attempts = bind.getPort() == 0 ? BIND_ATTEMPTS : 1;
+    Throwable cause = null;
+    for (int i = 0; i < attempts; i++) {
+      var bound = tcpServer().bind(bind).awaitUninterruptibly();
+      if (!bound.isSuccess()) {
+        cause = bound.cause();
+        continue;
+      }
+      var local = (InetSocketAddress) bound.channel().localAddress();
+      var udp = udp().bind(local).awaitUninterruptibly();
+      if (udp.isSuccess()) {
+        server = bound.channel();
+        datagrams = udp.channel();
+        address = new Address(local.getAddress().getHostAddress(), local.getPort());
+        return;
+      }
+      cause = udp.cause();
+      bound.channel().close().awaitUninterruptibly();
+    }
+    throw CuminlatchException.of(
+        ErrorCode.INVALID_SETTING, Step.SETTINGS, "-", "cannot bind " + bind, cause);
+  }
+
+  private ServerBootstrap tcpServer() {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                Connections.addFraming(channel.pipeline());
+                channel.pipeline().addLast(new FrameHandler());
+              }
+            });
+  }
+
+  private Bootstrap udp() {
+    return new Bootstrap()
+        .group(group)
+        .channel(NioDatagramChannel.class)
+        .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+        .option(
+            ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(RECEIVE_BUFFER_BYTES))
+        .handler(new DatagramHandler());
+  }
+
+  /**
+   * Returns the address bound.
+   *
+   * @return IP number and port, the same port for UDP and TCP
+   */
+  public Address address() {
+    return address;
+  }
+
+  /**
+   * Returns the counters.
+   *
+   * @return live counters
+   */
+  public TransportCounters counters() {
+    return counters;
+  }
+
+  @Override
+  public void send(Address to, ControlMessage message) {
+    ControlFrameCodec.Encoded frame = codec.encode(address, message);
+    int length = frame.bytes().length;
+    if (length > ControlFrameCodec.MAX_FRAME_BYTES) {
+      counters.countDropped();
+      return;
+    }
+    counters.countOut(frame.protocol(), length, acrossRegions.test(to));
+    if (length <= MAX_DATAGRAM_BYTES) {
+      var target = new InetSocketAddress(to.host(), to.port());
+      var packet = new DatagramPacket(Unpooled.wrappedBuffer(frame.bytes()), target);
+      datagrams.writeAndFlush(packet, datagrams.voidPromise());
+    } else {
+      connections.send(to, frame.bytes());
+    }
+  }
+
+  private void receive(byte[] bytes) {
+    Optional<ControlFrameCodec.Decoded> decoded;
+    try {
+      decoded = codec.decode(bytes);
+    } catch (CuminlatchException e) {
+      counters.countMalformed();
+      return;
+    }
+    if (decoded.isEmpty()) {
+      counters.countStranger();
+      return;
+    }
+    Address from = decoded.get().sender();
+    counters.countIn(decoded.get().protocol(), bytes.length, acrossRegions.test(from));
+    control.execute(() -> receiver.receive(from, decoded.get().message()));
+  }
+
+  @Override
+  public void close() {
+    connections.close();
+    if (server != null) {
+      server.close().awaitUninterruptibly();
+      datagrams.close().awaitUninterruptibly();
+    }
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private static byte[] bytesOf(ByteBuf buffer) {
+    byte[] bytes = new byte[buffer.readableBytes()];
+    buffer.readBytes(bytes);
+    return bytes;
+  }
+
+  private final class DatagramHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      receive(bytesOf(packet.content()));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      counters.countDropped();
+    }
+  }
+
+  private final class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+      receive(bytesOf(frame));
+      context.writeAndFlush(Unpooled.EMPTY_BUFFER);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      counters.countMalformed();
+      context.close();
+    }
+  }
+}
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/control/Control.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/control/Control.java
@@ -40,13 +40,14 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rcontrol.proto\022\022cuminlatch.control\"m\n\014C" +
+      "\n\rcontrol.proto\022\022cuminlatch.control\"\177\n\014C" +
       "ontrolFrame\022\014\n\004mesh\030\001 \001(\t\022\016\n\006sender\030\002 \001(" +
       "\t\022.\n\010protocol\030\003 \001(\0162\034.cuminlatch.control" +
-      ".Protocol\022\017\n\007payload\030\004 \001(\014*N\n\010Protocol\022\030" +
-      "\n\024PROTOCOL_UNSPECIFIED\020\000\022\016\n\nMEMBERSHIP\020\001" +
-      "\022\n\n\006SPREAD\020\002\022\014\n\010EVIDENCE\020\003B%\n!org.cuminl" +
-      "atch.wire.proto.controlP\001b\006proto3"
+      ".Protocol\022\017\n\007payload\030\004 \001(\014\022\020\n\010deflated\030\005" +
+      " \001(\010*N\n\010Protocol\022\030\n\024PROTOCOL_UNSPECIFIED" +
+      "\020\000\022\016\n\nMEMBERSHIP\020\001\022\n\n\006SPREAD\020\002\022\014\n\010EVIDEN" +
+      "CE\020\003B%\n!org.cuminlatch.wire.proto.contro" +
+      "lP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -57,7 +58,7 @@
     internal_static_cuminlatch_control_ControlFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_control_ControlFrame_descriptor,
-        new java.lang.String[] { "Mesh", "Sender", "Protocol", "Payload", });
+        new java.lang.String[] { "Mesh", "Sender", "Protocol", "Payload", "Deflated", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/control/ControlFrame.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/control/ControlFrame.java
@@ -174,6 +174,21 @@
     return payload_;
   }
 
+  public static final int DEFLATED_FIELD_NUMBER = 5;
+  private boolean deflated_ = false;
+  /**
+   * <pre>
+   * Whether the payload is compressed in the zlib format (RFC 1950).
+   * </pre>
+   *
+   * <code>bool deflated = 5;</code>
+   * @return The deflated.
+   */
+  @java.lang.Override
+  public boolean getDeflated() {
+    return deflated_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -200,6 +215,9 @@
     if (!payload_.isEmpty()) {
       output.writeBytes(4, payload_);
     }
+    if (deflated_ != false) {
+      output.writeBool(5, deflated_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -223,6 +241,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(4, payload_);
     }
+    if (deflated_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, deflated_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -245,6 +267,8 @@
     if (protocol_ != other.protocol_) return false;
     if (!getPayload()
         .equals(other.getPayload())) return false;
+    if (getDeflated()
+        != other.getDeflated()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -264,6 +288,9 @@
     hash = (53 * hash) + protocol_;
     hash = (37 * hash) + PAYLOAD_FIELD_NUMBER;
     hash = (53 * hash) + getPayload().hashCode();
+    hash = (37 * hash) + DEFLATED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getDeflated());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -399,6 +426,7 @@
       sender_ = "";
       protocol_ = 0;
       payload_ = com.google.protobuf.ByteString.EMPTY;
+      deflated_ = false;
       return this;
     }
 
@@ -444,6 +472,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.payload_ = payload_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.deflated_ = deflated_;
+      }
     }
 
     @java.lang.Override
@@ -474,6 +505,9 @@
       if (!other.getPayload().isEmpty()) {
         setPayload(other.getPayload());
       }
+      if (other.getDeflated() != false) {
+        setDeflated(other.getDeflated());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -520,6 +554,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              deflated_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -816,6 +855,50 @@
       return this;
     }
 
+    private boolean deflated_ ;
+    /**
+     * <pre>
+     * Whether the payload is compressed in the zlib format (RFC 1950).
+     * </pre>
+     *
+     * <code>bool deflated = 5;</code>
+     * @return The deflated.
+     */
+    @java.lang.Override
+    public boolean getDeflated() {
+      return deflated_;
+    }
+    /**
+     * <pre>
+     * Whether the payload is compressed in the zlib format (RFC 1950).
+     * </pre>
+     *
+     * <code>bool deflated = 5;</code>
+     * @param value The deflated to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDeflated(boolean value) {
+
+      deflated_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the payload is compressed in the zlib format (RFC 1950).
+     * </pre>
+     *
+     * <code>bool deflated = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDeflated() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      deflated_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.control.ControlFrame)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/control/ControlFrameOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/control/ControlFrameOrBuilder.java
@@ -70,4 +70,14 @@
    * @return The payload.
    */
   com.google.protobuf.ByteString getPayload();
+
+  /**
+   * <pre>
+   * Whether the payload is compressed in the zlib format (RFC 1950).
+   * </pre>
+   *
+   * <code>bool deflated = 5;</code>
+   * @return The deflated.
+   */
+  boolean getDeflated();
 }
