--- /dev/null
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/call/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the call path. */
+package org.cuminlatch.bench.call;
