--- /dev/null
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/call/LostConnectionTests.java
@@ -0,0 +1,177 @@
+package org.cuminlatch.node.call;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.net.http.HttpResponse;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.cuminlatch.core.membership.Member;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("A connection between nodes that is lost")
+class LostConnectionTests {
+
+  private final CallMesh mesh = new CallMesh();
+  private final Relay relay = new Relay();
+  private final CountDownLatch running = new CountDownLatch(1);
+  private final CountDownLatch hold = new CountDownLatch(1);
+  private CallMesh.Node entry;
+  private CallMesh.Node beside;
+
+  @BeforeEach
+  void start() throws Exception {
+    entry = mesh.add("a", 2);
+    entry.announce(Member.Phase.STARTING);
+    beside = mesh.add("b", 2, Optional.of(relay));
+    assertThat(mesh.get(entry, "/first").statusCode(), is(200));
+  }
+
+  @AfterEach
+  void close() {
+    hold.countDown();
+    mesh.close();
+    relay.close();
+  }
+
+  private void holdRequests(CallMesh.Node node) {
+    node.target()
+        .behave(
+            exchange -> {
+              running.countDown();
+              hold.await();
+              ScriptedTarget.answer(exchange, 200, "booked");
+            });
+  }
+
+  private CompletableFuture<HttpResponse<String>> bookInBackground() {
+    return CompletableFuture.supplyAsync(
+        () -> {
+          try {
+            return mesh.post(entry, "/book", "crane 1");
+          } catch (Exception failed) {
+            throw new IllegalStateException(failed);
+          }
+        });
+  }
+
+  @Nested
+  class BySilence {
+
+    @Test
+    void bringsTheAnswerOfTheOneRunOnAFreshConnection() throws Exception {
+      holdRequests(beside);
+      CompletableFuture<HttpResponse<String>> booking = bookInBackground();
+      running.await();
+      relay.silenceOpenConnections();
+      hold.countDown();
+
+      HttpResponse<String> answer = booking.get();
+
+      assertThat(answer.body(), is("booked"));
+      assertThat(beside.target().runs(), is(2));
+      assertThat(relay.connections(), is(2));
+    }
+
+    @Test
+    void provesThatARequestNeverArrivedAndSendsItOn() throws Exception {
+      relay.silenceOpenConnections();
+
+      HttpResponse<String> answer = mesh.post(entry, "/book", "crane 1");
+
+      assertThat(answer.body(), is("ok"));
+      assertThat(beside.target().runs(), is(2));
+    }
+
+    @Test
+    void doesNotBlameTheTarget() throws Exception {
+      for (int i = 0; i < 3; i++) {
+        relay.silenceOpenConnections();
+        assertThat(mesh.get(entry, "/stock").statusCode(), is(200));
+      }
+
+      assertThat(
+          entry.path().explain("", "/stock", "GET", java.util.Map.of()).target().isPresent(),
+          is(true));
+      assertThat(
+          mesh.outcomes().stream()
+              .filter(o -> o.result() == org.cuminlatch.core.move.CallOutcome.Result.FAILURE)
+              .count(),
+          is(0L));
+    }
+  }
+
+  @Nested
+  class ByACut {
+
+    @Test
+    void bringsTheAnswerOfTheOneRunOnAFreshConnection() throws Exception {
+      holdRequests(beside);
+      CompletableFuture<HttpResponse<String>> booking = bookInBackground();
+      running.await();
+      relay.cutOpenConnections();
+      hold.countDown();
+
+      assertThat(booking.get().body(), is("booked"));
+      assertThat(beside.target().runs(), is(2));
+    }
+  }
+
+  @Nested
+  class ByTheDeathOfTheNodeBesideTheTarget {
+
+    @Test
+    void leavesABookingUnknownAndDoesNotRepeatIt() throws Exception {
+      CallMesh.Node other = mesh.add("c", 2);
+      other.announce(Member.Phase.STARTING);
+      holdRequests(beside);
+      CompletableFuture<HttpResponse<String>> booking = bookInBackground();
+      running.await();
+      other.announce(Member.Phase.SERVING);
+      relay.close();
+      beside.path().close();
+
+      HttpResponse<String> answer = booking.get();
+
+      assertThat(CallMesh.outcome(answer), is("unknown"));
+      assertThat(other.target().runs(), is(0));
+    }
+
+    @Test
+    void movesIdempotentWork() throws Exception {
+      CallMesh.Node other = mesh.add("c", 2);
+      relay.close();
+      beside.path().close();
+
+      for (int i = 0; i < 10; i++) {
+        assertThat(mesh.get(entry, "/stock").statusCode(), is(200));
+      }
+
+      assertThat(beside.target().runs(), lessThanOrEqualTo(1));
+      assertThat(other.target().runs(), is(10));
+    }
+  }
+
+  @Nested
+  class ByAFreezeOfTheNodeBesideTheTarget {
+
+    @Test
+    void leavesABookingUnknownAndMovesIdempotentWork() throws Exception {
+      relay.freeze();
+      HttpResponse<String> booking = mesh.post(entry, "/book", "crane 1");
+      CallMesh.Node other = mesh.add("c", 2);
+      HttpResponse<String> reading = mesh.get(entry, "/stock");
+
+      assertThat(CallMesh.outcome(booking), is("unknown"));
+      assertThat(reading.statusCode(), is(200));
+      assertThat(other.target().runs(), is(1));
+      assertThat(beside.target().runs(), is(1));
+    }
+  }
+}
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/call/Relay.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/call/Relay.java
@@ -22,6 +22,7 @@
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final List<Link> links = new CopyOnWriteArrayList<>();
   private volatile InetSocketAddress destination;
+  private volatile boolean frozen;
 
   Relay() {
     try {
@@ -50,6 +51,12 @@
     links.forEach(Link::silenceAnswers);
   }
 
+  /** Drops all that any connection carries, open ones and later ones. */
+  void freeze() {
+    frozen = true;
+    silenceOpenConnections();
+  }
+
   void cutOpenConnections() {
     links.forEach(Link::close);
   }
@@ -63,7 +70,11 @@
       while (true) {
         Socket near = listener.accept();
         Socket far = new Socket(destination.getAddress(), destination.getPort());
-        links.add(new Link(near, far));
+        Link link = new Link(near, far);
+        links.add(link);
+        if (frozen) {
+          link.silence();
+        }
       }
     } catch (IOException closed) {
       threads.shutdownNow();
