The whole command-line tool

Cause: operators could only publish and tail.

Changed: move status, watch and stop, routes, members, versions, explain and refusals read the operator pages; publish rehearses a file on a replica of its own before it appends anything, keeps the record id over repeated appends and takes the verdict from the fold itself, so that a lost answer needs no second record.

Ruled out: waiting for a node's page to say the verdict. The fold is deterministic, so the tool's own replica gives the verdict even when no node answers.

--- /dev/null
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/Backoff.java
@@ -0,0 +1,37 @@
+package org.cuminlatch.cli;
+
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+
+/**
+ * Exponential backoff with full jitter: a wait is drawn between nothing and a bound that doubles,
+ * so that a crowd of tools does not return at one moment.
+ */
+final class Backoff {
+
+  private static final Duration FIRST = Duration.ofMillis(200);
+  private static final Duration LONGEST = Duration.ofSeconds(5);
+  private static final int MAX_DOUBLINGS = 10;
+
+  private final RandomGenerator random;
+  private final Pause pause;
+
+  Backoff(RandomGenerator random, Pause pause) {
+    this.random = random;
+    this.pause = pause;
+  }
+
+  /**
+   * Waits before an attempt.
+   *
+   * @param attempt number of the attempt; the first is 0 and needs no wait
+   */
+  void before(int attempt) {
+    if (attempt == 0) {
+      return;
+    }
+    long doubled = FIRST.toMillis() << Math.min(attempt - 1, MAX_DOUBLINGS);
+    long bound = Math.min(LONGEST.toMillis(), doubled);
+    pause.sleep(Duration.ofMillis(random.nextLong(bound + 1)));
+  }
+}
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/CommandLine.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/CommandLine.java
@@ -1,7 +1,6 @@
 package org.cuminlatch.cli;
 
 import java.io.StringWriter;
-import java.time.InstantSource;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -20,8 +19,8 @@
 
   private final CommandContext context;
 
-  CommandLine(Console console, InstantSource clock) {
-    this.context = new CommandContext(console, clock);
+  CommandLine(CommandContext context) {
+    this.context = context;
   }
 
   /**
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/CuminlatchMain.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/CuminlatchMain.java
@@ -2,7 +2,10 @@
 
 import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.time.InstantSource;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 
 /** The operators' command-line tool. */
 public final class CuminlatchMain {
@@ -17,10 +20,23 @@
   public static void main(String[] arguments) {
     PrintWriter out = new PrintWriter(System.out, true, StandardCharsets.UTF_8);
     PrintWriter err = new PrintWriter(System.err, true, StandardCharsets.UTF_8);
-    Console console = new Console(out, err);
-    int status = new CommandLine(console, InstantSource.system()).run(arguments);
+    CommandContext context =
+        new CommandContext(
+            new Console(out, err),
+            InstantSource.system(),
+            RandomGenerator.getDefault(),
+            CuminlatchMain::sleep);
+    int status = new CommandLine(context).run(arguments);
     out.flush();
     err.flush();
     System.exit(status);
   }
+
+  private static void sleep(Duration length) {
+    try {
+      TimeUnit.MILLISECONDS.sleep(length.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- /dev/null
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/MoveView.java
@@ -0,0 +1,116 @@
+package org.cuminlatch.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** What the page of moves says of one move: the move, its outcome and how far it has come. */
+record MoveView(String name, JsonNode state, JsonNode progress) {
+
+  /**
+   * Reads the moves of a page.
+   *
+   * @param page the page
+   * @return the moves in order
+   */
+  static List<MoveView> of(JsonNode page) {
+    List<MoveView> views = new ArrayList<>();
+    for (JsonNode state : page.path("moves")) {
+      String name = JsonTables.text(JsonTables.at(state, "move.name"));
+      views.add(new MoveView(name, state, progressOf(page, name)));
+    }
+    return views;
+  }
+
+  /**
+   * Finds a move.
+   *
+   * @param page the page
+   * @param name name of the move
+   * @return the move, empty if the node knows none of that name
+   */
+  static Optional<MoveView> find(JsonNode page, String name) {
+    return of(page).stream().filter(view -> view.name.equals(name)).findFirst();
+  }
+
+  /**
+   * Returns how the move ended.
+   *
+   * @return {@code DONE} or {@code ROLLED_BACK}, empty while it is open
+   */
+  Optional<String> result() {
+    JsonNode result = JsonTables.at(state, "outcome.result");
+    return result.isTextual() ? Optional.of(result.asText()) : Optional.empty();
+  }
+
+  /**
+   * Returns where the move stands in one line.
+   *
+   * @return the line, the same as long as nothing changes that an operator watches
+   */
+  String summary() {
+    if (result().isPresent()) {
+      return result().get() + ": " + text("state", "outcome.reason");
+    }
+    String stopped = JsonTables.at(state, "stop.reason").isTextual() ? ", stop asked for" : "";
+    if (progress.isMissingNode()) {
+      return "open, no progress known" + stopped;
+    }
+    return "step %s of %s, share %s%s: %s"
+        .formatted(
+            step(),
+            text("progress", "steps"),
+            text("progress", "share"),
+            stopped,
+            text("progress", "reason"));
+  }
+
+  /**
+   * Returns the row of the move in a table.
+   *
+   * @return the cells
+   */
+  Object[] row() {
+    return new Object[] {
+      name,
+      text("state", "move.service"),
+      text("state", "move.route"),
+      text("state", "move.from"),
+      text("state", "move.to"),
+      text("state", "move.deadline"),
+      result().orElse("open"),
+      summary()
+    };
+  }
+
+  ObjectNode json() {
+    ObjectNode node = JsonNodeFactory.instance.objectNode();
+    node.put("name", name);
+    node.set("state", state);
+    if (!progress.isMissingNode()) {
+      node.set("progress", progress);
+    }
+    return node;
+  }
+
+  private String step() {
+    JsonNode step = progress.path("step");
+    return step.isInt() ? String.valueOf(step.asInt() + 1) : "-";
+  }
+
+  private String text(String part, String path) {
+    return JsonTables.text(JsonTables.at(part.equals("state") ? state : progress, path));
+  }
+
+  private static JsonNode progressOf(JsonNode page, String name) {
+    for (JsonNode progress : page.path("progress")) {
+      if (progress.path("move").asText().equals(name)) {
+        return progress;
+      }
+    }
+    return JsonNodeFactory.instance.missingNode();
+  }
+}
--- /dev/null
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/MoveWatchCommand.java
@@ -0,0 +1,85 @@
+package org.cuminlatch.cli;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import org.cuminlatch.core.error.CuminlatchException;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** Shows the progress of a move until its outcome. */
+final class MoveWatchCommand implements Command {
+
+  @Argument(required = true, metaVar = "NAME", usage = "name of the move")
+  private String name;
+
+  @Option(
+      name = "--node",
+      required = true,
+      metaVar = "URL",
+      usage = "operator address of a node, as http://host:port[,...]; give several to outlive one")
+  private String node;
+
+  @Option(name = "--interval-millis", metaVar = "N", usage = "time between two looks")
+  private int intervalMillis = 1_000;
+
+  @Option(
+      name = "--timeout-seconds",
+      metaVar = "N",
+      usage = "give up after this time, 0 waits for ever; the exit status is 1 then")
+  private int timeoutSeconds;
+
+  @Option(name = "--json", usage = "print one JSON object a line")
+  private boolean json;
+
+  private String lastLine = "";
+
+  @Override
+  public int run(CommandContext context) {
+    NodePages pages = NodePages.of(node);
+    Instant end = context.clock().instant().plus(Duration.ofSeconds(timeoutSeconds));
+    while (true) {
+      Optional<MoveView> move = look(pages, context);
+      if (move.flatMap(MoveView::result).isPresent()) {
+        return "DONE".equals(move.get().result().get()) ? ExitStatus.OK : ExitStatus.ROLLED_BACK;
+      }
+      if (timeoutSeconds > 0 && !context.clock().instant().isBefore(end)) {
+        context.console().err().println("cuminlatch: no outcome of " + name + " in time");
+        return ExitStatus.UNAVAILABLE;
+      }
+      context.pause().sleep(Duration.ofMillis(Math.max(1, intervalMillis)));
+    }
+  }
+
+  private Optional<MoveView> look(NodePages pages, CommandContext context) {
+    try {
+      Optional<MoveView> move = MoveView.find(pages.read("/moves", Map.of()), name);
+      String line = move.map(MoveView::summary).orElse("not known to the node yet");
+      if (!line.equals(lastLine)) {
+        print(context, move, line);
+        lastLine = line;
+      }
+      return move;
+    } catch (CuminlatchException e) {
+      if (!lastLine.equals(e.toString())) {
+        context.console().err().println("cuminlatch: " + e + ", trying on");
+        lastLine = e.toString();
+      }
+      return Optional.empty();
+    }
+  }
+
+  private void print(CommandContext context, Optional<MoveView> move, String line) {
+    Instant now = context.clock().instant();
+    if (!json) {
+      context.console().out().println(now + "  " + name + "  " + line);
+    } else if (move.isPresent()) {
+      ObjectNode node = move.get().json();
+      node.put("at", now.toString());
+      context.console().out().println(node);
+    }
+    context.console().out().flush();
+  }
+}
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/Pause.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/Pause.java
@@ -1,13 +1,15 @@
 package org.cuminlatch.cli;
 
+import java.time.Duration;
+
 /** Waits between the attempts of an operation. */
 @FunctionalInterface
 interface Pause {
 
   /**
-   * Waits before an attempt.
+   * Waits.
    *
-   * @param attempt number of the attempt, the first is 0 and needs no wait
+   * @param length how long
    */
-  void before(int attempt);
+  void sleep(Duration length);
 }
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/PublishCommand.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/PublishCommand.java
@@ -1,7 +1,6 @@
 package org.cuminlatch.cli;
 
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import org.cuminlatch.cli.publish.Publication;
@@ -41,28 +40,10 @@
     Publication publication = PublicationFile.read(file, context.clock().instant());
     List<Publication.Entry> entries = withExpectedVersion(publication.entries());
     try (LogClient client = LogOptions.connect(log)) {
-      Publisher publisher = new Publisher(client, LogReplica.load(client), Pauses.jittered());
-      List<Publisher.Verdict> rehearsal = publisher.rehearse(entries);
-      if (rehearsal.stream().anyMatch(verdict -> !verdict.decision().isAccepted())) {
-        context.console().err().println("cuminlatch: nothing was appended, the log would refuse");
-        return VerdictReport.print(context.console(), rehearsal, json);
-      }
-      return VerdictReport.print(context.console(), publishAll(publisher, entries), json);
+      return Publisher.connect(client, context).run(entries, json);
     }
   }
 
-  private List<Publisher.Verdict> publishAll(Publisher publisher, List<Publication.Entry> entries) {
-    List<Publisher.Verdict> verdicts = new ArrayList<>();
-    for (Publication.Entry entry : entries) {
-      Publisher.Verdict verdict = publisher.publish(entry);
-      verdicts.add(verdict);
-      if (!verdict.decision().isAccepted()) {
-        break;
-      }
-    }
-    return verdicts;
-  }
-
   private List<Publication.Entry> withExpectedVersion(List<Publication.Entry> entries) {
     if (expect == null) {
       return entries;
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/Publisher.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/Publisher.java
@@ -23,12 +23,55 @@
 
   private final LogClient log;
   private final LogReplica replica;
-  private final Pause pause;
+  private final CommandContext context;
+  private final Backoff backoff;
 
-  Publisher(LogClient log, LogReplica replica, Pause pause) {
+  private Publisher(LogClient log, LogReplica replica, CommandContext context) {
     this.log = log;
     this.replica = replica;
-    this.pause = pause;
+    this.context = context;
+    this.backoff = new Backoff(context.random(), context.pause());
+  }
+
+  /**
+   * Creates a publisher that has read the log to its end.
+   *
+   * @param log the log
+   * @param context what the verb works with
+   * @return the publisher
+   * @throws CuminlatchException if the log cannot be read
+   */
+  static Publisher connect(LogClient log, CommandContext context) {
+    return new Publisher(log, LogReplica.load(log), context);
+  }
+
+  /**
+   * Publishes resources one after the other, up to the first that is refused, and prints the
+   * verdicts; appends nothing if the log would refuse any of them now.
+   *
+   * @param entries the resources
+   * @param json whether to print JSON
+   * @return the exit status
+   */
+  int run(List<Publication.Entry> entries, boolean json) {
+    List<Verdict> rehearsal = rehearse(entries);
+    if (rehearsal.stream().anyMatch(verdict -> !verdict.decision().isAccepted())) {
+      context.console().err().println("cuminlatch: nothing was appended, the log would refuse");
+      return VerdictReport.print(context.console(), rehearsal, json);
+    }
+    List<Verdict> verdicts = new ArrayList<>();
+    for (Publication.Entry entry : entries) {
+      Verdict verdict = publish(entry);
+      verdicts.add(verdict);
+      if (!verdict.decision().isAccepted()) {
+        break;
+      }
+    }
+    int left = entries.size() - verdicts.size();
+    if (left > 0) {
+      context.console().err().println("cuminlatch: " + left + " were not appended");
+    }
+    return VerdictReport.print(context.console(), verdicts, json);
   }
 
   /**
@@ -57,20 +100,12 @@
     return verdicts;
   }
 
-  /**
-   * Appends one resource and waits for its verdict.
-   *
-   * @param entry the resource
-   * @return the verdict
-   * @throws CuminlatchException with {@code LOG_UNAVAILABLE} or {@code LOG_RATE_LIMITED} if the log
-   *     did not take the record, or whether it did is unknown
-   */
-  Verdict publish(Publication.Entry entry) {
+  private Verdict publish(Publication.Entry entry) {
     String recordId = newRecordId();
     Bytes content = encode(recordId, entry);
     CuminlatchException last = null;
     for (int attempt = 0; attempt < APPEND_ATTEMPTS; attempt++) {
-      pause.before(attempt);
+      backoff.before(attempt);
       try {
         LogOptions.await(log.append(LogStreams.CONFIGURATION, content));
       } catch (CuminlatchException e) {
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/ValidateCommand.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/ValidateCommand.java
@@ -30,7 +30,7 @@
       return VerdictReport.valid(context.console(), publication, json);
     }
     try (LogClient client = LogOptions.connect(log)) {
-      Publisher publisher = new Publisher(client, LogReplica.load(client), attempt -> {});
+      Publisher publisher = Publisher.connect(client, context);
       List<Publisher.Verdict> verdicts = publisher.rehearse(publication.entries());
       return VerdictReport.print(context.console(), verdicts, json);
     }
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/Verb.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/Verb.java
@@ -9,6 +9,14 @@
 enum Verb {
   VALIDATE("validate", "check a file without appending anything", ValidateCommand::new),
   PUBLISH("publish", "append the records of a file and wait for the verdicts", PublishCommand::new),
+  MOVE_STATUS("move status", "say where moves stand", MoveStatusCommand::new),
+  MOVE_WATCH("move watch", "show the progress of a move until its outcome", MoveWatchCommand::new),
+  MOVE_STOP("move stop", "ask for a move to be stopped and rolled back", MoveStopCommand::new),
+  ROUTES("routes", "list the routes and services in force", RoutesCommand::new),
+  MEMBERS("members", "list the members of the mesh", MembersCommand::new),
+  VERSIONS("versions", "say who has which configuration in force", VersionsCommand::new),
+  EXPLAIN("explain", "say why a request would go where", ExplainCommand::new),
+  REFUSALS("refusals", "list the records that were refused", RefusalsCommand::new),
   LOG_TAIL("log tail", "print the last records of the log", LogTailCommand::new);
 
   private final List<String> words;
