--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/JdkHttp.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/JdkHttp.java
@@ -1,14 +1,14 @@
 package org.cuminlatch.node.call;
 
 /** Properties of the JDK's HTTP server and client that are read once, when they are first used. */
-final class JdkHttp {
+public final class JdkHttp {
 
   private static final String IDLE_CONNECTION_SECONDS = "20";
 
   private JdkHttp() {}
 
   /** Sets the properties; must run before the first server or client is created. */
-  static void configure() {
+  public static void configure() {
     System.setProperty("sun.net.httpserver.nodelay", "true");
     System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
     System.setProperty("jdk.httpclient.keepalive.timeout", IDLE_CONNECTION_SECONDS);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/OutcomeReport.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/OutcomeReport.java
@@ -12,7 +12,7 @@
 /** Reports the outcomes of attempts at the target beside the node. */
 final class OutcomeReport {
 
-  static final Duration COLD_START = Duration.ofSeconds(30);
+  static final Duration COLD_START = Duration.ofSeconds(10);
 
   private static final int FIRST_CALLER_ERROR = 400;
   private static final int FIRST_SERVER_ERROR = 500;
