--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/CallPath.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/CallPath.java
@@ -21,6 +21,7 @@
 import org.cuminlatch.core.error.CuminlatchException;
 import org.cuminlatch.core.error.ErrorCode;
 import org.cuminlatch.core.error.Step;
+import org.cuminlatch.core.route.ReportedLoad;
 import org.cuminlatch.core.route.RequestHead;
 import org.cuminlatch.core.route.RoutingDecision;
 import org.cuminlatch.wire.call.CallTransport;
@@ -152,6 +153,15 @@
     return drained;
   }
 
+  /**
+   * Returns the load of the target beside the node.
+   *
+   * @return requests that hold a slot and that wait, and the limit in force
+   */
+  public ReportedLoad load() {
+    return gate.reportedLoad();
+  }
+
   /**
    * Returns whether no call and no attempt is under way.
    *
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/TargetGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/TargetGate.java
@@ -20,6 +20,7 @@
 import org.cuminlatch.core.move.CallOutcome.Result;
 import org.cuminlatch.core.retry.AttemptId;
 import org.cuminlatch.core.retry.AttemptOutcome;
+import org.cuminlatch.core.route.ReportedLoad;
 import org.cuminlatch.wire.call.CallChannel;
 import org.cuminlatch.wire.call.CallFrameHandler;
 import org.cuminlatch.wire.call.CallFrames;
@@ -365,6 +366,12 @@
     }
   }
 
+  ReportedLoad reportedLoad() {
+    synchronized (lock) {
+      return new ReportedLoad(slots.busy(), slots.queued(), slots.limit());
+    }
+  }
+
   private Load load() {
     return Load.newBuilder()
         .setBusy(slots.busy())
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/call/AttemptIdentityTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/call/AttemptIdentityTests.java
@@ -111,7 +111,7 @@
     }
 
     @Test
-    void aBeginningDeliveredTwiceRunsOnce() throws Exception {
+    void beginningDeliveredTwiceRunsOnce() throws Exception {
       CallChannel channel = connect();
 
       channel.send(begin());
@@ -127,7 +127,7 @@
     }
 
     @Test
-    void anAttemptWithdrawnBeforeItArrivesIsNeverRun() throws Exception {
+    void attemptWithdrawnBeforeItArrivesIsNeverRun() throws Exception {
       CallChannel channel = connect();
 
       channel.send(CallFrames.of(ID).setCancel(Cancel.getDefaultInstance()).build());
@@ -142,7 +142,7 @@
     }
 
     @Test
-    void anAttemptFromBeforeTheNodesStartIsNotSaidToBeNotRun() throws Exception {
+    void attemptFromBeforeTheNodesStartIsNotSaidToBeNotRun() throws Exception {
       CallChannel channel = connect();
       Cancel old = Cancel.newBuilder().setAgeMicros(3_600_000_000L).build();
 
@@ -152,7 +152,7 @@
     }
 
     @Test
-    void aCancelledRunIsNotSaidToBeNotRun() throws Exception {
+    void cancelledRunIsNotSaidToBeNotRun() throws Exception {
       CountDownLatch running = new CountDownLatch(1);
       CountDownLatch hold = new CountDownLatch(1);
       node.target()
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/call/LostConnectionTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/call/LostConnectionTests.java
@@ -65,9 +65,9 @@
   class BySilence {
 
     @Test
-    void bringsTheAnswerOfTheOneRunOnAFreshConnection() throws Exception {
+    void bringsTheAnswerOfTheOneRunOnFreshConnection() throws Exception {
       holdRequests(beside);
-      CompletableFuture<HttpResponse<String>> booking = bookInBackground();
+      final CompletableFuture<HttpResponse<String>> booking = bookInBackground();
       running.await();
       relay.silenceOpenConnections();
       hold.countDown();
@@ -80,7 +80,7 @@
     }
 
     @Test
-    void provesThatARequestNeverArrivedAndSendsItOn() throws Exception {
+    void provesThatRequestNeverArrivedAndSendsItOn() throws Exception {
       relay.silenceOpenConnections();
 
       HttpResponse<String> answer = mesh.post(entry, "/book", "crane 1");
@@ -108,12 +108,12 @@
   }
 
   @Nested
-  class ByACut {
+  class ByCut {
 
     @Test
-    void bringsTheAnswerOfTheOneRunOnAFreshConnection() throws Exception {
+    void bringsTheAnswerOfTheOneRunOnFreshConnection() throws Exception {
       holdRequests(beside);
-      CompletableFuture<HttpResponse<String>> booking = bookInBackground();
+      final CompletableFuture<HttpResponse<String>> booking = bookInBackground();
       running.await();
       relay.cutOpenConnections();
       hold.countDown();
@@ -127,11 +127,11 @@
   class ByTheDeathOfTheNodeBesideTheTarget {
 
     @Test
-    void leavesABookingUnknownAndDoesNotRepeatIt() throws Exception {
-      CallMesh.Node other = mesh.add("c", 2);
+    void leavesBookingUnknownAndDoesNotRepeatIt() throws Exception {
+      final CallMesh.Node other = mesh.add("c", 2);
       other.announce(Member.Phase.STARTING);
       holdRequests(beside);
-      CompletableFuture<HttpResponse<String>> booking = bookInBackground();
+      final CompletableFuture<HttpResponse<String>> booking = bookInBackground();
       running.await();
       other.announce(Member.Phase.SERVING);
       relay.close();
@@ -145,7 +145,7 @@
 
     @Test
     void movesIdempotentWork() throws Exception {
-      CallMesh.Node other = mesh.add("c", 2);
+      final CallMesh.Node other = mesh.add("c", 2);
       relay.close();
       beside.path().close();
 
@@ -159,13 +159,13 @@
   }
 
   @Nested
-  class ByAFreezeOfTheNodeBesideTheTarget {
+  class ByFreezeOfTheNodeBesideTheTarget {
 
     @Test
-    void leavesABookingUnknownAndMovesIdempotentWork() throws Exception {
+    void leavesBookingUnknownAndMovesIdempotentWork() throws Exception {
       relay.freeze();
-      HttpResponse<String> booking = mesh.post(entry, "/book", "crane 1");
-      CallMesh.Node other = mesh.add("c", 2);
+      final HttpResponse<String> booking = mesh.post(entry, "/book", "crane 1");
+      final CallMesh.Node other = mesh.add("c", 2);
       HttpResponse<String> reading = mesh.get(entry, "/stock");
 
       assertThat(CallMesh.outcome(booking), is("unknown"));
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/call/TargetFaultTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/call/TargetFaultTests.java
@@ -71,7 +71,7 @@
     }
 
     @Test
-    void aBookingIsNotRepeated() throws Exception {
+    void bookingIsNotRepeated() throws Exception {
       CallMesh.Node other = mesh.add("c", 1);
       CallMesh.Node[] both = {beside, other};
       for (CallMesh.Node node : both) {
@@ -93,7 +93,7 @@
   class AndBreaksItsAnswerOff {
 
     @Test
-    void theCallerDoesNotTakeAPartForTheWhole() {
+    void theCallerDoesNotTakePartForTheWhole() {
       beside
           .target()
           .behave(
@@ -112,7 +112,7 @@
   class AndRefusesBeforeRunning {
 
     @Test
-    void aBookingIsSentToAnother() throws Exception {
+    void bookingIsSentToAnother() throws Exception {
       beside.target().behave(TargetFaultTests::shed);
       CallMesh.Node other = mesh.add("c", 1);
 
@@ -178,7 +178,7 @@
                 ScriptedTarget.answer(exchange, 200, "ok");
               });
 
-      HttpResponse<String> hung = mesh.post(entry, "/hang", "x");
+      final HttpResponse<String> hung = mesh.post(entry, "/hang", "x");
       hold.countDown();
       timeout(Duration.ofSeconds(10), 1);
       List<CompletableFuture<HttpResponse<String>>> later = new ArrayList<>();
@@ -202,7 +202,7 @@
   class AndItsPooledConnectionsGoSilent {
 
     @Test
-    void idempotentWorkMovesToAFreshConnection() throws Exception {
+    void idempotentWorkMovesToFreshConnection() throws Exception {
       CountDownLatch never = new CountDownLatch(1);
       AtomicInteger requests = new AtomicInteger();
       beside
@@ -222,7 +222,7 @@
     }
 
     @Test
-    void aBookingWaitsForItsOwnAnswer() throws Exception {
+    void bookingWaitsForItsOwnAnswer() throws Exception {
       CountDownLatch probed = new CountDownLatch(1);
       beside
           .target()
