--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/AggregatorRank.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/AggregatorRank.java
@@ -3,10 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
 import java.util.TreeMap;
-import java.util.function.Predicate;
-import org.cuminlatch.core.membership.Locality;
 import org.cuminlatch.core.membership.Member;
 
 /**
@@ -19,10 +16,6 @@
 
   private AggregatorRank() {}
 
-  static Optional<Member> aggregator(Collection<Member> members, Locality zone, MoveId move) {
-    return best(members, member -> member.locality().equals(zone), move);
-  }
-
   static List<Member> aggregators(Collection<Member> members, MoveId move) {
     TreeMap<String, Member> byZone = new TreeMap<>();
     for (Member member : members) {
@@ -42,16 +35,6 @@
     return member.status() != Member.Status.DEAD && member.phase() != Member.Phase.LEFT;
   }
 
-  private static Optional<Member> best(
-      Collection<Member> members, Predicate<Member> filter, MoveId move) {
-    return members.stream()
-        .filter(AggregatorRank::eligible)
-        .filter(filter)
-        .max(
-            Comparator.comparingLong((Member member) -> weight(member, move))
-                .thenComparing(Member::instance));
-  }
-
   private static long weight(Member member, MoveId move) {
     return Fnv.hash(member.instance() + '@' + move);
   }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/Baseline.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/Baseline.java
@@ -11,7 +11,7 @@
  */
 final class Baseline {
 
-  private static final double HISTORY_ERROR_RATE = 1e-3;
+  private static final double HISTORY_ERROR_RATE = 1e-2;
   private static final double RECENT_DEVIATIONS = 1;
   private static final long RECENT_TRIALS = 50;
   private static final Duration RECENT_AT_LEAST = Duration.ofSeconds(5);
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/Evidence.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/Evidence.java
@@ -1,6 +1,7 @@
 package org.cuminlatch.core.move;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -57,6 +58,49 @@
     return merge(other, Counts::join);
   }
 
+  /**
+   * Returns this evidence with the sides that another reading holds put in place of its own.
+   *
+   * @param other the other reading; a side without calls counts as left out
+   * @return the combination
+   */
+  public Evidence overlaidBy(Evidence other) {
+    return merge(other, (own, theirs) -> theirs.equals(Counts.NONE) ? own : theirs);
+  }
+
+  /**
+   * Returns what was added since an earlier reading.
+   *
+   * @param earlier the earlier reading
+   * @return the differences, never below 0, on the routes of this reading
+   */
+  public Evidence since(Evidence earlier) {
+    Map<String, RouteEvidence> added = new TreeMap<>();
+    routes.forEach(
+        (name, route) -> {
+          RouteEvidence before = earlier.routes.getOrDefault(name, RouteEvidence.NONE);
+          added.put(
+              name,
+              new RouteEvidence(
+                  route.old().since(before.old()), route.fresh().since(before.fresh())));
+        });
+    return new Evidence(added);
+  }
+
+  /**
+   * Adds up evidence of sources that share no call.
+   *
+   * @param sources the sources
+   * @return the sums
+   */
+  public static Evidence sum(Collection<Evidence> sources) {
+    Evidence sum = NONE;
+    for (Evidence source : sources) {
+      sum = sum.plus(source);
+    }
+    return sum;
+  }
+
   /**
    * Returns the sum over all routes of one side.
    *
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/EvidenceMessage.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/EvidenceMessage.java
@@ -44,15 +44,26 @@
   /**
    * Summed evidence of a zone, sent between the aggregators of a move.
    *
+   * @param instance the sender
+   * @param epoch number of the sender's run
+   * @param sequence number of the report within the epoch; a receiver ignores older ones
    * @param locality the zone
-   * @param move the zone's sums
+   * @param move the zone's sums, as far as the sender has been told; the step is the highest that
+   *     all nodes of the zone have reached
    * @param rollbacks rollbacks that the sender knows of
    */
-  record ZoneReport(Locality locality, MoveEvidence move, List<Rollback> rollbacks)
+  record ZoneReport(
+      String instance,
+      long epoch,
+      long sequence,
+      Locality locality,
+      MoveEvidence move,
+      List<Rollback> rollbacks)
       implements EvidenceMessage {
 
     /** Checks the fields and copies the list. */
     public ZoneReport {
+      notBlank(instance, "instance");
       notNull(locality, "locality");
       notNull(move, "move");
       rollbacks = List.copyOf(notNull(rollbacks, "rollbacks"));
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/Judge.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/Judge.java
@@ -15,7 +15,7 @@
  * old one is found bad with a probability of at most the error rate: the rate is split over the
  * tests (Bonferroni) and each test holds its part over all looks, see {@link SequentialTest}.
  */
-final class Judge {
+public final class Judge {
 
   private static final double FIRST_LOOK_WEIGHT = 0.25;
   private static final double STEP_WEIGHT = 0.5;
@@ -36,9 +36,15 @@
   private Instant lastLook;
   private int lastStep = MoveEvidence.NO_STEP;
   private double timeWeightLeft = TIME_WEIGHT;
-  private Verdict verdict = new Verdict(Verdict.Kind.UNSUSPICIOUS, "no calls yet");
+  private Verdict verdict = Verdict.NONE;
 
-  Judge(MovePlan plan, double errorRate) {
+  /**
+   * Creates a judge that has seen nothing.
+   *
+   * @param plan schedule of the move
+   * @param errorRate bound on the probability of finding a version bad that is no worse
+   */
+  public Judge(MovePlan plan, double errorRate) {
     this.plan = plan;
     this.errorRate = errorRate;
   }
@@ -51,7 +57,7 @@
    * @param now the time
    * @return the verdict; once bad it stays bad
    */
-  Verdict look(Evidence evidence, int step, Instant now) {
+  public Verdict look(Evidence evidence, int step, Instant now) {
     if (verdict.kind() == Verdict.Kind.BAD) {
       return verdict;
     }
@@ -120,7 +126,8 @@
       worst = worst.worse(new Finding("latency" + on, tests.latencyLogValue(), part));
       index++;
     }
-    return new Verdict(worst.kind(errorRate), worst.what() + ": " + figures(evidence, worst));
+    Finding found = worst;
+    return new Verdict(worst.kind(errorRate), () -> found.what() + ": " + figures(evidence, found));
   }
 
   private static String figures(Evidence evidence, Finding worst) {
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MeshSight.java
@@ -0,0 +1,110 @@
+package org.cuminlatch.core.move;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cuminlatch.core.config.Move;
+import org.cuminlatch.core.membership.Locality;
+import org.cuminlatch.core.membership.Member;
+
+/** What a node makes of one reading of the membership; answers are kept as they are asked for. */
+final class MeshSight {
+
+  private final Collection<Member> members;
+  private final String self;
+  private final Locality locality;
+  private final Map<String, Member> zoneNodes = new HashMap<>();
+  private final Set<Locality> regionZones = new HashSet<>();
+  private final Set<Locality> otherZones = new HashSet<>();
+  private final TreeSet<String> regions = new TreeSet<>();
+  private final Map<MoveId, List<Member>> aggregators = new HashMap<>();
+  private final Map<MoveId, ReadySlots> slots = new HashMap<>();
+
+  MeshSight(Collection<Member> members, String self, Locality locality) {
+    this.members = members;
+    this.self = self;
+    this.locality = locality;
+    for (Member member : members) {
+      if (AggregatorRank.eligible(member)) {
+        place(member);
+      }
+    }
+  }
+
+  private void place(Member member) {
+    Locality zone = member.locality();
+    regions.add(zone.region());
+    if (zone.equals(locality)) {
+      zoneNodes.put(member.instance(), member);
+      return;
+    }
+    otherZones.add(zone);
+    if (zone.region().equals(locality.region())) {
+      regionZones.add(zone);
+    }
+  }
+
+  boolean isOf(Collection<Member> reading) {
+    return members == reading;
+  }
+
+  Locality locality() {
+    return locality;
+  }
+
+  /** Returns the live instances of the own zone. */
+  Set<String> zoneNodes() {
+    return zoneNodes.keySet();
+  }
+
+  Collection<Member> zoneMembers() {
+    return zoneNodes.values();
+  }
+
+  /** Returns the other zones of the own region that have live members. */
+  Set<Locality> regionZones() {
+    return regionZones;
+  }
+
+  /** Returns all other zones that have live members. */
+  Set<Locality> otherZones() {
+    return otherZones;
+  }
+
+  /** Returns the place of the own region among all regions in the order of their names. */
+  int regionIndex() {
+    return regions.headSet(locality.region()).size();
+  }
+
+  /** Returns the aggregators of a move, one per zone, the first in rank first. */
+  List<Member> aggregators(MoveId move) {
+    return aggregators.computeIfAbsent(move, id -> AggregatorRank.aggregators(members, id));
+  }
+
+  Optional<Member> ownAggregator(MoveId move) {
+    return aggregators(move).stream()
+        .filter(member -> member.locality().equals(locality))
+        .findFirst();
+  }
+
+  /** Returns how many aggregators rank before this node. */
+  int rankOfSelf(MoveId move) {
+    int rank = 0;
+    for (Member member : aggregators(move)) {
+      if (member.instance().equals(self)) {
+        return rank;
+      }
+      rank++;
+    }
+    return rank;
+  }
+
+  ReadySlots slots(MoveId id, Move move) {
+    return slots.computeIfAbsent(id, key -> ReadySlots.of(members, move, locality.region()));
+  }
+}
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveAggregator.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveAggregator.java
@@ -2,10 +2,14 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.cuminlatch.core.membership.Locality;
 import org.cuminlatch.core.move.EvidenceMessage.NodeReport;
+import org.cuminlatch.core.move.EvidenceMessage.StepGrant;
 import org.cuminlatch.core.move.EvidenceMessage.ZoneReport;
 import org.cuminlatch.core.move.EvidenceRow.Side;
 
@@ -14,35 +18,39 @@
  *
  * <p>It raises its region by one step at a time, and only when every live node of its zone and
  * every other zone of its region has lately reported to be at the step before. Two aggregators that
- * don't know of each other can therefore grant the same step but can't skip one between them.
+ * don't know of each other can therefore grant the same step but can't skip one between them. After
+ * its start or a pause it grants nothing before it has heard every live node of its zone, since any
+ * of them may know of a rollback.
  */
 final class MoveAggregator {
 
-  private final String region;
+  private static final Duration LOOK_INTERVAL = Duration.ofMillis(500);
+
+  private final NodeMove move;
+  private final Locality locality;
   private final MoveSettings settings;
   private final ZoneEvidence evidence = new ZoneEvidence();
   private final DemandMeter demand = new DemandMeter();
-  private Judge judge;
-  private Verdict verdict = new Verdict(Verdict.Kind.UNSUSPICIOUS, "no calls yet");
+  private final Judge judge;
+  private Verdict verdict = Verdict.NONE;
   private int step = MoveEvidence.NO_STEP;
-  private Instant stepSince;
+  private boolean warm;
+  private Instant stepSince = Instant.MIN;
+  private Instant nextLook = Instant.MIN;
   private long newCallsAtStep;
 
-  MoveAggregator(String region, MovePlan plan, MoveSettings settings) {
-    this.region = region;
+  MoveAggregator(NodeMove move, Locality locality, MoveSettings settings) {
+    this.move = move;
+    this.locality = locality;
     this.settings = settings;
-    this.judge = new Judge(plan, settings.falseRollbackRate());
+    this.judge = new Judge(move.plan(), settings.falseRollbackRate());
   }
 
-  /** What an aggregator sees of the mesh when it decides. */
-  record Surroundings(
-      Set<String> zoneNodes, Set<Locality> regionZones, ReadySlots slots, Duration freshWithin) {}
-
-  /** What an aggregator decides: a step to grant, or a rollback, with the reason. */
-  record Decision(MoveDecision.Kind kind, int step, String reason) {}
+  /** What an aggregator decides, with the reason. */
+  record Decision(MoveDecision.Kind kind, String reason) {}
 
-  void accept(NodeReport report, MoveEvidence move, Instant now) {
-    evidence.accept(report, move, now);
+  void accept(NodeReport report, MoveEvidence reported, Instant now) {
+    evidence.accept(report, reported, now);
   }
 
   void accept(ZoneReport report, Instant now) {
@@ -51,58 +59,74 @@
 
   void resumeAfterPause(Instant now) {
     evidence.forgetFreshness();
+    warm = false;
     stepSince = now;
   }
 
+  /** Returns whether every live node of the zone has been heard since the start or a pause. */
+  boolean isWarm(MeshSight sight, Instant now) {
+    warm = warm || evidence.unheard(sight.zoneNodes(), now, freshWithin(sight)).isEmpty();
+    return warm;
+  }
+
+  StepGrant grantFor(NodeReport report, MeshSight sight) {
+    return new StepGrant(
+        move.id(), step, shareCap(sight), move.highestShare(), report.epoch(), report.sequence());
+  }
+
   /** Looks at the evidence and decides. */
-  Decision decide(MovePlan plan, Surroundings around, Instant now) {
+  Decision decide(MeshSight sight, Instant now) {
+    if (now.isBefore(nextLook)) {
+      return new Decision(MoveDecision.Kind.HOLD, "");
+    }
+    nextLook = now.plus(LOOK_INTERVAL);
     Evidence total = evidence.total();
-    demand.look(evidence.regionTotal(region), now);
+    demand.look(evidence.regionTotal(locality.region()), now);
     learnStep(total, now);
     verdict = judge.look(total, step, now);
     if (verdict.kind() == Verdict.Kind.BAD) {
-      return new Decision(MoveDecision.Kind.ROLL_BACK, step, verdict.reason());
+      return new Decision(MoveDecision.Kind.ROLL_BACK, verdict.reason());
+    }
+    String obstacle = obstacle(sight, total, now);
+    if (!now.isBefore(move.plan().decideBy()) && !obstacle.isEmpty()) {
+      return new Decision(MoveDecision.Kind.ROLL_BACK, "deadline reached; " + obstacle);
     }
-    if (step < plan.lastStep()) {
-      return decideRaise(plan, around, total, now);
+    if (step == move.plan().lastStep()) {
+      return new Decision(MoveDecision.Kind.HOLD, obstacle.isEmpty() ? "soaking" : obstacle);
     }
-    if (!now.isBefore(plan.decideBy()) && shareCap(around) < 1) {
-      return new Decision(
-          MoveDecision.Kind.ROLL_BACK, step, "deadline reached; " + capacity(around));
+    if (!obstacle.isEmpty()) {
+      return new Decision(MoveDecision.Kind.HOLD, obstacle);
     }
-    return new Decision(MoveDecision.Kind.HOLD, step, "soaking; " + verdict.reason());
+    enter(step + 1, total, now);
+    return new Decision(MoveDecision.Kind.RAISE, verdict.reason());
   }
 
-  private Decision decideRaise(MovePlan plan, Surroundings around, Evidence total, Instant now) {
-    String obstacle = obstacle(plan, around, total, now);
-    if (obstacle.isEmpty()) {
-      enter(step + 1, total, now);
-      return new Decision(MoveDecision.Kind.RAISE, step, verdict.reason());
+  private String obstacle(MeshSight sight, Evidence total, Instant now) {
+    if (verdict.kind() != Verdict.Kind.UNSUSPICIOUS) {
+      return "suspicious: " + verdict.reason();
     }
-    if (!now.isBefore(plan.decideBy())) {
-      return new Decision(
-          MoveDecision.Kind.ROLL_BACK, step, "deadline reached before the last step; " + obstacle);
+    int next = Math.min(step + 1, move.plan().lastStep());
+    if (shareCap(sight) < move.plan().share(next)) {
+      return capacity(sight);
     }
-    return new Decision(MoveDecision.Kind.HOLD, step, obstacle);
+    return step == next ? "" : obstacleToRaise(next, sight, total, now);
   }
 
-  private String obstacle(MovePlan plan, Surroundings around, Evidence total, Instant now) {
-    int next = step + 1;
-    if (now.isBefore(plan.earliest(next)) || (step >= 0 && stayed(now) < plan.dwell().toMillis())) {
-      return "the schedule holds step " + step;
-    }
-    if (verdict.kind() != Verdict.Kind.UNSUSPICIOUS) {
-      return "suspicious: " + verdict.reason();
+  private String obstacleToRaise(int next, MeshSight sight, Evidence total, Instant now) {
+    MovePlan plan = move.plan();
+    if (now.isBefore(plan.earliest(next)) || hasJustEntered(now)) {
+      return "the schedule holds " + at(step);
     }
-    if (shareCap(around) < plan.share(next)) {
-      return capacity(around);
+    Set<String> unheard = evidence.unheard(sight.zoneNodes(), now, freshWithin(sight));
+    if (!unheard.isEmpty()) {
+      return "no fresh report from " + unheard.iterator().next();
     }
-    if (!evidence.allHeard(around.zoneNodes(), now, around.freshWithin())) {
-      return "not all nodes of the zone have reported";
+    if (!evidence.allAtStep(sight.zoneNodes(), step)
+        || !evidence.zonesAgree(sight.regionZones(), step, now, freshWithin(sight))) {
+      return "not all zones of the region are " + at(step);
     }
-    if (!evidence.allAtStep(around.zoneNodes(), step)
-        || !evidence.zonesAgree(around.regionZones(), step, now, around.freshWithin())) {
-      return "not all zones of the region are at step " + step;
+    if (next == plan.lastStep() && isTooLateForSoak(plan, now)) {
+      return "too late for the soak of " + plan.soak().toSeconds() + " s";
     }
     long calls = newCalls(total) - newCallsAtStep;
     if (step >= 0 && calls < settings.sufficientCalls() && now.isBefore(plan.latest(next))) {
@@ -111,17 +135,59 @@
     return "";
   }
 
-  private String capacity(Surroundings around) {
+  /** A region that joined late may follow the others without a whole soak of its own. */
+  private boolean isTooLateForSoak(MovePlan plan, Instant now) {
+    boolean followsOthers =
+        evidence.zonesHeard().stream()
+            .anyMatch(zone -> evidence.zonesAtStep(List.of(zone), plan.lastStep()));
+    return now.isAfter(plan.decideBy().minus(plan.soak())) && !followsOthers;
+  }
+
+  private boolean hasJustEntered(Instant now) {
+    return step >= 0 && Duration.between(stepSince, now).compareTo(move.plan().dwell()) < 0;
+  }
+
+  private static String at(int step) {
+    return step < 0 ? "before the first step" : "at step " + step;
+  }
+
+  private String capacity(MeshSight sight) {
     return String.format(
         Locale.ROOT,
         "%d ready slots of the new version take a share of %.2f, %.1f slots are busy",
-        around.slots().fresh(),
-        shareCap(around),
+        sight.slots(move.id(), move.move()).fresh(),
+        shareCap(sight),
         demand.slots());
   }
 
+  /** Returns whether every zone has ended its soak; a zone lost for long is left out. */
+  boolean isClosedEverywhere(MeshSight sight, Instant now) {
+    return evidence.allClosed(sight.zoneNodes())
+        && zones(sight).stream()
+            .filter(zone -> sight.otherZones().contains(zone) || !isLost(zone, now))
+            .allMatch(evidence::isClosed);
+  }
+
+  private boolean isLost(Locality zone, Instant now) {
+    Duration limit =
+        zone.region().equals(locality.region())
+            ? settings.lostZoneLimit()
+            : settings.lostRegionLimit();
+    return evidence.heardOf(zone).plus(limit).isBefore(now);
+  }
+
+  private Collection<Locality> zones(MeshSight sight) {
+    return Stream.concat(sight.otherZones().stream(), evidence.zonesHeard().stream())
+        .distinct()
+        .toList();
+  }
+
+  private Duration freshWithin(MeshSight sight) {
+    return settings.freshWithin(sight.zoneNodes().size());
+  }
+
   private void learnStep(Evidence total, Instant now) {
-    int known = Math.max(evidence.highestStep(region), evidence.highestNodeStep());
+    int known = Math.min(evidence.highestStep(locality.region()), move.plan().lastStep());
     if (known > step) {
       enter(known, total, now);
     }
@@ -133,20 +199,24 @@
     newCallsAtStep = newCalls(total);
   }
 
-  private long stayed(Instant now) {
-    return Duration.between(stepSince, now).toMillis();
-  }
-
   private static long newCalls(Evidence total) {
     return total.total(Side.NEW).calls();
   }
 
-  double shareCap(Surroundings around) {
-    return around.slots().shareCap(demand.slots());
+  private double shareCap(MeshSight sight) {
+    return sight.slots(move.id(), move.move()).shareCap(demand.slots());
+  }
+
+  /** Returns the highest step that all live nodes of the zone are known to have reached. */
+  int reachedStep(MeshSight sight) {
+    if (step == MoveEvidence.NO_STEP || evidence.allAtStep(sight.zoneNodes(), step)) {
+      return step;
+    }
+    return step - 1;
   }
 
-  int step() {
-    return step;
+  NodeMove move() {
+    return move;
   }
 
   Verdict verdict() {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveEngine.java
@@ -8,14 +8,13 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
-import org.cuminlatch.core.config.MoveOutcome;
 import org.cuminlatch.core.config.MoveState;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.Snapshot;
@@ -39,31 +38,26 @@
 public final class MoveEngine
     implements ControlEngine<EvidenceMessage>, VersionShares, CallObserver {
 
-  private static final Duration OUTCOME_RETRY = Duration.ofSeconds(5);
-  private static final int FRESH_REPORTS = 3;
-
   private final String self;
   private final Locality locality;
   private final Supplier<Snapshot> snapshots;
   private final MembershipView membership;
   private final Outbox outbox;
-  private final OutcomeSink sink;
-  private final MoveDecisionListener listener;
+  private final MoveJournal journal;
   private final MoveSettings settings;
   private final CallCounters counters = new CallCounters();
   private final RollbackFacts facts = new RollbackFacts();
+  private final MoveReporter reporter;
+  private final OutcomeStater outcomes;
   private final Map<MoveId, NodeMove> moves = new TreeMap<>();
-  private final Map<MoveId, MoveAggregator> aggregators = new HashMap<>();
-  private final Map<MoveId, String> lastReasons = new HashMap<>();
-  private final Map<MoveId, Instant> outcomeDue = new HashMap<>();
-  private final Map<Long, Instant> sentReports = new TreeMap<>();
+  private final Map<MoveId, MoveAggregator> aggregators = new TreeMap<>();
+  private final Map<ZoneTarget, ReportPacing> zonePacings = new HashMap<>();
   private volatile PublishedShares published = new PublishedShares(Snapshot.empty(), Map.of());
-  private volatile List<MoveProgress> progress = List.of();
+  private Snapshot followed = Snapshot.empty();
+  private MeshSight sight;
   private long epoch = -1;
-  private long sequence;
+  private long zoneSequence;
   private Instant lastTick;
-  private Instant nextReport = Instant.MIN;
-  private Instant nextZoneReport = Instant.MIN;
 
   private MoveEngine(
       String self,
@@ -79,9 +73,11 @@
     this.snapshots = notNull(snapshots, "snapshots");
     this.membership = notNull(membership, "membership");
     this.outbox = notNull(outbox, "outbox");
-    this.sink = notNull(sink, "sink");
-    this.listener = notNull(listener, "listener");
+    this.journal = new MoveJournal(notNull(listener, "listener"));
     this.settings = notNull(settings, "settings");
+    this.reporter = new MoveReporter(self, settings);
+    this.outcomes = new OutcomeStater(notNull(sink, "sink"));
+    this.sight = new MeshSight(List.of(), self, locality);
   }
 
   /**
@@ -125,7 +121,7 @@
    * @return one entry per open move
    */
   public List<MoveProgress> progress() {
-    return progress;
+    return journal.progress();
   }
 
   @Override
@@ -133,12 +129,9 @@
     if (message instanceof NodeReport report) {
       onNodeReport(from, report, now);
     } else if (message instanceof ZoneReport report) {
-      learn(report.rollbacks(), now);
-      Optional.ofNullable(aggregators.get(report.move().move()))
-          .ifPresent(aggregator -> aggregator.accept(report, now));
-      learnHighestShare(report.move().move(), report.move().highestShare());
+      onZoneReport(report, now);
     } else if (message instanceof StepGrant grant) {
-      onGrant(grant, now);
+      onGrant(grant);
     } else if (message instanceof RollbackNotice notice) {
       learn(notice.rollbacks(), now);
     }
@@ -147,18 +140,17 @@
   @Override
   public void onTick(Instant now) {
     noticePause(now);
-    followSnapshot(snapshots.get());
-    if (!now.isBefore(nextReport)) {
-      nextReport = now.plus(settings.reportInterval());
-      report(now);
-    }
-    decide(now);
-    if (!now.isBefore(nextZoneReport)) {
-      nextZoneReport = now.plus(settings.reportInterval());
-      reportZone();
-    }
+    look();
+    reporter
+        .reports(moves.values(), counters, facts, sight, epoch, now)
+        .forEach((aggregator, report) -> send(aggregator, report, now));
+    aggregators.values().forEach(aggregator -> decide(aggregator, now));
+    aggregators.values().forEach(aggregator -> reportZone(aggregator, now));
     publish(now);
-    stateOutcomes(now);
+    aggregators
+        .values()
+        .forEach(
+            aggregator -> outcomes.state(aggregator, facts.of(aggregator.move().id()), sight, now));
   }
 
   private void noticePause(Instant now) {
@@ -169,128 +161,107 @@
         lastTick != null && Duration.between(lastTick, now).compareTo(settings.pauseLimit()) > 0;
     lastTick = now;
     if (paused) {
-      sentReports.clear();
+      reporter.forgetReports();
       moves.values().forEach(NodeMove::forgetProof);
       aggregators.values().forEach(aggregator -> aggregator.resumeAfterPause(now));
     }
   }
 
-  private void followSnapshot(Snapshot snapshot) {
-    Map<MoveId, MoveState> open = new HashMap<>();
+  private void look() {
+    Collection<Member> members = membership.members();
+    boolean moved = !sight.isOf(members);
+    if (moved) {
+      sight = new MeshSight(members, self, locality);
+    }
+    Snapshot snapshot = snapshots.get();
+    if (moved || snapshot != followed) {
+      followed = snapshot;
+      follow(snapshot);
+    }
+  }
+
+  private void follow(Snapshot snapshot) {
+    Map<MoveId, MoveState> open = new TreeMap<>();
     for (MoveState state : snapshot.moves().values()) {
       if (state.isOpen()) {
         open.put(MoveId.of(state.move()), state);
       }
     }
-    moves.keySet().retainAll(open.keySet());
-    aggregators.keySet().retainAll(open.keySet());
-    outcomeDue.keySet().retainAll(open.keySet());
-    lastReasons.keySet().retainAll(open.keySet());
-    counters.retain(open.keySet());
+    retain(open.keySet());
+    int region = sight.regionIndex();
     open.forEach(
-        (id, state) -> {
-          NodeMove known = moves.get(id);
-          if (known == null) {
-            moves.put(id, new NodeMove(state, settings));
-          } else {
-            known.update(state);
-          }
-        });
+        (id, state) ->
+            moves.computeIfAbsent(id, key -> new NodeMove(state, region)).update(state, region));
   }
 
-  private void report(Instant now) {
-    Map<String, List<MoveEvidence>> byAggregator = new TreeMap<>();
-    Collection<Member> members = membership.members();
-    for (NodeMove move : moves.values()) {
-      AggregatorRank.aggregator(members, locality, move.id())
-          .ifPresent(
-              aggregator ->
-                  byAggregator
-                      .computeIfAbsent(aggregator.instance(), key -> new ArrayList<>())
-                      .add(move.evidence(counters.rows(move.id()))));
-    }
-    byAggregator.forEach((aggregator, evidence) -> sendReport(aggregator, evidence, now));
+  private void retain(Set<MoveId> open) {
+    moves.keySet().retainAll(open);
+    aggregators.keySet().retainAll(open);
+    journal.retain(open);
+    zonePacings.keySet().removeIf(target -> !open.contains(target.move()));
+    reporter.retain(open);
+    outcomes.retain(open);
+    counters.retain(open);
   }
 
-  private void sendReport(String aggregator, List<MoveEvidence> evidence, Instant now) {
-    sequence++;
-    sentReports.put(sequence, now);
-    sentReports
-        .values()
-        .removeIf(sent -> Duration.between(sent, now).compareTo(settings.grantLifetime()) > 0);
-    NodeReport report =
-        new NodeReport(self, locality, epoch, sequence, evidence, factsFor(evidence));
+  private void send(String aggregator, NodeReport report, Instant now) {
     if (aggregator.equals(self)) {
-      aggregate(report, now);
-    } else {
-      membership
-          .member(aggregator)
-          .ifPresent(member -> outbox.send(member.controlAddress(), report));
+      aggregate(report, now).forEach(this::onGrant);
+      return;
     }
-  }
-
-  private List<Rollback> factsFor(List<MoveEvidence> evidence) {
-    return facts.of(evidence.stream().map(MoveEvidence::move).toList());
+    membership.member(aggregator).ifPresent(member -> outbox.send(member.controlAddress(), report));
   }
 
   private void onNodeReport(Address from, NodeReport report, Instant now) {
     learn(report.rollbacks(), now);
-    List<StepGrant> grants = aggregate(report, now);
-    grants.forEach(grant -> outbox.send(from, grant));
-    List<Rollback> missing = new ArrayList<>(factsFor(report.moves()));
-    missing.removeAll(report.rollbacks());
+    aggregate(report, now).forEach(grant -> outbox.send(from, grant));
+    List<Rollback> missing = new ArrayList<>(MoveReporter.factsOf(facts, report.moves()));
+    missing.removeIf(fact -> knows(report.rollbacks(), fact.move()));
     if (!missing.isEmpty()) {
       outbox.send(from, new RollbackNotice(missing));
     }
   }
 
+  private static boolean knows(List<Rollback> rollbacks, MoveId move) {
+    return rollbacks.stream().anyMatch(rollback -> rollback.move().equals(move));
+  }
+
   private List<StepGrant> aggregate(NodeReport report, Instant now) {
     List<StepGrant> grants = new ArrayList<>();
     for (MoveEvidence evidence : report.moves()) {
       NodeMove move = moves.get(evidence.move());
-      if (move == null) {
+      if (move == null || !report.locality().equals(locality)) {
         continue;
       }
-      MoveAggregator aggregator =
-          aggregators.computeIfAbsent(
-              evidence.move(), key -> new MoveAggregator(locality.region(), move.plan(), settings));
-      aggregator.accept(report, evidence, now);
       move.learnHighestShare(evidence.highestShare());
-      if (!facts.contains(move.id())) {
-        StepGrant grant = grant(move, aggregator, report);
-        grants.add(grant);
-        if (report.instance().equals(self)) {
-          onGrant(grant, now);
-        }
+      MoveAggregator aggregator = aggregatorOf(move);
+      aggregator.accept(report, evidence, now);
+      if (!facts.contains(move.id()) && aggregator.isWarm(sight, now)) {
+        grants.add(aggregator.grantFor(report, sight));
       }
     }
     return grants;
   }
 
-  private StepGrant grant(NodeMove move, MoveAggregator aggregator, NodeReport report) {
-    return new StepGrant(
-        move.id(),
-        aggregator.step(),
-        aggregator.shareCap(surroundings(move)),
-        move.highestShare(),
-        report.epoch(),
-        report.sequence());
+  private MoveAggregator aggregatorOf(NodeMove move) {
+    return aggregators.computeIfAbsent(
+        move.id(), id -> new MoveAggregator(move, locality, settings));
   }
 
-  private void onGrant(StepGrant grant, Instant now) {
-    Instant sentAt = sentReports.get(grant.echoedSequence());
-    NodeMove move = moves.get(grant.move());
-    if (move == null || sentAt == null || grant.echoedEpoch() != epoch) {
-      return;
-    }
-    move.learnHighestShare(grant.highestShare());
-    if (!facts.contains(grant.move())) {
-      move.grant(grant.step(), grant.shareCap(), sentAt);
+  private void onZoneReport(ZoneReport report, Instant now) {
+    learn(report.rollbacks(), now);
+    NodeMove move = moves.get(report.move().move());
+    if (move != null) {
+      move.learnHighestShare(report.move().highestShare());
+      aggregatorOf(move).accept(report, now);
     }
   }
 
-  private void learnHighestShare(MoveId id, double share) {
-    Optional.ofNullable(moves.get(id)).ifPresent(move -> move.learnHighestShare(share));
+  private void onGrant(StepGrant grant) {
+    NodeMove move = moves.get(grant.move());
+    if (move != null && grant.echoedEpoch() == epoch && !facts.contains(grant.move())) {
+      reporter.sentAt(grant.echoedSequence()).ifPresent(sentAt -> move.grant(grant, sentAt));
+    }
   }
 
   private void learn(List<Rollback> rollbacks, Instant now) {
@@ -299,224 +270,105 @@
     if (added.isEmpty()) {
       return;
     }
+    publish(now);
     for (Rollback fact : added) {
-      NodeMove move = moves.get(fact.move());
-      if (move != null) {
-        decided(move, MoveDecision.Kind.ROLL_BACK, fact.reason(), now);
-      }
+      Optional.ofNullable(moves.get(fact.move()))
+          .ifPresent(
+              move -> journal.decided(move, MoveDecision.Kind.ROLL_BACK, fact.reason(), now));
     }
-    publish(now);
     RollbackNotice notice = new RollbackNotice(added);
-    for (Member member : receiversOfRollbacks(added)) {
-      outbox.send(member.controlAddress(), notice);
-    }
+    receivers(added).forEach(member -> outbox.send(member.controlAddress(), notice));
   }
 
-  private Set<Member> receiversOfRollbacks(List<Rollback> added) {
-    Collection<Member> members = membership.members();
-    Set<Member> receivers =
-        members.stream()
-            .filter(member -> member.locality().equals(locality))
-            .collect(Collectors.toSet());
+  private Set<Member> receivers(List<Rollback> added) {
+    Set<Member> receivers = new LinkedHashSet<>();
     for (Rollback fact : added) {
-      boolean aggregates = aggregators.containsKey(fact.move());
-      if (aggregates) {
-        receivers.addAll(AggregatorRank.aggregators(members, fact.move()));
+      if (aggregators.containsKey(fact.move())) {
+        receivers.addAll(sight.zoneMembers());
+        receivers.addAll(sight.aggregators(fact.move()));
       } else {
-        receivers.retainAll(
-            AggregatorRank.aggregator(members, locality, fact.move()).stream().toList());
+        sight.ownAggregator(fact.move()).ifPresent(receivers::add);
       }
     }
     receivers.removeIf(member -> member.instance().equals(self));
     return receivers;
   }
 
-  private void decide(Instant now) {
-    aggregators.forEach(
-        (id, aggregator) -> {
-          NodeMove move = moves.get(id);
-          if (facts.contains(id) || move.stopped() || move.closed()) {
-            return;
-          }
-          MoveAggregator.Decision decision =
-              aggregator.decide(move.plan(), surroundings(move), now);
-          if (decision.kind() == MoveDecision.Kind.ROLL_BACK) {
-            learn(List.of(rollback(move, decision.reason(), now)), now);
-            outcomeDue.put(id, now);
-          } else {
-            decided(move, decision.kind(), decision.reason(), now);
-          }
-        });
-  }
-
-  private Rollback rollback(NodeMove move, String reason, Instant now) {
-    return new Rollback(move.id(), reason, now, move.highestShare());
-  }
-
-  private MoveAggregator.Surroundings surroundings(NodeMove move) {
-    Collection<Member> members = membership.members();
-    Set<String> zoneNodes =
-        members.stream()
-            .filter(AggregatorRank::eligible)
-            .filter(member -> member.locality().equals(locality))
-            .map(Member::instance)
-            .collect(Collectors.toSet());
-    Set<Locality> regionZones =
-        members.stream()
-            .filter(AggregatorRank::eligible)
-            .map(Member::locality)
-            .filter(zone -> zone.region().equals(locality.region()) && !zone.equals(locality))
-            .collect(Collectors.toSet());
-    return new MoveAggregator.Surroundings(
-        zoneNodes,
-        regionZones,
-        ReadySlots.of(members, move.move(), locality.region()),
-        settings.quietReportInterval().multipliedBy(FRESH_REPORTS));
-  }
-
-  private void reportZone() {
-    Collection<Member> members = membership.members();
-    aggregators.forEach(
-        (id, aggregator) -> {
-          NodeMove move = moves.get(id);
-          MoveAggregator.Surroundings around = surroundings(move);
-          ZoneEvidence evidence = aggregator.evidence();
-          int reached =
-              evidence.allAtStep(around.zoneNodes(), aggregator.step())
-                  ? aggregator.step()
-                  : aggregator.step() - 1;
-          MoveEvidence sums =
-              new MoveEvidence(
-                  id,
-                  Math.max(reached, MoveEvidence.NO_STEP),
-                  move.highestShare(),
-                  evidence.allClosed(around.zoneNodes()),
-                  evidence.ownZone().rows());
-          ZoneReport report = new ZoneReport(locality, sums, facts.of(List.of(id)));
-          for (Member member : AggregatorRank.aggregators(members, id)) {
-            if (!member.locality().equals(locality)) {
-              outbox.send(member.controlAddress(), report);
-            }
-          }
-        });
-  }
-
-  private void publish(Instant now) {
-    Snapshot snapshot = snapshots.get();
-    Collection<Member> members = membership.members();
-    Map<MoveId, Double> shares = new HashMap<>();
-    List<MoveProgress> open = new ArrayList<>();
-    for (NodeMove move : moves.values()) {
-      boolean ready = ReadySlots.of(members, move.move(), locality.region()).fresh() > 0;
-      move.refresh(facts.contains(move.id()), ready, now);
-      shares.put(move.id(), move.share());
-      open.add(progressOf(move));
+  private void decide(MoveAggregator aggregator, Instant now) {
+    NodeMove move = aggregator.move();
+    boolean settled = facts.contains(move.id()) || move.stop().isPresent() || move.closed();
+    if (settled || !aggregator.isWarm(sight, now)) {
+      return;
+    }
+    MoveAggregator.Decision decision = aggregator.decide(sight, now);
+    if (decision.kind() == MoveDecision.Kind.ROLL_BACK) {
+      outcomes.hurry(move.id(), now);
+      learn(List.of(new Rollback(move.id(), decision.reason(), now, move.highestShare())), now);
+    } else if (!decision.reason().isEmpty()) {
+      journal.decided(move, decision.kind(), decision.reason(), now);
     }
-    published = new PublishedShares(snapshot, shares);
-    progress = List.copyOf(open);
-  }
-
-  private MoveProgress progressOf(NodeMove move) {
-    Optional<Rollback> fact = facts.of(move.id());
-    MoveAggregator aggregator = aggregators.get(move.id());
-    return new MoveProgress(
-        move.move().name(),
-        move.move().service(),
-        move.step(),
-        move.plan().shares().size(),
-        move.share(),
-        move.highestShare(),
-        fact.map(Rollback::reason).orElse(lastReasons.getOrDefault(move.id(), judgedBy(move))),
-        aggregator == null ? "" : aggregator.verdict().reason(),
-        move.closed(),
-        fact.isPresent() || move.stopped());
-  }
-
-  private String judgedBy(NodeMove move) {
-    return AggregatorRank.aggregator(membership.members(), locality, move.id())
-        .map(aggregator -> "judged by " + aggregator.instance())
-        .orElse("no aggregator is known");
   }
 
-  private void stateOutcomes(Instant now) {
-    for (NodeMove move : moves.values()) {
-      MoveAggregator aggregator = aggregators.get(move.id());
-      if (aggregator == null) {
+  private void reportZone(MoveAggregator aggregator, Instant now) {
+    NodeMove move = aggregator.move();
+    boolean rolledBack = facts.contains(move.id());
+    int step = aggregator.reachedStep(sight);
+    boolean closed = aggregator.evidence().allClosed(sight.zoneNodes());
+    for (Member member : sight.aggregators(move.id())) {
+      if (member.locality().equals(locality)) {
         continue;
       }
-      Optional<MoveOutcome> outcome = outcomeOf(move, aggregator, now);
-      if (outcome.isPresent() && isDue(move, now)) {
-        outcomeDue.put(move.id(), now.plus(OUTCOME_RETRY));
-        sink.append(outcome.get());
+      ReportPacing.Due due =
+          zonePacings
+              .computeIfAbsent(
+                  new ZoneTarget(member.instance(), move.id()), key -> new ReportPacing())
+              .next(
+                  () -> aggregator.evidence().ownZone().rows(),
+                  new ZoneState(step, closed, rolledBack),
+                  interval(member, rolledBack),
+                  settings.quietReportInterval(),
+                  now);
+      if (due.due()) {
+        zoneSequence++;
+        MoveEvidence sums =
+            new MoveEvidence(move.id(), step, move.highestShare(), closed, due.rows());
+        List<Rollback> known = facts.of(List.of(move.id()));
+        outbox.send(
+            member.controlAddress(),
+            new ZoneReport(self, epoch, zoneSequence, locality, sums, known));
       }
     }
   }
 
-  private Optional<MoveOutcome> outcomeOf(NodeMove move, MoveAggregator aggregator, Instant now) {
-    Optional<Rollback> fact = facts.of(move.id());
-    if (fact.isPresent()) {
-      return Optional.of(
-          new MoveOutcome(
-              move.move().name(),
-              MoveOutcome.Result.ROLLED_BACK,
-              fact.get().reason(),
-              fact.get().decidedAt(),
-              Math.max(fact.get().highestShare(), move.highestShare())));
-    }
-    if (move.stop().isPresent()) {
-      String reason = "stopped by the operator: " + move.stop().get().reason();
-      return Optional.of(outcome(move, MoveOutcome.Result.ROLLED_BACK, reason, now));
-    }
-    if (!isClosedEverywhere(move, aggregator)) {
-      return Optional.empty();
+  private Duration interval(Member receiver, boolean rolledBack) {
+    if (rolledBack) {
+      return settings.quietReportInterval();
     }
-    return Optional.of(outcome(move, MoveOutcome.Result.DONE, aggregator.verdict().reason(), now));
-  }
-
-  private static MoveOutcome outcome(
-      NodeMove move, MoveOutcome.Result result, String reason, Instant now) {
-    return new MoveOutcome(move.move().name(), result, reason, now, move.highestShare());
-  }
-
-  private boolean isClosedEverywhere(NodeMove move, MoveAggregator aggregator) {
-    Set<Locality> others =
-        membership.members().stream()
-            .filter(AggregatorRank::eligible)
-            .map(Member::locality)
-            .filter(zone -> !zone.equals(locality))
-            .collect(Collectors.toSet());
-    others.addAll(aggregator.evidence().zonesHeard());
-    return aggregator.evidence().allClosed(surroundings(move).zoneNodes())
-        && aggregator.evidence().zonesClosed(others);
-  }
-
-  private boolean isDue(NodeMove move, Instant now) {
-    Instant due =
-        outcomeDue.computeIfAbsent(
-            move.id(),
-            id -> {
-              List<Member> ranked = AggregatorRank.aggregators(membership.members(), id);
-              long rank =
-                  ranked.stream().takeWhile(member -> !member.instance().equals(self)).count();
-              return now.plus(OUTCOME_RETRY.multipliedBy(rank));
-            });
-    return !now.isBefore(due);
+    return receiver.locality().region().equals(locality.region())
+        ? settings.reportInterval()
+        : settings.regionReportInterval();
   }
 
-  private void decided(NodeMove move, MoveDecision.Kind kind, String reason, Instant now) {
-    String previous = lastReasons.put(move.id(), reason);
-    if (kind == MoveDecision.Kind.HOLD && previous != null && sameText(previous, reason)) {
-      return;
+  private void publish(Instant now) {
+    Duration lifetime = settings.grantLifetime(sight.zoneNodes().size());
+    Map<MoveId, Double> shares = new HashMap<>();
+    for (NodeMove move : moves.values()) {
+      boolean ready = sight.slots(move.id(), move.move()).fresh() > 0;
+      double before = move.share();
+      move.refresh(facts.contains(move.id()), ready, lifetime, now);
+      if (move.share() < before && !facts.contains(move.id())) {
+        journal.decided(
+            move, MoveDecision.Kind.LOWER, "no fresh leave, or too few ready slots", now);
+      }
+      shares.put(move.id(), move.share());
+    }
+    if (!published.isSame(followed, shares)) {
+      published = new PublishedShares(followed, shares);
     }
-    listener.decided(
-        new MoveDecision(move.move().name(), kind, move.step(), move.share(), reason, now));
+    journal.refresh(moves.values(), aggregators, facts, sight, now);
   }
 
-  private static boolean sameText(String one, String other) {
-    return withoutFigures(one).equals(withoutFigures(other));
-  }
+  private record ZoneTarget(String aggregator, MoveId move) {}
 
-  private static String withoutFigures(String reason) {
-    return reason.replaceAll("[-0-9.]+", "");
-  }
+  private record ZoneState(int step, boolean closed, boolean rolledBack) {}
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MovePlan.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MovePlan.java
@@ -11,14 +11,15 @@
 /**
  * Schedule of a move, worked out from its record alone so that it needs no log to go on.
  *
- * <p>The ramp begins early and the time that is left is the soak: step k may begin at {@link
- * #earliest}, once the evidence suffices, and begins at {@link #latest} without it.
+ * <p>The ramp begins early and all the time that is left is the soak, which ends at {@link
+ * #decideBy}. Step k may begin at {@link #earliest}, once the evidence suffices, and begins at
+ * {@link #latest} without it.
  *
  * @param shares share of each step, rising, the last one 1
  * @param start when the first step may begin
  * @param dwell shortest time at a step
  * @param slack longest time at a step
- * @param soak how long the last step must hold
+ * @param soak shortest time for which the last step must hold
  * @param decideBy when the outcome must be decided
  */
 public record MovePlan(
@@ -41,6 +42,7 @@
   /** Largest part of the time before the deadline that is kept free for the statement. */
   public static final Duration MAX_MARGIN = Duration.ofSeconds(20);
 
+  private static final int REGION_SLICES = 2;
   private static final int MARGIN_DIVISOR = 10;
   private static final int DWELL_DIVISOR = 3;
 
@@ -61,14 +63,38 @@
    * @return the schedule
    */
   public static MovePlan of(Move move) {
+    return of(move, 1, 0);
+  }
+
+  /**
+   * Works out the schedule of a move in one region.
+   *
+   * @param move a move that {@link MovePlanCheck} has found possible
+   * @param regionIndex place of the region among all regions in the order of their names; when the
+   *     regions move one after the other the first one takes the first half of the ramp
+   * @return the schedule
+   */
+  public static MovePlan inRegion(Move move, int regionIndex) {
+    return move.regionByRegion()
+        ? of(move, REGION_SLICES, Math.min(regionIndex, REGION_SLICES - 1))
+        : of(move, 1, 0);
+  }
+
+  private static MovePlan of(Move move, int slices, int slice) {
     Duration length = Duration.between(move.start(), move.deadline());
     Duration margin = min(length.dividedBy(MARGIN_DIVISOR), MAX_MARGIN);
     Duration ramp = length.minus(margin).minus(move.soak());
     List<Double> shares = sharesOf(move);
-    Duration slack = max(ramp.dividedBy(shares.size()), Duration.ZERO);
+    Duration part = max(ramp.dividedBy(slices), Duration.ZERO);
+    Duration slack = part.dividedBy(shares.size());
     Duration dwell = max(min(slack.dividedBy(DWELL_DIVISOR), MAX_DWELL), min(slack, MIN_DWELL));
     return new MovePlan(
-        shares, move.start(), dwell, slack, move.soak(), move.deadline().minus(margin));
+        shares,
+        move.start().plus(part.multipliedBy(slice)),
+        dwell,
+        slack,
+        move.soak(),
+        move.deadline().minus(margin));
   }
 
   /**
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MovePlanCheck.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MovePlanCheck.java
@@ -30,6 +30,28 @@
     return steps.isPresent() ? steps : reasonAgainstDeadline(move);
   }
 
+  /**
+   * Looks for a reason why a running move can't be changed to another record of its name.
+   *
+   * @param running the move as it runs
+   * @param changed the move as it is to be; only deadline and soak may differ
+   * @return the reason, empty if the change is possible
+   */
+  public static Optional<String> reasonAgainstChange(Move running, Move changed) {
+    boolean same =
+        running.service().equals(changed.service())
+            && running.route().equals(changed.route())
+            && running.from().equals(changed.from())
+            && running.to().equals(changed.to())
+            && running.start().equals(changed.start())
+            && running.steps().equals(changed.steps())
+            && running.regionByRegion() == changed.regionByRegion();
+    if (!same) {
+      return Optional.of("only the deadline and the soak of a running move can change");
+    }
+    return reasonAgainst(changed);
+  }
+
   private static Optional<String> reasonAgainstSteps(List<Double> steps) {
     if (steps.size() > MAX_STEPS) {
       return Optional.of("a plan has at most " + MAX_STEPS + " steps but has " + steps.size());
@@ -45,7 +67,7 @@
   }
 
   private static Optional<String> reasonAgainstDeadline(Move move) {
-    MovePlan plan = MovePlan.of(move);
+    MovePlan plan = MovePlan.inRegion(move, 0);
     if (plan.slack().compareTo(MovePlan.MIN_DWELL) >= 0) {
       return Optional.empty();
     }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/NodeMove.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/NodeMove.java
@@ -7,83 +7,76 @@
 import org.cuminlatch.core.config.Move;
 import org.cuminlatch.core.config.MoveState;
 import org.cuminlatch.core.config.MoveStop;
-
-/** What one node knows of one open move: the step it may use and the proof that it still may. */
+import org.cuminlatch.core.move.EvidenceMessage.StepGrant;
+
+/**
+ * What one node knows of one open move: the step it may use and the proof that it still may.
+ *
+ * <p>A grant proves that the step was in order when the report that it answers was sent, by this
+ * node's own clock. Without a fresh proof the node falls back to the step before, whose evidence
+ * was agreed on; after a pause it gives the new version nothing until it is told again.
+ */
 final class NodeMove {
 
   private final MoveId id;
-  private final MoveSettings settings;
   private Move move;
+  private int regionIndex;
   private MovePlan plan;
   private Optional<MoveStop> stop = Optional.empty();
   private int step = MoveEvidence.NO_STEP;
   private double shareCap;
   private double highestShare;
   private Optional<Instant> provenAt = Optional.empty();
-  private Optional<Instant> wholeSince = Optional.empty();
   private boolean closed;
   private double share;
 
-  NodeMove(MoveState state, MoveSettings settings) {
+  NodeMove(MoveState state, int regionIndex) {
     this.id = MoveId.of(state.move());
-    this.settings = settings;
-    update(state);
+    update(state, regionIndex);
   }
 
   /** Takes over a changed plan or an operator's stop. */
-  void update(MoveState state) {
+  void update(MoveState state, int index) {
     stop = state.stop();
-    if (!state.move().equals(move)) {
+    if (!state.move().equals(move) || index != regionIndex) {
       move = state.move();
-      plan = MovePlan.of(move);
+      regionIndex = index;
+      plan = MovePlan.inRegion(move, index);
     }
   }
 
   /** Takes leave to use a step that was given in answer to a report sent at an instant. */
-  void grant(int grantedStep, double cap, Instant reportSentAt) {
+  void grant(StepGrant grant, Instant reportSentAt) {
+    learnHighestShare(grant.highestShare());
     if (provenAt.isPresent() && reportSentAt.isBefore(provenAt.get())) {
       return;
     }
-    step = Math.max(step, Math.min(grantedStep, plan.lastStep()));
-    shareCap = cap;
+    step = Math.max(step, Math.min(grant.step(), plan.lastStep()));
+    shareCap = grant.shareCap();
     provenAt = Optional.of(reportSentAt);
   }
 
   /** Forgets the leave, as after a pause. */
   void forgetProof() {
     provenAt = Optional.empty();
-    wholeSince = Optional.empty();
   }
 
   /** Works out the share of the new version and whether the soak has ended. */
-  void refresh(boolean rolledBack, boolean hasReadySlots, Instant now) {
-    share = rolledBack || stopped() || !hasReadySlots ? 0 : Math.min(provenShare(now), shareCap);
+  void refresh(boolean rolledBack, boolean hasReadySlots, Duration grantLifetime, Instant now) {
+    boolean barred = rolledBack || stop.isPresent() || !hasReadySlots;
+    share = barred ? 0 : Math.min(provenShare(grantLifetime, now), shareCap);
     highestShare = Math.max(highestShare, share);
-    if (share < 1) {
-      wholeSince = Optional.empty();
-      return;
-    }
-    if (wholeSince.isEmpty()) {
-      wholeSince = Optional.of(now);
-    }
-    closed = closed || soakHasEnded(wholeSince.get(), now);
+    closed = closed || (share >= 1 && !now.isBefore(plan.decideBy()));
   }
 
-  private double provenShare(Instant now) {
+  private double provenShare(Duration grantLifetime, Instant now) {
     if (provenAt.isEmpty() || now.isBefore(plan.start())) {
       return 0;
     }
-    boolean fresh = Duration.between(provenAt.get(), now).compareTo(settings.grantLifetime()) <= 0;
+    boolean fresh = Duration.between(provenAt.get(), now).compareTo(grantLifetime) <= 0;
     return plan.share(fresh ? step : step - 1);
   }
 
-  private boolean soakHasEnded(Instant since, Instant now) {
-    if (!now.isBefore(plan.decideBy())) {
-      return true;
-    }
-    return !plan.soak().isZero() && !now.isBefore(since.plus(plan.soak()));
-  }
-
   MoveEvidence evidence(List<EvidenceRow> rows) {
     return new MoveEvidence(id, step, highestShare, closed, rows);
   }
@@ -108,10 +101,6 @@
     return stop;
   }
 
-  boolean stopped() {
-    return stop.isPresent();
-  }
-
   int step() {
     return step;
   }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/PublishedShares.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/PublishedShares.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.cuminlatch.core.config.Move;
-import org.cuminlatch.core.config.MoveOutcome;
 import org.cuminlatch.core.config.MoveState;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.ServiceState;
@@ -41,6 +40,10 @@
     }
   }
 
+  boolean isSame(Snapshot other, Map<MoveId, Double> shares) {
+    return snapshot == other && newShares.equals(shares);
+  }
+
   List<VersionShare> sharesOf(Snapshot asked, Route route) {
     if (asked.version() == snapshot.version()) {
       List<VersionShare> known = byRoute.get(route.name());
@@ -66,7 +69,7 @@
     if (open.isPresent()) {
       return split(open.get());
     }
-    String holder = lastDone(of, route).map(Move::to).orElse(service.current());
+    String holder = service.currentFor(route.name());
     return List.of(new VersionShare(holder, ALL));
   }
 
@@ -92,17 +95,6 @@
         .map(MoveState::move);
   }
 
-  private static Optional<Move> lastDone(Snapshot of, Route route) {
-    return of.moves().values().stream()
-        .filter(state -> isDone(state) && covers(state.move(), route))
-        .max(Comparator.comparing(MoveState::acceptedAt))
-        .map(MoveState::move);
-  }
-
-  private static boolean isDone(MoveState state) {
-    return state.outcome().map(MoveOutcome::result).equals(Optional.of(MoveOutcome.Result.DONE));
-  }
-
   private static boolean covers(Move move, Route route) {
     return move.service().equals(route.service())
         && move.route().map(route.name()::equals).orElse(true);
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/RouteTests.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/RouteTests.java
@@ -9,7 +9,7 @@
   private static final double[] LATENCY_EXCESSES = {0.1, 0.35, 0.75};
   private static final double ALLOWED_RATIO = 1.5;
   private static final double ALLOWED_FAILURES = 0.01;
-  private static final double ALLOWED_SLOW = 0.1;
+  private static final double ALLOWED_SLOW = 0.05;
   private static final double SLOW_SHARE = 0.05;
   private static final long TIMED_CALLS_FOR_BASELINE = 50;
 
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/Verdict.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/Verdict.java
@@ -1,12 +1,38 @@
 package org.cuminlatch.core.move;
 
-/**
- * What a look at the evidence says about the new version.
- *
- * @param kind the verdict
- * @param reason one sentence with the figures
- */
-public record Verdict(Kind kind, String reason) {
+import java.util.function.Supplier;
+
+/** What a look at the evidence says about the new version. */
+public final class Verdict {
+
+  /** The verdict before any look. */
+  public static final Verdict NONE = new Verdict(Kind.UNSUSPICIOUS, () -> "no calls yet");
+
+  private final Kind kind;
+  private final Supplier<String> reason;
+
+  Verdict(Kind kind, Supplier<String> reason) {
+    this.kind = kind;
+    this.reason = reason;
+  }
+
+  /**
+   * Returns the verdict proper.
+   *
+   * @return the kind
+   */
+  public Kind kind() {
+    return kind;
+  }
+
+  /**
+   * Returns what decided, put into words when asked for.
+   *
+   * @return one sentence with the figures
+   */
+  public String reason() {
+    return reason.get();
+  }
 
   /** The verdicts. */
   public enum Kind {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/ZoneEvidence.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/ZoneEvidence.java
@@ -6,16 +6,27 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import org.cuminlatch.core.membership.Locality;
 import org.cuminlatch.core.move.EvidenceMessage.NodeReport;
 import org.cuminlatch.core.move.EvidenceMessage.ZoneReport;
 
-/** Evidence of one move as an aggregator holds it: its own zone by node, the others as sums. */
+/**
+ * Evidence of one move as an aggregator holds it: its own zone by node, the other zones as sums.
+ *
+ * <p>Counts are kept by the run of a node, so that a restarted node's counts add up. Of another
+ * zone only the growth is added once its aggregator changes, because the next one may have been
+ * told less than the one before.
+ */
 final class ZoneEvidence {
 
   private final Map<Source, Evidence> sources = new HashMap<>();
   private final Map<String, NodeStanding> nodes = new HashMap<>();
   private final Map<Locality, ZoneStanding> zones = new HashMap<>();
+  private Evidence total = Evidence.NONE;
+  private Evidence ownZone = Evidence.NONE;
+  private boolean changed;
+  private boolean ownZoneChanged;
 
   void accept(NodeReport report, MoveEvidence evidence, Instant now) {
     Source source = new Source(report.instance(), report.epoch());
@@ -23,18 +34,14 @@
     NodeStanding known = nodes.get(report.instance());
     boolean closed = evidence.closed() || (known != null && known.closed());
     nodes.put(report.instance(), new NodeStanding(evidence.step(), closed, now));
+    ownZoneChanged = ownZoneChanged || !evidence.rows().isEmpty();
+    changed = changed || ownZoneChanged;
   }
 
   void accept(ZoneReport report, Instant now) {
-    MoveEvidence evidence = report.move();
     ZoneStanding known = zones.getOrDefault(report.locality(), ZoneStanding.NONE);
-    zones.put(
-        report.locality(),
-        new ZoneStanding(
-            known.evidence().join(Evidence.of(evidence.rows())),
-            Math.max(known.step(), evidence.step()),
-            known.closed() || evidence.closed(),
-            now));
+    zones.put(report.locality(), known.advance(report, now));
+    changed = changed || !report.move().rows().isEmpty();
   }
 
   /** Forgets how fresh anything is, as after a pause; the counts stay. */
@@ -44,25 +51,40 @@
   }
 
   Evidence ownZone() {
-    Evidence sum = Evidence.NONE;
-    for (Evidence evidence : sources.values()) {
-      sum = sum.plus(evidence);
+    if (ownZoneChanged) {
+      ownZone = Evidence.sum(sources.values());
+      ownZoneChanged = false;
     }
-    return sum;
+    return ownZone;
   }
 
   Evidence total() {
+    if (changed) {
+      total = ownZone();
+      for (ZoneStanding zone : zones.values()) {
+        total = total.plus(zone.evidence());
+      }
+      changed = false;
+    }
+    return total;
+  }
+
+  /** Returns the sums of the own zone and of the other zones of a region. */
+  Evidence regionTotal(String region) {
     Evidence sum = ownZone();
-    for (ZoneStanding zone : zones.values()) {
-      sum = sum.plus(zone.evidence());
+    for (Map.Entry<Locality, ZoneStanding> zone : zones.entrySet()) {
+      if (zone.getKey().region().equals(region)) {
+        sum = sum.plus(zone.getValue().evidence());
+      }
     }
     return sum;
   }
 
-  boolean allHeard(Collection<String> instances, Instant now, Duration within) {
-    return instances.stream()
-        .allMatch(
-            instance -> nodes.containsKey(instance) && fresh(nodes.get(instance), now, within));
+  /** Returns the instances that have not reported within a time. */
+  Set<String> unheard(Collection<String> instances, Instant now, Duration within) {
+    Set<String> unheard = new TreeSet<>(instances);
+    unheard.removeIf(instance -> nodes.containsKey(instance) && fresh(instance, now, within));
+    return unheard;
   }
 
   boolean allAtStep(Collection<String> instances, int step) {
@@ -75,51 +97,53 @@
         .allMatch(instance -> nodes.containsKey(instance) && nodes.get(instance).closed());
   }
 
-  boolean zonesAgree(Set<Locality> wanted, int step, Instant now, Duration within) {
+  /** Returns whether zones have lately reported that all their nodes are at a step. */
+  boolean zonesAgree(Collection<Locality> wanted, int step, Instant now, Duration within) {
     return wanted.stream()
-        .map(zone -> zones.getOrDefault(zone, ZoneStanding.NONE))
-        .allMatch(
-            standing ->
-                standing.step() >= step
-                    && !standing.heard().equals(Instant.MIN)
-                    && Duration.between(standing.heard(), now).compareTo(within) <= 0);
+        .map(this::standing)
+        .allMatch(zone -> zone.step() >= step && isWithin(zone.heard(), now, within));
   }
 
-  boolean zonesClosed(Set<Locality> wanted) {
-    return wanted.stream().allMatch(zone -> zones.getOrDefault(zone, ZoneStanding.NONE).closed());
+  boolean zonesAtStep(Collection<Locality> wanted, int step) {
+    return wanted.stream().allMatch(zone -> standing(zone).step() >= step);
   }
 
-  /** Returns the sums of the own zone and of the other zones of a region. */
-  Evidence regionTotal(String region) {
-    Evidence sum = ownZone();
-    for (Map.Entry<Locality, ZoneStanding> zone : zones.entrySet()) {
-      if (zone.getKey().region().equals(region)) {
-        sum = sum.plus(zone.getValue().evidence());
-      }
-    }
-    return sum;
+  boolean isClosed(Locality zone) {
+    return standing(zone).closed();
+  }
+
+  Instant heardOf(Locality zone) {
+    return standing(zone).heard();
   }
 
   Set<Locality> zonesHeard() {
     return zones.keySet();
   }
 
-  /** Returns the highest step that a zone of a region has reached with all its nodes. */
+  /** Returns the highest step that any node of the own zone or zone of the region has reached. */
   int highestStep(String region) {
-    return zones.entrySet().stream()
-        .filter(zone -> zone.getKey().region().equals(region))
-        .mapToInt(zone -> zone.getValue().step())
-        .max()
-        .orElse(MoveEvidence.NO_STEP);
+    int highest = MoveEvidence.NO_STEP;
+    for (NodeStanding node : nodes.values()) {
+      highest = Math.max(highest, node.step());
+    }
+    for (Map.Entry<Locality, ZoneStanding> zone : zones.entrySet()) {
+      if (zone.getKey().region().equals(region)) {
+        highest = Math.max(highest, zone.getValue().step());
+      }
+    }
+    return highest;
+  }
+
+  private ZoneStanding standing(Locality zone) {
+    return zones.getOrDefault(zone, ZoneStanding.NONE);
   }
 
-  int highestNodeStep() {
-    return nodes.values().stream().mapToInt(NodeStanding::step).max().orElse(MoveEvidence.NO_STEP);
+  private boolean fresh(String instance, Instant now, Duration within) {
+    return isWithin(nodes.get(instance).heard(), now, within);
   }
 
-  private static boolean fresh(NodeStanding standing, Instant now, Duration within) {
-    return !standing.heard().equals(Instant.MIN)
-        && Duration.between(standing.heard(), now).compareTo(within) <= 0;
+  private static boolean isWithin(Instant heard, Instant now, Duration within) {
+    return !heard.equals(Instant.MIN) && Duration.between(heard, now).compareTo(within) <= 0;
   }
 
   private record Source(String instance, long epoch) {}
@@ -131,13 +155,46 @@
     }
   }
 
-  private record ZoneStanding(Evidence evidence, int step, boolean closed, Instant heard) {
+  private record ZoneStanding(
+      Evidence evidence,
+      Source source,
+      long sequence,
+      Evidence sourceEvidence,
+      int step,
+      boolean closed,
+      Instant heard) {
 
     static final ZoneStanding NONE =
-        new ZoneStanding(Evidence.NONE, MoveEvidence.NO_STEP, false, Instant.MIN);
+        new ZoneStanding(
+            Evidence.NONE,
+            new Source("", 0),
+            0,
+            Evidence.NONE,
+            MoveEvidence.NO_STEP,
+            false,
+            Instant.MIN);
+
+    ZoneStanding advance(ZoneReport report, Instant now) {
+      MoveEvidence move = report.move();
+      Source reporter = new Source(report.instance(), report.epoch());
+      Evidence reported = Evidence.of(move.rows());
+      boolean sameSource = reporter.equals(source);
+      if (sameSource && report.sequence() <= sequence) {
+        return this;
+      }
+      Evidence before = sameSource ? sourceEvidence : evidence;
+      return new ZoneStanding(
+          evidence.plus(reported.since(before)),
+          reporter,
+          report.sequence(),
+          before.overlaidBy(reported),
+          Math.max(step, move.step()),
+          closed || move.closed(),
+          now);
+    }
 
     ZoneStanding heardAt(Instant at) {
-      return new ZoneStanding(evidence, step, closed, at);
+      return new ZoneStanding(evidence, source, sequence, sourceEvidence, step, closed, at);
     }
   }
 }
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/move/MoveEngineTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/move/MoveEngineTests.java
@@ -55,8 +55,8 @@
     }
 
     @Test
-    void isLookedAtUntilTheTimeThatIsLeftEndsIfNoSoakIsNamed() {
-      nodes.start(nodes.move(60, 0));
+    void soaksForAllTheTimeThatIsLeft() {
+      nodes.start(nodes.move(60, 5));
 
       nodes.run(50);
       assertThat(nodes.newShare(), closeTo(1, 0));
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/move/EvidenceDecoder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/move/EvidenceDecoder.java
@@ -55,6 +55,9 @@
 
   private static ZoneReport fromFrame(ZoneReportFrame frame) {
     return new ZoneReport(
+        frame.getInstance(),
+        frame.getEpoch(),
+        frame.getSequence(),
         new Locality(frame.getRegion(), frame.getZone()),
         fromFrame(frame.getMove()),
         fromFrames(frame.getRollbacksList()));
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/move/EvidenceEncoder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/move/EvidenceEncoder.java
@@ -55,6 +55,9 @@
 
   private static ZoneReportFrame toFrame(ZoneReport report) {
     return ZoneReportFrame.newBuilder()
+        .setInstance(report.instance())
+        .setEpoch(report.epoch())
+        .setSequence(report.sequence())
         .setRegion(report.locality().region())
         .setZone(report.locality().zone())
         .setMove(toFrame(report.move()))
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/move/Move.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/move/Move.java
@@ -87,27 +87,28 @@
       "\005epoch\030\004 \001(\004\022\020\n\010sequence\030\005 \001(\004\0221\n\005moves\030" +
       "\006 \003(\0132\".cuminlatch.move.MoveEvidenceFram" +
       "e\0221\n\trollbacks\030\007 \003(\0132\036.cuminlatch.move.R" +
-      "ollbackFrame\"\224\001\n\017ZoneReportFrame\022\016\n\006regi" +
-      "on\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\0220\n\004move\030\003 \001(\0132\".c" +
-      "uminlatch.move.MoveEvidenceFrame\0221\n\troll" +
-      "backs\030\004 \003(\0132\036.cuminlatch.move.RollbackFr" +
-      "ame\"\205\001\n\016StepGrantFrame\022\014\n\004move\030\001 \001(\006\022\014\n\004" +
-      "step\030\002 \001(\r\022\021\n\tshare_cap\030\003 \001(\002\022\025\n\rhighest" +
-      "_share\030\004 \001(\002\022\024\n\014echoed_epoch\030\005 \001(\004\022\027\n\017ec" +
-      "hoed_sequence\030\006 \001(\004\"H\n\023RollbackNoticeFra" +
-      "me\0221\n\trollbacks\030\001 \003(\0132\036.cuminlatch.move." +
-      "RollbackFrame\"\207\001\n\021MoveEvidenceFrame\022\014\n\004m" +
-      "ove\030\001 \001(\006\022\014\n\004step\030\002 \001(\r\022\025\n\rhighest_share" +
-      "\030\003 \001(\002\022\016\n\006closed\030\004 \001(\010\022/\n\004rows\030\005 \003(\0132!.c" +
-      "uminlatch.move.EvidenceRowFrame\"\253\001\n\020Evid" +
-      "enceRowFrame\022\r\n\005route\030\001 \001(\t\022\023\n\013new_versi" +
-      "on\030\002 \001(\010\022\r\n\005calls\030\003 \001(\004\022\020\n\010failures\030\004 \001(" +
-      "\004\022\022\n\ncold_calls\030\005 \001(\004\022\025\n\rcold_failures\030\006" +
-      " \001(\004\022\024\n\014first_bucket\030\007 \001(\r\022\021\n\tlatencies\030" +
-      "\010 \003(\004\"_\n\rRollbackFrame\022\014\n\004move\030\001 \001(\006\022\016\n\006" +
-      "reason\030\002 \001(\t\022\031\n\021decided_at_millis\030\003 \001(\004\022" +
-      "\025\n\rhighest_share\030\004 \001(\002B\"\n\036org.cuminlatch" +
-      ".wire.proto.moveP\001b\006proto3"
+      "ollbackFrame\"\307\001\n\017ZoneReportFrame\022\020\n\010inst" +
+      "ance\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\020\n\010sequence\030\003 " +
+      "\001(\004\022\016\n\006region\030\004 \001(\t\022\014\n\004zone\030\005 \001(\t\0220\n\004mov" +
+      "e\030\006 \001(\0132\".cuminlatch.move.MoveEvidenceFr" +
+      "ame\0221\n\trollbacks\030\007 \003(\0132\036.cuminlatch.move" +
+      ".RollbackFrame\"\205\001\n\016StepGrantFrame\022\014\n\004mov" +
+      "e\030\001 \001(\006\022\014\n\004step\030\002 \001(\r\022\021\n\tshare_cap\030\003 \001(\002" +
+      "\022\025\n\rhighest_share\030\004 \001(\002\022\024\n\014echoed_epoch\030" +
+      "\005 \001(\004\022\027\n\017echoed_sequence\030\006 \001(\004\"H\n\023Rollba" +
+      "ckNoticeFrame\0221\n\trollbacks\030\001 \003(\0132\036.cumin" +
+      "latch.move.RollbackFrame\"\207\001\n\021MoveEvidenc" +
+      "eFrame\022\014\n\004move\030\001 \001(\006\022\014\n\004step\030\002 \001(\r\022\025\n\rhi" +
+      "ghest_share\030\003 \001(\002\022\016\n\006closed\030\004 \001(\010\022/\n\004row" +
+      "s\030\005 \003(\0132!.cuminlatch.move.EvidenceRowFra" +
+      "me\"\253\001\n\020EvidenceRowFrame\022\r\n\005route\030\001 \001(\t\022\023" +
+      "\n\013new_version\030\002 \001(\010\022\r\n\005calls\030\003 \001(\004\022\020\n\010fa" +
+      "ilures\030\004 \001(\004\022\022\n\ncold_calls\030\005 \001(\004\022\025\n\rcold" +
+      "_failures\030\006 \001(\004\022\024\n\014first_bucket\030\007 \001(\r\022\021\n" +
+      "\tlatencies\030\010 \003(\004\"_\n\rRollbackFrame\022\014\n\004mov" +
+      "e\030\001 \001(\006\022\016\n\006reason\030\002 \001(\t\022\031\n\021decided_at_mi" +
+      "llis\030\003 \001(\004\022\025\n\rhighest_share\030\004 \001(\002B\"\n\036org" +
+      ".cuminlatch.wire.proto.moveP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -130,7 +131,7 @@
     internal_static_cuminlatch_move_ZoneReportFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_move_ZoneReportFrame_descriptor,
-        new java.lang.String[] { "Region", "Zone", "Move", "Rollbacks", });
+        new java.lang.String[] { "Instance", "Epoch", "Sequence", "Region", "Zone", "Move", "Rollbacks", });
     internal_static_cuminlatch_move_StepGrantFrame_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_cuminlatch_move_StepGrantFrame_fieldAccessorTable = new
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/move/ZoneReportFrame.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/move/ZoneReportFrame.java
@@ -28,6 +28,7 @@
     super(builder);
   }
   private ZoneReportFrame() {
+    instance_ = "";
     region_ = "";
     zone_ = "";
     rollbacks_ = java.util.Collections.emptyList();
@@ -47,11 +48,72 @@
   }
 
   private int bitField0_;
-  public static final int REGION_FIELD_NUMBER = 1;
+  public static final int INSTANCE_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object instance_ = "";
+  /**
+   * <code>string instance = 1;</code>
+   * @return The instance.
+   */
+  @java.lang.Override
+  public java.lang.String getInstance() {
+    java.lang.Object ref = instance_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      instance_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string instance = 1;</code>
+   * @return The bytes for instance.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getInstanceBytes() {
+    java.lang.Object ref = instance_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      instance_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int EPOCH_FIELD_NUMBER = 2;
+  private long epoch_ = 0L;
+  /**
+   * <code>uint64 epoch = 2;</code>
+   * @return The epoch.
+   */
+  @java.lang.Override
+  public long getEpoch() {
+    return epoch_;
+  }
+
+  public static final int SEQUENCE_FIELD_NUMBER = 3;
+  private long sequence_ = 0L;
+  /**
+   * <code>uint64 sequence = 3;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public long getSequence() {
+    return sequence_;
+  }
+
+  public static final int REGION_FIELD_NUMBER = 4;
   @SuppressWarnings("serial")
   private volatile java.lang.Object region_ = "";
   /**
-   * <code>string region = 1;</code>
+   * <code>string region = 4;</code>
    * @return The region.
    */
   @java.lang.Override
@@ -68,7 +130,7 @@
     }
   }
   /**
-   * <code>string region = 1;</code>
+   * <code>string region = 4;</code>
    * @return The bytes for region.
    */
   @java.lang.Override
@@ -86,11 +148,11 @@
     }
   }
 
-  public static final int ZONE_FIELD_NUMBER = 2;
+  public static final int ZONE_FIELD_NUMBER = 5;
   @SuppressWarnings("serial")
   private volatile java.lang.Object zone_ = "";
   /**
-   * <code>string zone = 2;</code>
+   * <code>string zone = 5;</code>
    * @return The zone.
    */
   @java.lang.Override
@@ -107,7 +169,7 @@
     }
   }
   /**
-   * <code>string zone = 2;</code>
+   * <code>string zone = 5;</code>
    * @return The bytes for zone.
    */
   @java.lang.Override
@@ -125,10 +187,10 @@
     }
   }
 
-  public static final int MOVE_FIELD_NUMBER = 3;
+  public static final int MOVE_FIELD_NUMBER = 6;
   private org.cuminlatch.wire.proto.move.MoveEvidenceFrame move_;
   /**
-   * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+   * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
    * @return Whether the move field is set.
    */
   @java.lang.Override
@@ -136,7 +198,7 @@
     return ((bitField0_ & 0x00000001) != 0);
   }
   /**
-   * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+   * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
    * @return The move.
    */
   @java.lang.Override
@@ -144,25 +206,25 @@
     return move_ == null ? org.cuminlatch.wire.proto.move.MoveEvidenceFrame.getDefaultInstance() : move_;
   }
   /**
-   * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+   * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
    */
   @java.lang.Override
   public org.cuminlatch.wire.proto.move.MoveEvidenceFrameOrBuilder getMoveOrBuilder() {
     return move_ == null ? org.cuminlatch.wire.proto.move.MoveEvidenceFrame.getDefaultInstance() : move_;
   }
 
-  public static final int ROLLBACKS_FIELD_NUMBER = 4;
+  public static final int ROLLBACKS_FIELD_NUMBER = 7;
   @SuppressWarnings("serial")
   private java.util.List<org.cuminlatch.wire.proto.move.RollbackFrame> rollbacks_;
   /**
-   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
    */
   @java.lang.Override
   public java.util.List<org.cuminlatch.wire.proto.move.RollbackFrame> getRollbacksList() {
     return rollbacks_;
   }
   /**
-   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
    */
   @java.lang.Override
   public java.util.List<? extends org.cuminlatch.wire.proto.move.RollbackFrameOrBuilder> 
@@ -170,21 +232,21 @@
     return rollbacks_;
   }
   /**
-   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
    */
   @java.lang.Override
   public int getRollbacksCount() {
     return rollbacks_.size();
   }
   /**
-   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
    */
   @java.lang.Override
   public org.cuminlatch.wire.proto.move.RollbackFrame getRollbacks(int index) {
     return rollbacks_.get(index);
   }
   /**
-   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
    */
   @java.lang.Override
   public org.cuminlatch.wire.proto.move.RollbackFrameOrBuilder getRollbacksOrBuilder(
@@ -206,17 +268,26 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, instance_);
+    }
+    if (epoch_ != 0L) {
+      output.writeUInt64(2, epoch_);
+    }
+    if (sequence_ != 0L) {
+      output.writeUInt64(3, sequence_);
+    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(region_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, region_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, region_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 2, zone_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, zone_);
     }
     if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeMessage(3, getMove());
+      output.writeMessage(6, getMove());
     }
     for (int i = 0; i < rollbacks_.size(); i++) {
-      output.writeMessage(4, rollbacks_.get(i));
+      output.writeMessage(7, rollbacks_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -227,19 +298,30 @@
     if (size != -1) return size;
 
     size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, instance_);
+    }
+    if (epoch_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(2, epoch_);
+    }
+    if (sequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, sequence_);
+    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(region_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, region_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, region_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, zone_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, zone_);
     }
     if (((bitField0_ & 0x00000001) != 0)) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(3, getMove());
+        .computeMessageSize(6, getMove());
     }
     for (int i = 0; i < rollbacks_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(4, rollbacks_.get(i));
+        .computeMessageSize(7, rollbacks_.get(i));
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -256,6 +338,12 @@
     }
     org.cuminlatch.wire.proto.move.ZoneReportFrame other = (org.cuminlatch.wire.proto.move.ZoneReportFrame) obj;
 
+    if (!getInstance()
+        .equals(other.getInstance())) return false;
+    if (getEpoch()
+        != other.getEpoch()) return false;
+    if (getSequence()
+        != other.getSequence()) return false;
     if (!getRegion()
         .equals(other.getRegion())) return false;
     if (!getZone()
@@ -278,6 +366,14 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
+    hash = (53 * hash) + getInstance().hashCode();
+    hash = (37 * hash) + EPOCH_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEpoch());
+    hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSequence());
     hash = (37 * hash) + REGION_FIELD_NUMBER;
     hash = (53 * hash) + getRegion().hashCode();
     hash = (37 * hash) + ZONE_FIELD_NUMBER;
@@ -428,6 +524,9 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
+      instance_ = "";
+      epoch_ = 0L;
+      sequence_ = 0L;
       region_ = "";
       zone_ = "";
       move_ = null;
@@ -441,7 +540,7 @@
         rollbacks_ = null;
         rollbacksBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000040);
       return this;
     }
 
@@ -476,9 +575,9 @@
 
     private void buildPartialRepeatedFields(org.cuminlatch.wire.proto.move.ZoneReportFrame result) {
       if (rollbacksBuilder_ == null) {
-        if (((bitField0_ & 0x00000008) != 0)) {
+        if (((bitField0_ & 0x00000040) != 0)) {
           rollbacks_ = java.util.Collections.unmodifiableList(rollbacks_);
-          bitField0_ = (bitField0_ & ~0x00000008);
+          bitField0_ = (bitField0_ & ~0x00000040);
         }
         result.rollbacks_ = rollbacks_;
       } else {
@@ -489,13 +588,22 @@
     private void buildPartial0(org.cuminlatch.wire.proto.move.ZoneReportFrame result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.region_ = region_;
+        result.instance_ = instance_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.epoch_ = epoch_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.sequence_ = sequence_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.region_ = region_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
         result.zone_ = zone_;
       }
       int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00000004) != 0)) {
+      if (((from_bitField0_ & 0x00000020) != 0)) {
         result.move_ = moveBuilder_ == null
             ? move_
             : moveBuilder_.build();
@@ -516,14 +624,25 @@
 
     public Builder mergeFrom(org.cuminlatch.wire.proto.move.ZoneReportFrame other) {
       if (other == org.cuminlatch.wire.proto.move.ZoneReportFrame.getDefaultInstance()) return this;
+      if (!other.getInstance().isEmpty()) {
+        instance_ = other.instance_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (other.getEpoch() != 0L) {
+        setEpoch(other.getEpoch());
+      }
+      if (other.getSequence() != 0L) {
+        setSequence(other.getSequence());
+      }
       if (!other.getRegion().isEmpty()) {
         region_ = other.region_;
-        bitField0_ |= 0x00000001;
+        bitField0_ |= 0x00000008;
         onChanged();
       }
       if (!other.getZone().isEmpty()) {
         zone_ = other.zone_;
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000010;
         onChanged();
       }
       if (other.hasMove()) {
@@ -533,7 +652,7 @@
         if (!other.rollbacks_.isEmpty()) {
           if (rollbacks_.isEmpty()) {
             rollbacks_ = other.rollbacks_;
-            bitField0_ = (bitField0_ & ~0x00000008);
+            bitField0_ = (bitField0_ & ~0x00000040);
           } else {
             ensureRollbacksIsMutable();
             rollbacks_.addAll(other.rollbacks_);
@@ -546,7 +665,7 @@
             rollbacksBuilder_.dispose();
             rollbacksBuilder_ = null;
             rollbacks_ = other.rollbacks_;
-            bitField0_ = (bitField0_ & ~0x00000008);
+            bitField0_ = (bitField0_ & ~0x00000040);
             rollbacksBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetRollbacksFieldBuilder() : null;
@@ -582,23 +701,38 @@
               done = true;
               break;
             case 10: {
-              region_ = input.readStringRequireUtf8();
+              instance_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 18: {
-              zone_ = input.readStringRequireUtf8();
+            case 16: {
+              epoch_ = input.readUInt64();
               bitField0_ |= 0x00000002;
               break;
-            } // case 18
-            case 26: {
+            } // case 16
+            case 24: {
+              sequence_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 34: {
+              region_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
+            case 42: {
+              zone_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 50: {
               input.readMessage(
                   internalGetMoveFieldBuilder().getBuilder(),
                   extensionRegistry);
-              bitField0_ |= 0x00000004;
+              bitField0_ |= 0x00000020;
               break;
-            } // case 26
-            case 34: {
+            } // case 50
+            case 58: {
               org.cuminlatch.wire.proto.move.RollbackFrame m =
                   input.readMessage(
                       org.cuminlatch.wire.proto.move.RollbackFrame.parser(),
@@ -610,7 +744,7 @@
                 rollbacksBuilder_.addMessage(m);
               }
               break;
-            } // case 34
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -628,9 +762,145 @@
     }
     private int bitField0_;
 
+    private java.lang.Object instance_ = "";
+    /**
+     * <code>string instance = 1;</code>
+     * @return The instance.
+     */
+    public java.lang.String getInstance() {
+      java.lang.Object ref = instance_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        instance_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string instance = 1;</code>
+     * @return The bytes for instance.
+     */
+    public com.google.protobuf.ByteString
+        getInstanceBytes() {
+      java.lang.Object ref = instance_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        instance_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string instance = 1;</code>
+     * @param value The instance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInstance(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      instance_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string instance = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearInstance() {
+      instance_ = getDefaultInstance().getInstance();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string instance = 1;</code>
+     * @param value The bytes for instance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInstanceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      instance_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private long epoch_ ;
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return The epoch.
+     */
+    @java.lang.Override
+    public long getEpoch() {
+      return epoch_;
+    }
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @param value The epoch to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEpoch(long value) {
+
+      epoch_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 epoch = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEpoch() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      epoch_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long sequence_ ;
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(long value) {
+
+      sequence_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 sequence = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      sequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
     private java.lang.Object region_ = "";
     /**
-     * <code>string region = 1;</code>
+     * <code>string region = 4;</code>
      * @return The region.
      */
     public java.lang.String getRegion() {
@@ -646,7 +916,7 @@
       }
     }
     /**
-     * <code>string region = 1;</code>
+     * <code>string region = 4;</code>
      * @return The bytes for region.
      */
     public com.google.protobuf.ByteString
@@ -663,7 +933,7 @@
       }
     }
     /**
-     * <code>string region = 1;</code>
+     * <code>string region = 4;</code>
      * @param value The region to set.
      * @return This builder for chaining.
      */
@@ -671,22 +941,22 @@
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       region_ = value;
-      bitField0_ |= 0x00000001;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>string region = 1;</code>
+     * <code>string region = 4;</code>
      * @return This builder for chaining.
      */
     public Builder clearRegion() {
       region_ = getDefaultInstance().getRegion();
-      bitField0_ = (bitField0_ & ~0x00000001);
+      bitField0_ = (bitField0_ & ~0x00000008);
       onChanged();
       return this;
     }
     /**
-     * <code>string region = 1;</code>
+     * <code>string region = 4;</code>
      * @param value The bytes for region to set.
      * @return This builder for chaining.
      */
@@ -695,14 +965,14 @@
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
       region_ = value;
-      bitField0_ |= 0x00000001;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
 
     private java.lang.Object zone_ = "";
     /**
-     * <code>string zone = 2;</code>
+     * <code>string zone = 5;</code>
      * @return The zone.
      */
     public java.lang.String getZone() {
@@ -718,7 +988,7 @@
       }
     }
     /**
-     * <code>string zone = 2;</code>
+     * <code>string zone = 5;</code>
      * @return The bytes for zone.
      */
     public com.google.protobuf.ByteString
@@ -735,7 +1005,7 @@
       }
     }
     /**
-     * <code>string zone = 2;</code>
+     * <code>string zone = 5;</code>
      * @param value The zone to set.
      * @return This builder for chaining.
      */
@@ -743,22 +1013,22 @@
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       zone_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
     /**
-     * <code>string zone = 2;</code>
+     * <code>string zone = 5;</code>
      * @return This builder for chaining.
      */
     public Builder clearZone() {
       zone_ = getDefaultInstance().getZone();
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000010);
       onChanged();
       return this;
     }
     /**
-     * <code>string zone = 2;</code>
+     * <code>string zone = 5;</code>
      * @param value The bytes for zone to set.
      * @return This builder for chaining.
      */
@@ -767,7 +1037,7 @@
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
       zone_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
@@ -776,14 +1046,14 @@
     private com.google.protobuf.SingleFieldBuilder<
         org.cuminlatch.wire.proto.move.MoveEvidenceFrame, org.cuminlatch.wire.proto.move.MoveEvidenceFrame.Builder, org.cuminlatch.wire.proto.move.MoveEvidenceFrameOrBuilder> moveBuilder_;
     /**
-     * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+     * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
      * @return Whether the move field is set.
      */
     public boolean hasMove() {
-      return ((bitField0_ & 0x00000004) != 0);
+      return ((bitField0_ & 0x00000020) != 0);
     }
     /**
-     * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+     * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
      * @return The move.
      */
     public org.cuminlatch.wire.proto.move.MoveEvidenceFrame getMove() {
@@ -794,7 +1064,7 @@
       }
     }
     /**
-     * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+     * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
      */
     public Builder setMove(org.cuminlatch.wire.proto.move.MoveEvidenceFrame value) {
       if (moveBuilder_ == null) {
@@ -805,12 +1075,12 @@
       } else {
         moveBuilder_.setMessage(value);
       }
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
     /**
-     * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+     * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
      */
     public Builder setMove(
         org.cuminlatch.wire.proto.move.MoveEvidenceFrame.Builder builderForValue) {
@@ -819,16 +1089,16 @@
       } else {
         moveBuilder_.setMessage(builderForValue.build());
       }
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
     /**
-     * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+     * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
      */
     public Builder mergeMove(org.cuminlatch.wire.proto.move.MoveEvidenceFrame value) {
       if (moveBuilder_ == null) {
-        if (((bitField0_ & 0x00000004) != 0) &&
+        if (((bitField0_ & 0x00000020) != 0) &&
           move_ != null &&
           move_ != org.cuminlatch.wire.proto.move.MoveEvidenceFrame.getDefaultInstance()) {
           getMoveBuilder().mergeFrom(value);
@@ -839,16 +1109,16 @@
         moveBuilder_.mergeFrom(value);
       }
       if (move_ != null) {
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000020;
         onChanged();
       }
       return this;
     }
     /**
-     * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+     * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
      */
     public Builder clearMove() {
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000020);
       move_ = null;
       if (moveBuilder_ != null) {
         moveBuilder_.dispose();
@@ -858,15 +1128,15 @@
       return this;
     }
     /**
-     * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+     * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
      */
     public org.cuminlatch.wire.proto.move.MoveEvidenceFrame.Builder getMoveBuilder() {
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000020;
       onChanged();
       return internalGetMoveFieldBuilder().getBuilder();
     }
     /**
-     * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+     * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
      */
     public org.cuminlatch.wire.proto.move.MoveEvidenceFrameOrBuilder getMoveOrBuilder() {
       if (moveBuilder_ != null) {
@@ -877,7 +1147,7 @@
       }
     }
     /**
-     * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+     * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
         org.cuminlatch.wire.proto.move.MoveEvidenceFrame, org.cuminlatch.wire.proto.move.MoveEvidenceFrame.Builder, org.cuminlatch.wire.proto.move.MoveEvidenceFrameOrBuilder> 
@@ -896,9 +1166,9 @@
     private java.util.List<org.cuminlatch.wire.proto.move.RollbackFrame> rollbacks_ =
       java.util.Collections.emptyList();
     private void ensureRollbacksIsMutable() {
-      if (!((bitField0_ & 0x00000008) != 0)) {
+      if (!((bitField0_ & 0x00000040) != 0)) {
         rollbacks_ = new java.util.ArrayList<org.cuminlatch.wire.proto.move.RollbackFrame>(rollbacks_);
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000040;
        }
     }
 
@@ -906,7 +1176,7 @@
         org.cuminlatch.wire.proto.move.RollbackFrame, org.cuminlatch.wire.proto.move.RollbackFrame.Builder, org.cuminlatch.wire.proto.move.RollbackFrameOrBuilder> rollbacksBuilder_;
 
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public java.util.List<org.cuminlatch.wire.proto.move.RollbackFrame> getRollbacksList() {
       if (rollbacksBuilder_ == null) {
@@ -916,7 +1186,7 @@
       }
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public int getRollbacksCount() {
       if (rollbacksBuilder_ == null) {
@@ -926,7 +1196,7 @@
       }
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public org.cuminlatch.wire.proto.move.RollbackFrame getRollbacks(int index) {
       if (rollbacksBuilder_ == null) {
@@ -936,7 +1206,7 @@
       }
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public Builder setRollbacks(
         int index, org.cuminlatch.wire.proto.move.RollbackFrame value) {
@@ -953,7 +1223,7 @@
       return this;
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public Builder setRollbacks(
         int index, org.cuminlatch.wire.proto.move.RollbackFrame.Builder builderForValue) {
@@ -967,7 +1237,7 @@
       return this;
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public Builder addRollbacks(org.cuminlatch.wire.proto.move.RollbackFrame value) {
       if (rollbacksBuilder_ == null) {
@@ -983,7 +1253,7 @@
       return this;
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public Builder addRollbacks(
         int index, org.cuminlatch.wire.proto.move.RollbackFrame value) {
@@ -1000,7 +1270,7 @@
       return this;
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public Builder addRollbacks(
         org.cuminlatch.wire.proto.move.RollbackFrame.Builder builderForValue) {
@@ -1014,7 +1284,7 @@
       return this;
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public Builder addRollbacks(
         int index, org.cuminlatch.wire.proto.move.RollbackFrame.Builder builderForValue) {
@@ -1028,7 +1298,7 @@
       return this;
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public Builder addAllRollbacks(
         java.lang.Iterable<? extends org.cuminlatch.wire.proto.move.RollbackFrame> values) {
@@ -1043,12 +1313,12 @@
       return this;
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public Builder clearRollbacks() {
       if (rollbacksBuilder_ == null) {
         rollbacks_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000040);
         onChanged();
       } else {
         rollbacksBuilder_.clear();
@@ -1056,7 +1326,7 @@
       return this;
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public Builder removeRollbacks(int index) {
       if (rollbacksBuilder_ == null) {
@@ -1069,14 +1339,14 @@
       return this;
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public org.cuminlatch.wire.proto.move.RollbackFrame.Builder getRollbacksBuilder(
         int index) {
       return internalGetRollbacksFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public org.cuminlatch.wire.proto.move.RollbackFrameOrBuilder getRollbacksOrBuilder(
         int index) {
@@ -1086,7 +1356,7 @@
       }
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public java.util.List<? extends org.cuminlatch.wire.proto.move.RollbackFrameOrBuilder> 
          getRollbacksOrBuilderList() {
@@ -1097,14 +1367,14 @@
       }
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public org.cuminlatch.wire.proto.move.RollbackFrame.Builder addRollbacksBuilder() {
       return internalGetRollbacksFieldBuilder().addBuilder(
           org.cuminlatch.wire.proto.move.RollbackFrame.getDefaultInstance());
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public org.cuminlatch.wire.proto.move.RollbackFrame.Builder addRollbacksBuilder(
         int index) {
@@ -1112,7 +1382,7 @@
           index, org.cuminlatch.wire.proto.move.RollbackFrame.getDefaultInstance());
     }
     /**
-     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+     * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
      */
     public java.util.List<org.cuminlatch.wire.proto.move.RollbackFrame.Builder> 
          getRollbacksBuilderList() {
@@ -1125,7 +1395,7 @@
         rollbacksBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.cuminlatch.wire.proto.move.RollbackFrame, org.cuminlatch.wire.proto.move.RollbackFrame.Builder, org.cuminlatch.wire.proto.move.RollbackFrameOrBuilder>(
                 rollbacks_,
-                ((bitField0_ & 0x00000008) != 0),
+                ((bitField0_ & 0x00000040) != 0),
                 getParentForChildren(),
                 isClean());
         rollbacks_ = null;
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/move/ZoneReportFrameOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/move/ZoneReportFrameOrBuilder.java
@@ -11,64 +11,88 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string region = 1;</code>
+   * <code>string instance = 1;</code>
+   * @return The instance.
+   */
+  java.lang.String getInstance();
+  /**
+   * <code>string instance = 1;</code>
+   * @return The bytes for instance.
+   */
+  com.google.protobuf.ByteString
+      getInstanceBytes();
+
+  /**
+   * <code>uint64 epoch = 2;</code>
+   * @return The epoch.
+   */
+  long getEpoch();
+
+  /**
+   * <code>uint64 sequence = 3;</code>
+   * @return The sequence.
+   */
+  long getSequence();
+
+  /**
+   * <code>string region = 4;</code>
    * @return The region.
    */
   java.lang.String getRegion();
   /**
-   * <code>string region = 1;</code>
+   * <code>string region = 4;</code>
    * @return The bytes for region.
    */
   com.google.protobuf.ByteString
       getRegionBytes();
 
   /**
-   * <code>string zone = 2;</code>
+   * <code>string zone = 5;</code>
    * @return The zone.
    */
   java.lang.String getZone();
   /**
-   * <code>string zone = 2;</code>
+   * <code>string zone = 5;</code>
    * @return The bytes for zone.
    */
   com.google.protobuf.ByteString
       getZoneBytes();
 
   /**
-   * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+   * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
    * @return Whether the move field is set.
    */
   boolean hasMove();
   /**
-   * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+   * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
    * @return The move.
    */
   org.cuminlatch.wire.proto.move.MoveEvidenceFrame getMove();
   /**
-   * <code>.cuminlatch.move.MoveEvidenceFrame move = 3;</code>
+   * <code>.cuminlatch.move.MoveEvidenceFrame move = 6;</code>
    */
   org.cuminlatch.wire.proto.move.MoveEvidenceFrameOrBuilder getMoveOrBuilder();
 
   /**
-   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
    */
   java.util.List<org.cuminlatch.wire.proto.move.RollbackFrame> 
       getRollbacksList();
   /**
-   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
    */
   org.cuminlatch.wire.proto.move.RollbackFrame getRollbacks(int index);
   /**
-   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
    */
   int getRollbacksCount();
   /**
-   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
    */
   java.util.List<? extends org.cuminlatch.wire.proto.move.RollbackFrameOrBuilder> 
       getRollbacksOrBuilderList();
   /**
-   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 4;</code>
+   * <code>repeated .cuminlatch.move.RollbackFrame rollbacks = 7;</code>
    */
   org.cuminlatch.wire.proto.move.RollbackFrameOrBuilder getRollbacksOrBuilder(
       int index);
--- a/cuminlatch-wire/src/test/java/org/cuminlatch/wire/move/EvidenceCodecTests.java
+++ b/cuminlatch-wire/src/test/java/org/cuminlatch/wire/move/EvidenceCodecTests.java
@@ -53,7 +53,7 @@
   static Stream<EvidenceMessage> messages() {
     return Stream.of(
         new NodeReport("izmir-1", ZONE, 7, 8, List.of(EVIDENCE), List.of(ROLLBACK)),
-        new ZoneReport(ZONE, EVIDENCE, List.of()),
+        new ZoneReport("izmir-1", 7, 8, ZONE, EVIDENCE, List.of()),
         new StepGrant(MOVE, 3, 1, 0.25, 7, 8),
         new RollbackNotice(List.of(ROLLBACK)));
   }
@@ -78,6 +78,7 @@
         EvidenceFrame.newBuilder()
             .setZoneReport(
                 ZoneReportFrame.newBuilder()
+                    .setInstance("izmir-1")
                     .setRegion("ege")
                     .setZone("izmir")
                     .setMove(MoveEvidenceFrame.newBuilder().addRows(row)))
@@ -93,7 +94,7 @@
     MoveEvidence evidence =
         new MoveEvidence(MOVE, 2, 0.2, false, List.of(new EvidenceRow("orders", Side.NEW, counts)));
 
-    byte[] frame = codec.encode(new ZoneReport(ZONE, evidence, List.of()));
+    byte[] frame = codec.encode(new ZoneReport("izmir-1", 7, 8, ZONE, evidence, List.of()));
 
     assertThat(frame.length, lessThan(100));
   }
