--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MovePlan.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MovePlan.java
@@ -63,7 +63,7 @@
    * @return the schedule
    */
   public static MovePlan of(Move move) {
-    return of(move, 1, 0);
+    return scheduled(move, 1, 0);
   }
 
   /**
@@ -76,11 +76,11 @@
    */
   public static MovePlan inRegion(Move move, int regionIndex) {
     return move.regionByRegion()
-        ? of(move, REGION_SLICES, Math.min(regionIndex, REGION_SLICES - 1))
-        : of(move, 1, 0);
+        ? scheduled(move, REGION_SLICES, Math.min(regionIndex, REGION_SLICES - 1))
+        : scheduled(move, 1, 0);
   }
 
-  private static MovePlan of(Move move, int slices, int slice) {
+  private static MovePlan scheduled(Move move, int slices, int slice) {
     Duration length = Duration.between(move.start(), move.deadline());
     Duration margin = min(length.dividedBy(MARGIN_DIVISOR), MAX_MARGIN);
     Duration ramp = length.minus(margin).minus(move.soak());
