--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.cuminlatch.bench.spread.SpreadExperiment;
 
 /** All experiments that the bench can run. */
 final class Experiments {
@@ -11,6 +12,7 @@
 
   static {
     ALL.add(new CallerExperiment());
+    ALL.add(new SpreadExperiment());
   }
 
   private Experiments() {}
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Delegates.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Delegates.java
@@ -1,5 +1,7 @@
 package org.cuminlatch.core.membership;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,11 +17,14 @@
 
   private static final String ROLE = "delegate";
 
+  private static final Duration INTERVAL = Duration.ofMillis(500);
+
   private final Roster roster;
   private final Locality own;
   private final String self;
   private final int perZone;
   private final Map<Locality, List<Member>> byZone = new HashMap<>();
+  private Instant refreshedAt = Instant.EPOCH;
   private long seenRevision = -1;
 
   Delegates(Roster roster, Member self, int perZone) {
@@ -29,10 +34,13 @@
     this.perZone = perZone;
   }
 
-  void refresh() {
-    if (seenRevision == roster.revision()) {
+  /** Takes in the roster as it is now, at most once in an interval. */
+  void refresh(Instant now) {
+    boolean lately = refreshedAt.plus(INTERVAL).isAfter(now);
+    if (lately || seenRevision == roster.revision()) {
       return;
     }
+    refreshedAt = now;
     seenRevision = roster.revision();
     byZone.clear();
   }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/FailureDetector.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/FailureDetector.java
@@ -123,6 +123,7 @@
 
   private void probeIndirectly(Long number, Probe probe) {
     probes.put(number, probe);
+    pings.ping(probe.target(), number);
     List<Member> near = roster.live(probe.target().locality());
     for (int i = 0; i < settings.indirectProbes(); i++) {
       helper(near, probe.target())
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/MembershipEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/MembershipEngine.java
@@ -7,11 +7,13 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.control.ControlEngine;
 import org.cuminlatch.core.control.Outbox;
@@ -41,6 +43,7 @@
   private static final Duration PAUSE = Duration.ofSeconds(2);
   private static final Duration NEW_FOR = Duration.ofSeconds(30);
   private static final Duration HOUSEKEEPING = Duration.ofSeconds(10);
+  private static final int MAX_REPEATED_PROBES = 3;
   private static final int ISOLATION_MIN_MEMBERS = 8;
 
   private final MembershipSettings settings;
@@ -54,6 +57,7 @@
   private final SeedContacts seeds;
   private final FloorKeeping floors;
   private final MembershipListener listener;
+  private final Set<String> blamed = new HashSet<>();
   private Member self;
   private Instant startedAt;
   private Instant lastTick;
@@ -216,7 +220,7 @@
       heardAt = now;
     }
     lastTick = now;
-    delegates.refresh();
+    delegates.refresh(now);
     if (self.phase() != Phase.LEFT) {
       probe(now);
       seeds.due(roster, now).ifPresent(this::pingSeed);
@@ -240,6 +244,10 @@
     if (!nextProbe.isAfter(now)) {
       nextProbe = now.plus(settings.probeInterval());
       targets.next(now).forEach(target -> detector.probe(target, now));
+      roster.suspects().stream()
+          .filter(this::isBlamedHere)
+          .limit(MAX_REPEATED_PROBES)
+          .forEach(suspect -> detector.probe(suspect, now));
     }
   }
 
@@ -248,10 +256,15 @@
         !isIsolated(now)
             && (sameRegion(failed) || !targets.isRegionDark(failed.locality().region(), now));
     if (mayBlame) {
+      blamed.add(failed.instance());
       learn(verdict(failed, Status.SUSPECT), now);
     }
   }
 
+  private boolean isBlamedHere(Member suspect) {
+    return blamed.contains(suspect.instance());
+  }
+
   private boolean sameRegion(Member member) {
     return member.locality().region().equals(self.locality().region());
   }
@@ -264,6 +277,7 @@
   private void housekeep(Instant now) {
     roster.forgetDead(now, settings.deadRetention());
     floors.housekeep();
+    blamed.retainAll(roster.suspects().stream().map(Member::instance).toList());
     if (delegates.isDelegate()) {
       gossip.randomDead().ifPresent(dead -> sendPing(dead, detector.nextSequence()));
     }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Roster.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Roster.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -168,18 +167,17 @@
     revision++;
   }
 
+  List<Member> suspects() {
+    suspects.removeIf(entry -> entry.member.status() != Status.SUSPECT);
+    return suspects.stream().map(Entry::member).toList();
+  }
+
   List<Member> suspectsSince(Instant limit) {
-    List<Member> expired = new ArrayList<>();
-    Iterator<Entry> iterator = suspects.iterator();
-    while (iterator.hasNext()) {
-      Entry entry = iterator.next();
-      if (entry.member.status() != Status.SUSPECT) {
-        iterator.remove();
-      } else if (!entry.changedAt.isAfter(limit)) {
-        expired.add(entry.member);
-      }
-    }
-    return expired;
+    suspects.removeIf(entry -> entry.member.status() != Status.SUSPECT);
+    return suspects.stream()
+        .filter(entry -> !entry.changedAt.isAfter(limit))
+        .map(Entry::member)
+        .toList();
   }
 
   void forgetDead(Instant now, Duration retention) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadEngine.java
@@ -53,6 +53,8 @@
   private final ReaderWatch watch;
   private final ProgressCount progress = new ProgressCount();
   private final ByteBudget budget;
+  private VersionCount counted;
+  private Checkpoint encoded;
   private List<VersionCount> sentCounts = List.of();
   private Instant progressSentAt = Instant.EPOCH;
   private Instant nextHeartbeat = Instant.EPOCH;
@@ -161,7 +163,7 @@
       log.waitUpTo(settings.startGrace(), now);
       watch.start(now);
     }
-    topology.refresh();
+    topology.refresh(now);
     repair
         .due(replica.version(), topology.isHead(), now)
         .ifPresent(peer -> pullFrom(peer.controlAddress(), now));
@@ -220,9 +222,12 @@
   }
 
   private VersionCount ownCount() {
-    String hash = replica.snapshot().stateHash();
-    String abbreviated = hash.length() <= HASH_LENGTH ? hash : hash.substring(0, HASH_LENGTH);
-    return new VersionCount(replica.version(), abbreviated, 1);
+    if (counted == null || counted.version() != replica.version()) {
+      String hash = replica.snapshot().stateHash();
+      String abbreviated = hash.length() <= HASH_LENGTH ? hash : hash.substring(0, HASH_LENGTH);
+      counted = new VersionCount(replica.version(), abbreviated, 1);
+    }
+    return counted;
   }
 
   private InForce inRegion(List<VersionCount> counts) {
@@ -269,8 +274,8 @@
       onRecords(from, records, now);
     } else if (message instanceof Pull pull) {
       onPull(from, pull, now);
-    } else if (message instanceof Progress counted) {
-      progress.onProgress(counted, now);
+    } else if (message instanceof Progress report) {
+      progress.onProgress(report, now);
     } else if (message instanceof Checkpoint checkpoint) {
       onCheckpoint(checkpoint);
     }
@@ -363,12 +368,19 @@
       }
       return;
     }
-    Bytes checkpoint = replica.checkpoint();
+    Bytes checkpoint = checkpoint();
     if (budget.tryTake(checkpoint.length(), now)) {
       outbox.send(from, new Checkpoint(replica.version(), checkpoint));
     }
   }
 
+  private Bytes checkpoint() {
+    if (encoded == null || encoded.version() != replica.version()) {
+      encoded = new Checkpoint(replica.version(), replica.checkpoint());
+    }
+    return encoded.content();
+  }
+
   private void onCheckpoint(Checkpoint checkpoint) {
     repair.answered();
     try {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/Topology.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/Topology.java
@@ -1,12 +1,18 @@
 package org.cuminlatch.core.spread;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Predicate;
+import java.util.Set;
+import java.util.TreeMap;
 import org.cuminlatch.core.membership.Locality;
 import org.cuminlatch.core.membership.Member;
 import org.cuminlatch.core.membership.Member.Phase;
@@ -25,11 +31,16 @@
   private static final String HEAD_ROLE = "head";
   private static final String READER_ROLE = "reader";
 
+  private static final Duration INTERVAL = Duration.ofMillis(300);
+
   private final MembershipView view;
   private final Member self;
   private final int fanOut;
   private Collection<Member> seen;
-  private Map<Locality, List<Member>> orders = Map.of();
+  private final Map<String, Long> weights = new HashMap<>();
+  private final Map<String, Integer> counts = new HashMap<>();
+  private List<Member> ownZone = List.of();
+  private Instant refreshedAt;
   private List<Member> heads = List.of();
   private List<Member> otherReaders = List.of();
   private int position;
@@ -40,52 +51,59 @@
     this.fanOut = fanOut;
   }
 
-  void refresh() {
+  /** Takes in the members as they are now, at most once in an interval. */
+  void refresh(Instant now) {
     Collection<Member> members = view.members();
-    if (members == seen) {
+    if (members == seen || seen != null && refreshedAt.plus(INTERVAL).isAfter(now)) {
       return;
     }
     seen = members;
+    refreshedAt = now;
     Map<Locality, List<Member>> byZone = new HashMap<>();
     for (Member member : members) {
       byZone.computeIfAbsent(member.locality(), unused -> new ArrayList<>()).add(member);
     }
-    byZone.replaceAll((zone, inZone) -> order(inZone));
-    orders = byZone;
-    heads = heads(self.locality().region());
-    otherReaders =
-        byZone.keySet().stream()
-            .map(Locality::region)
-            .filter(region -> !region.equals(self.locality().region()))
-            .distinct()
-            .sorted()
-            .map(region -> heads(region).get(0))
-            .toList();
+    counts.clear();
+    byZone.forEach((zone, inZone) -> counts.merge(zone.region(), inZone.size(), Integer::sum));
+    ownZone = byZone.getOrDefault(self.locality(), new ArrayList<>());
+    ownZone.sort(order());
     position = positionOfSelf();
+    Map<String, List<Member>> byRegion = new TreeMap<>();
+    byZone.forEach(
+        (zone, inZone) ->
+            byRegion
+                .computeIfAbsent(zone.region(), unused -> new ArrayList<>())
+                .add(Collections.min(inZone, order())));
+    byRegion.replaceAll((region, found) -> Rendezvous.rank(READER_ROLE, found));
+    heads = byRegion.getOrDefault(self.locality().region(), List.of());
+    byRegion.remove(self.locality().region());
+    otherReaders = byRegion.values().stream().map(found -> found.get(0)).toList();
+    Set<String> names = new HashSet<>();
+    members.forEach(member -> names.add(member.instance()));
+    weights.keySet().retainAll(names);
+  }
+
+  private Comparator<Member> order() {
+    Comparator<Member> byWeight =
+        (a, b) -> Long.compareUnsigned(weight(b.instance()), weight(a.instance()));
+    return Comparator.comparingInt(Topology::standing)
+        .thenComparing(byWeight)
+        .thenComparing(Member::instance);
+  }
+
+  private static int standing(Member member) {
+    if (member.status() != Status.ALIVE) {
+      return 2;
+    }
+    return member.phase() == Phase.SERVING ? 0 : 1;
   }
 
-  private static List<Member> order(List<Member> inZone) {
-    List<Member> ranked = Rendezvous.rank(HEAD_ROLE, inZone);
-    Predicate<Member> alive = member -> member.status() == Status.ALIVE;
-    Predicate<Member> serving = member -> member.phase() == Phase.SERVING;
-    List<Member> order = new ArrayList<>();
-    ranked.stream().filter(alive.and(serving)).forEach(order::add);
-    ranked.stream().filter(alive.and(serving.negate())).forEach(order::add);
-    ranked.stream().filter(alive.negate()).forEach(order::add);
-    return order;
-  }
-
-  private List<Member> heads(String region) {
-    List<Member> found =
-        orders.entrySet().stream()
-            .filter(entry -> entry.getKey().region().equals(region))
-            .map(entry -> entry.getValue().get(0))
-            .toList();
-    return Rendezvous.rank(READER_ROLE, found);
+  private long weight(String instance) {
+    return weights.computeIfAbsent(instance, name -> Rendezvous.weight(HEAD_ROLE, name));
   }
 
   private int positionOfSelf() {
-    List<Member> order = ownZone();
+    List<Member> order = ownZone;
     for (int i = 0; i < order.size(); i++) {
       if (isSelf(order.get(i))) {
         return i;
@@ -94,10 +112,6 @@
     return order.size();
   }
 
-  private List<Member> ownZone() {
-    return orders.getOrDefault(self.locality(), List.of());
-  }
-
   private boolean isSelf(Member member) {
     return member.instance().equals(self.instance());
   }
@@ -142,13 +156,13 @@
     if (isHead()) {
       return reader();
     }
-    List<Member> order = ownZone();
+    List<Member> order = ownZone;
     int parent = (position - 1) / fanOut;
     return parent < order.size() ? Optional.of(order.get(parent)) : Optional.empty();
   }
 
   List<Member> zoneChildren() {
-    List<Member> order = ownZone();
+    List<Member> order = ownZone;
     int first = position * fanOut + 1;
     if (first >= order.size()) {
       return List.of();
@@ -167,14 +181,7 @@
     return children;
   }
 
-  int memberCount() {
-    return seen == null ? 0 : seen.size();
-  }
-
   int memberCount(String region) {
-    return orders.entrySet().stream()
-        .filter(entry -> entry.getKey().region().equals(region))
-        .mapToInt(entry -> entry.getValue().size())
-        .sum();
+    return counts.getOrDefault(region, 0);
   }
 }
