--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.cuminlatch.bench.move.MoveExperiment;
+import org.cuminlatch.bench.spread.SpreadExperiment;
 
 /** All experiments that the bench can run. */
 final class Experiments {
@@ -13,6 +14,7 @@
   static {
     ALL.add(new CallerExperiment());
     ALL.add(new MoveExperiment());
+    ALL.add(new SpreadExperiment());
   }
 
   private Experiments() {}
