--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/SimulatedNode.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/SimulatedNode.java
@@ -24,7 +24,7 @@
 /** A node of the simulated mesh: its engine, its clock and what it knows of the others. */
 final class SimulatedNode implements MembershipView {
 
-  private final Member member;
+  private Member member;
   private final Duration clockError;
   private final Outbox outbox;
   private final OutcomeSink sink;
@@ -103,6 +103,10 @@
     }
   }
 
+  void announce(Member announced) {
+    member = announced;
+  }
+
   boolean isDown() {
     return down;
   }
