Floor from peers or the log's end, reports to the operators

Cause: the node decided its floor by a rule of its own that took a node without any answer for the first of its mesh after 5 s, so that after a restart of all nodes one could serve below what it had served. Change: VersionFloor decides, fed with the keepers' answers; where they do not suffice the node asks the log for its end after a random delay. Verdicts, convergence and divergence go to the reports stream by the mesh's reporter. Ruled out: the log's end as readers tell it in heartbeats; it may be older than what this instance had in force.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/FloorKeeping.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/FloorKeeping.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.cuminlatch.core.control.Outbox;
 import org.cuminlatch.core.membership.MembershipMessage.FloorAnswer;
@@ -33,7 +33,7 @@
   private final Outbox outbox;
   private final String self;
   private final Map<String, Long> remembered = new HashMap<>();
-  private final Map<String, Long> answers = new HashMap<>();
+  private final Map<String, FloorAnswer> answers = new HashMap<>();
   private Instant nextAt = Instant.EPOCH;
 
   FloorKeeping(Roster roster, Outbox outbox, String self) {
@@ -63,12 +63,11 @@
   }
 
   void answered(FloorAnswer answer) {
-    long version = Math.max(answer.rememberedVersion(), answer.ownVersion());
-    answers.merge(answer.instance(), version, Math::max);
+    answers.put(answer.instance(), answer);
   }
 
-  OptionalLong floor() {
-    return answers.values().stream().mapToLong(Long::longValue).max();
+  Collection<FloorAnswer> answers() {
+    return answers.values();
   }
 
   void announce(Member own) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/MembershipEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/MembershipEngine.java
@@ -138,13 +138,24 @@
   }
 
   /**
-   * Returns the floor: the highest configuration version that peers remember of this instance or
+   * Returns the floor: the highest configuration version that keepers remember of this instance or
    * have in force themselves.
    *
-   * @return the version; empty until a peer has answered
+   * @return the version; empty until a keeper has answered
    */
   public OptionalLong floor() {
-    return floors.floor();
+    return floors.answers().stream()
+        .mapToLong(answer -> Math.max(answer.rememberedVersion(), answer.ownVersion()))
+        .max();
+  }
+
+  /**
+   * Returns what the keepers of this instance remember of it and have in force themselves.
+   *
+   * @return one answer for each keeper that has answered
+   */
+  public Collection<FloorAnswer> floorAnswers() {
+    return floors.answers();
   }
 
   /**
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
@@ -8,13 +8,13 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.cuminlatch.core.config.ConfigurationReplica;
 import org.cuminlatch.core.config.ConfigurationReplicas;
+import org.cuminlatch.core.config.FoldEvent;
+import org.cuminlatch.core.config.Readiness;
 import org.cuminlatch.core.config.Snapshot;
 import org.cuminlatch.core.control.ControlMessage;
 import org.cuminlatch.core.membership.Address;
@@ -58,13 +58,14 @@
   private final ControlTransport transport;
   private final RefusalHistory refusals = new RefusalHistory();
   private final RegionTable regions;
-  private final Readiness readiness;
+  private final FloorWatch floor;
+  private final ReportStream reports;
   private final MembershipEngine membership;
   private final SpreadEngine spread;
   private final MoveEngine moves;
   private volatile Snapshot snapshot = Snapshot.empty();
-  private volatile Optional<String> blockedBy = Optional.of("starting");
-  private volatile OptionalLong floor = OptionalLong.empty();
+  private volatile Readiness readiness = new Readiness(false, "starting");
+  private volatile long floorVersion;
   private Phase targetPhase = Phase.STARTING;
   private boolean draining;
 
@@ -78,7 +79,8 @@
     this.thread = thread;
     this.announced = OwnMember.of(settings, clock.instant());
     this.regions = new RegionTable(settings.locality().region());
-    this.readiness = new Readiness(clock.instant());
+    this.floor = new FloorWatch(log, thread, random, clock.instant());
+    this.reports = new ReportStream(log, thread);
     this.transport = bind(settings);
     PlacementLog placement = new PlacementLog(() -> snapshot.version());
     this.membership =
@@ -91,7 +93,7 @@
             placement);
     ConfigurationReplica replica =
         ConfigurationReplicas.create(
-            ConfigurationCodecs.protobuf(), settings.schemaVersions(), refusals::take);
+            ConfigurationCodecs.protobuf(), settings.schemaVersions(), this::onFold);
     LogGateway gateway = new LogGateway(log, thread, clock);
     this.spread =
         SpreadEngine.create(
@@ -177,21 +179,21 @@
   }
 
   /**
-   * Returns why the node does not serve yet.
+   * Returns whether the node may serve, and why.
    *
-   * @return the reason, empty if it is ready
+   * @return the readiness
    */
-  public Optional<String> blockedBy() {
-    return blockedBy;
+  public Readiness readiness() {
+    return readiness;
   }
 
   /**
    * Returns the lowest configuration version that the node may serve with.
    *
-   * @return the floor, empty if no peer has told it
+   * @return the floor as far as it is known
    */
-  public OptionalLong floor() {
-    return floor;
+  public long floorVersion() {
+    return floorVersion;
   }
 
   /**
@@ -256,13 +258,19 @@
     }
   }
 
+  private void onFold(FoldEvent event) {
+    refusals.take(event);
+    reports.onEvent(event, clock.instant());
+  }
+
   private void tick() {
     Instant now = clock.instant();
     membership.onTick(now);
     spread.onTick(now);
     moves.onTick(now);
-    floor = membership.floor();
-    blockedBy = readiness.blockedBy(floor, snapshot.version(), now);
+    readiness = floor.onTick(membership, snapshot.version(), now);
+    floorVersion = floor.floor();
+    reports.onTick(spread.isReporter(), snapshot, membership.members(), now);
     announcePhase(now);
   }
 
@@ -274,7 +282,7 @@
     if (draining) {
       return Phase.DRAINING;
     }
-    return blockedBy.isPresent() ? Phase.STARTING : targetPhase;
+    return readiness.isReady() ? targetPhase : Phase.STARTING;
   }
 
   private final class Installer implements SpreadListener {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/operator/NodePages.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/operator/NodePages.java
@@ -64,8 +64,8 @@
 
   private Object health() {
     Map<String, Object> page = new LinkedHashMap<>();
-    page.put("ready", control.blockedBy().isEmpty());
-    page.put("reason", control.blockedBy().orElse(""));
+    page.put("ready", control.readiness().isReady());
+    page.put("reason", control.readiness().reason());
     return page;
   }
 
@@ -78,11 +78,11 @@
     page.put("service", self.service());
     page.put("targetVersion", self.targetVersion());
     page.put("phase", self.phase());
-    page.put("ready", control.blockedBy().isEmpty());
-    page.put("reason", control.blockedBy().orElse(""));
+    page.put("ready", control.readiness().isReady());
+    page.put("reason", control.readiness().reason());
     page.put("configVersion", snapshot.version());
     page.put("stateHash", snapshot.stateHash());
-    page.put("floor", control.floor());
+    page.put("floor", control.floorVersion());
     page.put("members", control.members().members().size());
     return page;
   }
