Hold idempotency keys, and bound retries in call trees by more than their share

Cause: the amplification test at 10 deep with every target failing counted 5,227 executions at the leaf where 1 + 0.1 * 10 per call allow 4,030 for 2,000 calls: calls below a retry could not retry but still earned tokens, so each level multiplied by 1.1. A sticky header in upper case was not found. Changed: calls below a retry earn nothing; headers are looked up in any case. Requests with an Idempotency-Key go to the key's owner, whose node runs them once, answers repeats from memory and says unknown where an earlier submission may have run without it knowing.

--- /dev/null
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/call/Goodput.java
@@ -0,0 +1,73 @@
+package org.cuminlatch.bench.call;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.cuminlatch.bench.Experiment;
+import org.cuminlatch.bench.ExperimentOptions;
+import org.cuminlatch.bench.Results;
+import org.cuminlatch.bench.call.CallSimulation.PolicyFactory;
+
+/** Measures answers in time under overload against a baseline, in virtual time. */
+public final class Goodput implements Experiment {
+
+  private static final List<Double> LOADS = List.of(0.8, 1.0, 2.0, 10.0);
+
+  @Override
+  public String name() {
+    return "goodput";
+  }
+
+  @Override
+  public String summary() {
+    return "answers in time at up to 10 times the capacity, against blind retries";
+  }
+
+  @Override
+  public Results run(ExperimentOptions options) {
+    Duration length = Duration.ofSeconds(options.longValue("seconds", 20));
+    List<List<String>> rows = new ArrayList<>();
+    for (double load : LOADS) {
+      SimulatedFleet fleet = SimulatedFleet.oneZone(load);
+      for (Map.Entry<String, PolicyFactory> policy :
+          List.of(Map.entry("cuminlatch", Policies.MESH), Map.entry("blind", Policies.BLIND))) {
+        SimulationTally tally =
+            CallSimulation.run(fleet, policy.getValue(), length, options.seed());
+        rows.add(row(policy.getKey(), fleet, tally, length));
+      }
+    }
+    return new Results(
+        "Goodput under overload, 9 targets of 6 slots, 20 ms a request, deadline 500 ms",
+        List.of(
+            "policy",
+            "load / capacity",
+            "goodput / capacity",
+            "not run / calls",
+            "unknown / calls",
+            "executions / answer",
+            "p50 ms",
+            "p99 ms"),
+        rows,
+        List.of("virtual time"));
+  }
+
+  private static List<String> row(
+      String policy, SimulatedFleet fleet, SimulationTally tally, Duration length) {
+    double possible = fleet.capacity() * length.toSeconds();
+    return List.of(
+        policy,
+        format(fleet.load()),
+        format(tally.callsAnswered() / possible),
+        format((double) tally.callsNotRun() / tally.calls()),
+        format((double) tally.callsUnknown() / tally.calls()),
+        format((double) tally.executions() / Math.max(1, tally.callsAnswered())),
+        format(tally.millis(50)),
+        format(tally.millis(99)));
+  }
+
+  static String format(double value) {
+    return String.format(Locale.ROOT, "%.3f", value);
+  }
+}
--- /dev/null
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/call/SlowTarget.java
@@ -0,0 +1,61 @@
+package org.cuminlatch.bench.call;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.cuminlatch.bench.Experiment;
+import org.cuminlatch.bench.ExperimentOptions;
+import org.cuminlatch.bench.Results;
+import org.cuminlatch.bench.call.CallSimulation.PolicyFactory;
+
+/** Measures the tail while one target of nine is ten times as slow, in virtual time. */
+public final class SlowTarget implements Experiment {
+
+  private static final double LOAD = 0.6;
+  private static final int SLOW_FACTOR = 10;
+
+  @Override
+  public String name() {
+    return "slow-target";
+  }
+
+  @Override
+  public String summary() {
+    return "tail of the latency while one target of nine is slow";
+  }
+
+  @Override
+  public Results run(ExperimentOptions options) {
+    Duration length = Duration.ofSeconds(options.longValue("seconds", 60));
+    SimulatedFleet healthy = SimulatedFleet.oneZone(LOAD);
+    List<List<String>> rows = new ArrayList<>();
+    for (Map.Entry<String, PolicyFactory> policy :
+        List.of(Map.entry("cuminlatch", Policies.MESH), Map.entry("blind", Policies.BLIND))) {
+      rows.add(row(policy, "none", healthy, length, options.seed()));
+      SimulatedFleet slow = healthy.withSlowTarget(0, SLOW_FACTOR);
+      rows.add(row(policy, "one of nine", slow, length, options.seed()));
+    }
+    return new Results(
+        "Tail at 0.6 of the capacity, slow target 10 times as slow",
+        List.of("policy", "slow target", "p50 ms", "p99 ms", "p99.9 ms", "answered / calls"),
+        rows,
+        List.of("virtual time"));
+  }
+
+  private static List<String> row(
+      Map.Entry<String, PolicyFactory> policy,
+      String slow,
+      SimulatedFleet fleet,
+      Duration length,
+      long seed) {
+    SimulationTally tally = CallSimulation.run(fleet, policy.getValue(), length, seed);
+    return List.of(
+        policy.getKey(),
+        slow,
+        Goodput.format(tally.millis(50)),
+        Goodput.format(tally.millis(99)),
+        Goodput.format(tally.millis(99.9)),
+        Goodput.format((double) tally.callsAnswered() / tally.calls()));
+  }
+}
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/retry/RetryBudget.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/retry/RetryBudget.java
@@ -20,13 +20,19 @@
   private double tokens = RESERVE;
 
   /**
-   * Adds what a first attempt earns.
+   * Adds what a call earns with its first attempt; a call that descends from a retry earns nothing.
    *
+   * <p>Otherwise retries near the root of a call tree would earn further ones at each level below,
+   * and executions would grow with the power of the depth.
+   *
+   * @param tree place of the call
    * @param share retries allowed as a share of first attempts, from 0 to 1
    */
-  public synchronized void firstAttempt(double share) {
+  public synchronized void earn(CallTree tree, double share) {
     inRange(share, 0, 1, "share");
-    tokens = Math.min(MAX_TOKENS, tokens + share);
+    if (!tree.retried()) {
+      tokens = Math.min(MAX_TOKENS, tokens + share);
+    }
   }
 
   /**
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/retry/RetryPolicy.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/retry/RetryPolicy.java
@@ -19,8 +19,8 @@
    * <p>After a proven {@link AttemptOutcome#NOT_RUN} any request may be; after {@link
    * AttemptOutcome#UNKNOWN} only an idempotent one. Both take a token of the budget, but for a
    * request that was not run for a reason other than load. A call whose ancestor in the call tree
-   * repeats an earlier attempt takes no token: with budget share r at each of d levels the
-   * executions per call stay below 1 + r * d instead of (1 + r) to the power of d.
+   * repeats an earlier attempt neither earns nor takes a token: with budget share r at each of d
+   * levels the executions per call stay below 1 + r * d instead of (1 + r) to the power of d.
    *
    * @param ended the attempt that ended
    * @param limits limits of the route
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/RouteTable.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/RouteTable.java
@@ -4,7 +4,6 @@
 
 import java.util.Comparator;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import org.cuminlatch.core.config.Route;
@@ -87,8 +86,7 @@
 
   private static boolean headersMatch(Map<String, String> wanted, RequestHead request) {
     for (Map.Entry<String, String> header : wanted.entrySet()) {
-      String name = header.getKey().toLowerCase(Locale.ROOT);
-      if (!header.getValue().equals(request.headers().get(name))) {
+      if (!request.header(header.getKey()).map(header.getValue()::equals).orElse(false)) {
         return false;
       }
     }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/Router.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/Router.java
@@ -47,9 +47,9 @@
       return refused(table, match, Reason.NO_ROUTE);
     }
     Route route = match.get();
-    List<String> allowed =
-        versions.choose(
-            table.snapshot(), route, route.stickyHeader().flatMap(request::header), random);
+    Optional<String> key = request.idempotencyKey(route.limits());
+    Optional<String> sticky = key.or(() -> route.stickyHeader().flatMap(request::header));
+    List<String> allowed = versions.choose(table.snapshot(), route, sticky, random);
     if (allowed.isEmpty()) {
       return refused(table, match, Reason.NO_VERSION);
     }
@@ -58,7 +58,9 @@
       List<Member> candidates = context.candidates(route.service(), version);
       found |= !candidates.isEmpty();
       Optional<TargetChooser.Choice> choice =
-          choose(context.preferred(candidates), context, random);
+          key.isPresent()
+              ? keyOwner(context.preferred(candidates), key.get())
+              : choose(context.preferred(candidates), context, random);
       if (choice.isPresent()) {
         return new RoutingDecision(
             table.snapshot().version(),
@@ -76,6 +78,12 @@
     return chooser.choose(candidates, context.own(), context.now(), random);
   }
 
+  private static Optional<TargetChooser.Choice> keyOwner(List<Member> candidates, String key) {
+    return KeyOwners.inOrder(candidates, key).stream()
+        .findFirst()
+        .map(owner -> new TargetChooser.Choice(owner, Reason.KEY_OWNER));
+  }
+
   private static RoutingDecision refused(RouteTable table, Optional<Route> route, Reason reason) {
     return new RoutingDecision(
         table.snapshot().version(), route, Optional.empty(), Optional.empty(), reason);
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/VersionChoice.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/VersionChoice.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.Route;
+import org.cuminlatch.core.config.ServiceState;
 import org.cuminlatch.core.config.Snapshot;
 import org.cuminlatch.core.move.VersionShares;
 import org.cuminlatch.core.move.VersionShares.VersionShare;
@@ -18,8 +19,7 @@
  */
 final class VersionChoice {
 
-  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-  private static final long FNV_PRIME = 0x100000001b3L;
+  private static final int UNIT_SHIFT = 11;
   private static final double UNIT = 0x1.0p-53;
 
   private final VersionShares shares;
@@ -31,16 +31,33 @@
   /** Returns the versions that may serve the request, the chosen one first. */
   List<String> choose(
       Snapshot snapshot, Route route, Optional<String> stickyValue, RandomGenerator random) {
-    List<VersionShare> ordered =
-        shares.sharesOf(snapshot, route).stream()
-            .filter(entry -> entry.share() > 0)
-            .sorted(currentLast(snapshot, route))
-            .toList();
+    ServiceState service = snapshot.services().get(route.service());
+    String current = service == null ? "" : service.current();
+    List<VersionShare> ordered = ordered(shares.sharesOf(snapshot, route), current);
+    double place =
+        stickyValue.map(value -> place(route.service(), value)).orElseGet(random::nextDouble);
+    return chosenFirst(ordered, place);
+  }
+
+  /** Returns the versions in the order in which they may serve a sticky request. */
+  static List<String> order(
+      List<VersionShare> shares, String current, String service, String stickyValue) {
+    return chosenFirst(ordered(shares, current), place(service, stickyValue));
+  }
+
+  private static List<VersionShare> ordered(List<VersionShare> shares, String current) {
+    return shares.stream()
+        .filter(entry -> entry.share() > 0)
+        .sorted(
+            Comparator.comparing((VersionShare entry) -> entry.version().equals(current))
+                .thenComparing(VersionShare::version))
+        .toList();
+  }
+
+  private static List<String> chosenFirst(List<VersionShare> ordered, double place) {
     if (ordered.size() <= 1) {
       return ordered.stream().map(VersionShare::version).toList();
     }
-    double place =
-        stickyValue.map(value -> place(route.service(), value)).orElseGet(random::nextDouble);
     String chosen = at(ordered, place);
     return ordered.stream()
         .map(VersionShare::version)
@@ -48,13 +65,6 @@
         .toList();
   }
 
-  private static Comparator<VersionShare> currentLast(Snapshot snapshot, Route route) {
-    var service = snapshot.services().get(route.service());
-    String current = service == null ? "" : service.current();
-    return Comparator.comparing((VersionShare entry) -> entry.version().equals(current))
-        .thenComparing(VersionShare::version);
-  }
-
   private static String at(List<VersionShare> ordered, double place) {
     double sum = 0;
     for (VersionShare entry : ordered) {
@@ -67,17 +77,6 @@
   }
 
   private static double place(String service, String value) {
-    long hash = hash(hash(FNV_OFFSET, service), value);
-    hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
-    hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
-    return ((hash ^ (hash >>> 33)) >>> 11) * UNIT;
-  }
-
-  private static long hash(long seed, String text) {
-    long hash = seed;
-    for (int i = 0; i < text.length(); i++) {
-      hash = (hash ^ text.charAt(i)) * FNV_PRIME;
-    }
-    return (hash ^ 0xff) * FNV_PRIME;
+    return (Hashing.mixed(service, value) >>> UNIT_SHIFT) * UNIT;
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/CallHeaders.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/CallHeaders.java
@@ -30,9 +30,6 @@
   /** Sent to callers: configuration version that routed the call. */
   static final String CONFIG_VERSION = "x-cuminlatch-config-version";
 
-  /** Sent by callers: requests with equal values are run at most once. */
-  static final String IDEMPOTENCY_KEY = "idempotency-key";
-
   static final String CONTENT_LENGTH = "content-length";
 
   private static final Set<String> PER_CONNECTION =
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/CallPath.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/CallPath.java
@@ -58,7 +58,7 @@
     this.inputs = inputs;
     this.transport = CallTransport.start(TRANSPORT_THREADS);
     TargetClient client = new TargetClient(settings.target());
-    this.gate = new TargetGate(settings, client, inputs.self(), inputs.observer(), inputs.clock());
+    this.gate = new TargetGate(settings, client, inputs);
     this.stalls = new StallWatch(gate, client, inputs.clock());
     this.pool = new PeerPool(transport, inputs.clock(), inputs.self(), gate);
     RoutingState routing = new RoutingState(inputs, settings.linkBytesPerSecond());
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/CallRunner.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/CallRunner.java
@@ -112,7 +112,7 @@
             result.outcome(),
             result.overloaded(),
             number,
-            isIdempotent(limits),
+            request.head().isIdempotent(limits),
             upload.isReplayable(),
             Duration.between(entry.now(), deadline(limits)),
             tree),
@@ -120,15 +120,6 @@
         entry.budget(route.name()));
   }
 
-  private boolean isIdempotent(CallLimits limits) {
-    return limits.idempotentMethods().contains(request.head().method())
-        || request
-            .head()
-            .header(limits.idempotenceHeader().toLowerCase(java.util.Locale.ROOT))
-            .map("true"::equals)
-            .orElse(false);
-  }
-
   private Instant deadline(CallLimits limits) {
     Instant routeDeadline = startedAt.plus(limits.timeout());
     return callerDeadline.isBefore(routeDeadline) ? callerDeadline : routeDeadline;
@@ -141,7 +132,7 @@
     present = attempt;
     RetryBudget budget = entry.budget(route.name());
     if (number == 1) {
-      budget.firstAttempt(route.limits().retryBudget());
+      budget.earn(tree, route.limits().retryBudget());
     }
     Instant deadline = deadline(route.limits());
     AttemptRunner runner =
@@ -189,8 +180,8 @@
         .setDeadlineMicros(Duration.between(now, deadline).toNanos() / 1000)
         .setDepth(tree.depth())
         .setRetried(tree.retried() || mayHaveRun)
-        .setIdempotent(isIdempotent(route.limits()))
-        .setIdempotencyKey(request.head().header(CallHeaders.IDEMPOTENCY_KEY).orElse(""))
+        .setIdempotent(request.head().isIdempotent(route.limits()))
+        .setIdempotencyKey(request.head().idempotencyKey(route.limits()).orElse(""))
         .setBody(UnsafeByteOperations.unsafeWrap(request.first()))
         .setBodyComplete(request.complete())
         .setContentLength(request.contentLength())
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/control/OutcomeAppender.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/OutcomeAppender.java
@@ -15,8 +15,8 @@
 /**
  * Appends the outcomes of moves to the platform's log.
  *
- * <p>The engine asks again until the outcome shows, so a failed append is only logged. The record id
- * depends on the move and the result alone: repeats are dropped by the fold.
+ * <p>The engine asks again until the outcome shows, so a failed append is only logged. The record
+ * id depends on the move and the result alone: repeats are dropped by the fold.
  */
 final class OutcomeAppender implements OutcomeSink {
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/operator/NodePages.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/operator/NodePages.java
@@ -89,7 +89,8 @@
 
   private Object versions() {
     return control.members().members().stream()
-        .collect(Collectors.toMap(Member::instance, Member::configVersion, Math::max, TreeMap::new));
+        .collect(
+            Collectors.toMap(Member::instance, Member::configVersion, Math::max, TreeMap::new));
   }
 
   private Object routes() {
@@ -128,7 +129,9 @@
     metrics.getGauges().forEach((name, gauge) -> page.put(name, gauge.getValue()));
     metrics.getCounters().forEach((name, counter) -> page.put(name, counter.getCount()));
     metrics.getMeters().forEach((name, meter) -> page.put(name, meter.getCount()));
-    metrics.getHistograms().forEach((name, values) -> page.put(name, values.getSnapshot().getMean()));
+    metrics
+        .getHistograms()
+        .forEach((name, values) -> page.put(name, values.getSnapshot().getMean()));
     metrics.getTimers().forEach((name, timer) -> page.put(name, TimerFigures.of(timer)));
     return page;
   }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/call/TargetFaultTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/call/TargetFaultTests.java
@@ -244,6 +244,7 @@
 
     @Test
     void theRunIsCancelled() throws Exception {
+      timeout(Duration.ofMinutes(5), 1);
       CountDownLatch broken = new CountDownLatch(1);
       beside
           .target()
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/FailureReason.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/FailureReason.java
@@ -55,6 +55,14 @@
    * <code>KEY_SEEN = 5;</code>
    */
   KEY_SEEN(5),
+  /**
+   * <pre>
+   * An earlier request with the same Idempotency-Key may have run elsewhere.
+   * </pre>
+   *
+   * <code>KEY_IN_DOUBT = 6;</code>
+   */
+  KEY_IN_DOUBT(6),
   UNRECOGNIZED(-1),
   ;
 
@@ -111,6 +119,14 @@
    * <code>KEY_SEEN = 5;</code>
    */
   public static final int KEY_SEEN_VALUE = 5;
+  /**
+   * <pre>
+   * An earlier request with the same Idempotency-Key may have run elsewhere.
+   * </pre>
+   *
+   * <code>KEY_IN_DOUBT = 6;</code>
+   */
+  public static final int KEY_IN_DOUBT_VALUE = 6;
 
 
   public final int getNumber() {
@@ -143,6 +159,7 @@
       case 3: return CONNECTION_SILENT;
       case 4: return ANSWER_CROSSED;
       case 5: return KEY_SEEN;
+      case 6: return KEY_IN_DOUBT;
       default: return null;
     }
   }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/RefusalReason.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/RefusalReason.java
@@ -48,9 +48,9 @@
    */
   WITHDRAWN(8),
   /**
-   * <code>KEY_IN_DOUBT = 9;</code>
+   * <code>NOT_KEY_OWNER = 9;</code>
    */
-  KEY_IN_DOUBT(9),
+  NOT_KEY_OWNER(9),
   UNRECOGNIZED(-1),
   ;
 
@@ -100,9 +100,9 @@
    */
   public static final int WITHDRAWN_VALUE = 8;
   /**
-   * <code>KEY_IN_DOUBT = 9;</code>
+   * <code>NOT_KEY_OWNER = 9;</code>
    */
-  public static final int KEY_IN_DOUBT_VALUE = 9;
+  public static final int NOT_KEY_OWNER_VALUE = 9;
 
 
   public final int getNumber() {
@@ -138,7 +138,7 @@
       case 6: return TARGET_UNREACHABLE;
       case 7: return TARGET_SHED;
       case 8: return WITHDRAWN;
-      case 9: return KEY_IN_DOUBT;
+      case 9: return NOT_KEY_OWNER;
       default: return null;
     }
   }
