--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/spread/SpreadExperiment.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/spread/SpreadExperiment.java
@@ -64,7 +64,10 @@
     Mesh mesh = new Mesh(size, seed);
     mesh.fillLog();
     mesh.startAll(START_WITHIN);
-    mesh.run(WARM_UP);
+    Measurement starting = new Measurement(mesh);
+    starting.run(WARM_UP);
+    rows.add(starting.row("start before " + scenario));
+    notes.add("start " + size + ": bytes out a node and second: " + starting.kinds());
     String start = scenario + " " + size + ": after " + WARM_UP.toSeconds() + " s ";
     notes.add(start + mesh.complete() + " nodes knew all members");
     Measurement measurement = new Measurement(mesh);
