--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/MembershipEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/MembershipEngine.java
@@ -234,6 +234,11 @@
     publish(now);
   }
 
+  /** Returns whether an instance is remembered, be it as dead. */
+  boolean remembers(String instance) {
+    return roster.entry(instance).isPresent();
+  }
+
   private void probe(Instant now) {
     for (Member failed : detector.onTick(now)) {
       suspect(failed, now);
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/LogReading.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/LogReading.java
@@ -40,7 +40,7 @@
   private long checkpointVersion;
   private long stuckAt;
   private long firstOffset;
-  private long logEnd;
+  private boolean readable;
 
   LogReading(
       ConfigurationReplica replica,
@@ -90,7 +90,7 @@
       return List.of();
     }
     firstOffset = first;
-    logEnd = next;
+    readable = true;
     if (next < replica.version()) {
       refuse("the log ends at " + next + " but version " + replica.version() + " is held", now);
       return List.of();
@@ -134,7 +134,7 @@
     if (code == ErrorCode.LOG_TRUNCATED) {
       lookForCheckpoint();
     } else {
-      logEnd = 0;
+      readable = false;
     }
   }
 
@@ -158,9 +158,9 @@
     backoff.waitUpTo(longest, now);
   }
 
-  /** Returns the end of the log when last read, 0 if it can't be read. */
-  long logEnd() {
-    return logEnd;
+  /** Returns whether the last read of the log was answered. */
+  boolean isReadable() {
+    return readable;
   }
 
   long firstOffset() {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/LogRendezvous.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/LogRendezvous.java
@@ -25,13 +25,13 @@
  * announces itself only if few others have done so lately, so that a herd shares one append budget.
  * The mesh's reporter announces itself now and then, so that a live address stands on the stream.
  */
-public final class LogRendezvous {
+final class LogRendezvous {
 
   /** Announcements that a herd makes in {@link #BUDGET_PERIOD} before the others only read. */
-  public static final int BUDGET_APPENDS = 5;
+  static final int BUDGET_APPENDS = 5;
 
   /** Period of the shared append budget. */
-  public static final Duration BUDGET_PERIOD = Duration.ofSeconds(20);
+  static final Duration BUDGET_PERIOD = Duration.ofSeconds(20);
 
   private static final Duration SEEDS_FIRST = Duration.ofSeconds(6);
   private static final Duration FIRST_WAIT = Duration.ofSeconds(10);
@@ -76,18 +76,7 @@
     this.backoff = new Backoff(BACKOFF_BASE, BACKOFF_LIMIT, random);
   }
 
-  /**
-   * Creates the rendezvous of an instance.
-   *
-   * @param self facts of the instance
-   * @param view the members known
-   * @param contact takes addresses to join by
-   * @param reporter whether this instance acts for the whole mesh
-   * @param requests takes requests to the log
-   * @param random source of random numbers
-   * @return the rendezvous
-   */
-  public static LogRendezvous create(
+  static LogRendezvous create(
       Member self,
       MembershipView view,
       Consumer<Address> contact,
@@ -103,12 +92,7 @@
         notNull(random, "random"));
   }
 
-  /**
-   * Lets time pass.
-   *
-   * @param now the time
-   */
-  public void onTick(Instant now) {
+  void onTick(Instant now) {
     if (startedAt == null) {
       startedAt = now;
       backoff.waitUpTo(FIRST_WAIT, now.plus(SEEDS_FIRST));
@@ -150,15 +134,8 @@
     requests.append(Stream.RENDEZVOUS, Bytes.copyOf(text.getBytes(StandardCharsets.UTF_8)));
   }
 
-  /**
-   * Takes the answer to a read of the stream.
-   *
-   * @param firstOffset oldest offset that the log retains
-   * @param nextOffset offset that the next record will get
-   * @param records the records read
-   * @param now the time
-   */
-  public void onLogBatch(long firstOffset, long nextOffset, List<LogRecord> records, Instant now) {
+  /** Takes the answer to a read of the stream. */
+  void onLogBatch(long firstOffset, long nextOffset, List<LogRecord> records, Instant now) {
     outstanding = false;
     if (step == Step.FIND_END) {
       readFrom = Math.max(firstOffset, nextOffset - NEWEST);
@@ -194,23 +171,13 @@
     }
   }
 
-  /**
-   * Takes the answer to an append.
-   *
-   * @param now the time
-   */
-  public void onAppended(Instant now) {
+  void onAppended(Instant now) {
     outstanding = false;
     step = Step.FIND_END;
     backoff.failed(now);
   }
 
-  /**
-   * Takes the failure of a read or an append.
-   *
-   * @param now the time
-   */
-  public void onLogFailure(Instant now) {
+  void onLogFailure(Instant now) {
     outstanding = false;
     step = Step.FIND_END;
     backoff.failed(now);
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/ReaderWatch.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/ReaderWatch.java
@@ -46,7 +46,7 @@
     }
     latest = heartbeat;
     heardAt = at;
-    if (heartbeat.logEnd() > 0) {
+    if (heartbeat.logReadable()) {
       readableAt = at;
     }
     return true;
@@ -69,7 +69,7 @@
 
   boolean canRead(String reader) {
     Heard heard = otherReaders.get(reader);
-    return heard != null && isValid(heard) && heard.heartbeat().logEnd() > 0;
+    return heard != null && isValid(heard) && heard.heartbeat().logReadable();
   }
 
   /** Adds the other regions' counts of the same or a later version. */
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadEngine.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.Bytes;
 import org.cuminlatch.core.config.ConfigurationReplica;
@@ -51,6 +52,7 @@
   private final CheckpointWriting checkpoints;
   private final PullRepair repair;
   private final ReaderWatch watch;
+  private final LogRendezvous rendezvous;
   private final ProgressCount progress = new ProgressCount();
   private final ByteBudget budget;
   private VersionCount counted;
@@ -58,6 +60,8 @@
   private List<VersionCount> sentCounts = List.of();
   private Instant progressSentAt = Instant.EPOCH;
   private Instant nextHeartbeat = Instant.EPOCH;
+  private Consumer<Address> contact = address -> {};
+  private boolean meetsOnLog;
   private long round;
   private boolean started;
   private InForce inForce = InForce.UNKNOWN;
@@ -82,6 +86,9 @@
     this.checkpoints = new CheckpointWriting(replica, requests, settings, random);
     this.repair = new PullRepair(view, self, settings, random);
     this.watch = new ReaderWatch(settings, random);
+    this.rendezvous =
+        LogRendezvous.create(
+            self, view, address -> contact.accept(address), this::isReporter, requests, random);
     this.budget = ByteBudget.of(settings.bytesPerSecond(), settings.burstBytes());
   }
 
@@ -142,7 +149,7 @@
    * @return true for the first of the regions' readers that can reach the log
    */
   public boolean isReporter() {
-    if (!topology.isReader() || log.logEnd() == 0) {
+    if (!topology.isReader() || !log.isReadable()) {
       return false;
     }
     for (Member reader : topology.readers()) {
@@ -156,6 +163,16 @@
     return false;
   }
 
+  /**
+   * Lets this instance, while it knows no other, look for some by a stream on the log.
+   *
+   * @param contact takes addresses to join by
+   */
+  public void meetOnLog(Consumer<Address> contact) {
+    this.contact = notNull(contact, "contact");
+    this.meetsOnLog = true;
+  }
+
   @Override
   public void onTick(Instant now) {
     if (!started) {
@@ -170,6 +187,9 @@
     if (watch.mayRead(topology.standbyRank(), now)) {
       log.advance(now);
     }
+    if (meetsOnLog) {
+      rendezvous.onTick(now);
+    }
     if (isReporter()) {
       checkpoints.onTick(log.checkpointVersion(), log.firstOffset(), now);
     }
@@ -200,7 +220,7 @@
   }
 
   private Heartbeat heartbeat(InForce counted) {
-    return new Heartbeat(self.instance(), round, replica.version(), log.logEnd(), counted);
+    return new Heartbeat(self.instance(), round, replica.version(), log.isReadable(), counted);
   }
 
   private void passDown(Heartbeat heartbeat) {
@@ -212,7 +232,7 @@
             heartbeat.reader(),
             heartbeat.round(),
             replica.version(),
-            heartbeat.logEnd(),
+            heartbeat.logReadable(),
             heartbeat.inForce());
     topology.zoneChildren().forEach(child -> outbox.send(child.controlAddress(), own));
   }
@@ -294,7 +314,7 @@
       passDown(heartbeat);
     }
     boolean behind = heartbeat.version() > replica.version();
-    boolean logMayBring = !ownRegion && log.logEnd() > 0;
+    boolean logMayBring = !ownRegion && log.isReadable();
     if (behind && !logMayBring && !repair.isAwaited(now)) {
       pullFrom(from, now);
     }
@@ -403,6 +423,10 @@
    */
   public void onLogBatch(
       Stream stream, long firstOffset, long nextOffset, List<LogRecord> records, Instant now) {
+    if (stream == Stream.RENDEZVOUS) {
+      rendezvous.onLogBatch(firstOffset, nextOffset, records, now);
+      return;
+    }
     long before = replica.version();
     List<LogRecord> found = log.onBatch(stream, firstOffset, nextOffset, records, now);
     if (replica.version() > before) {
@@ -426,7 +450,9 @@
    * @param now the time
    */
   public void onLogFailure(Stream stream, ErrorCode code, boolean wasAppend, Instant now) {
-    if (wasAppend) {
+    if (stream == Stream.RENDEZVOUS) {
+      rendezvous.onLogFailure(now);
+    } else if (wasAppend) {
       checkpoints.onFailure(now);
     } else {
       log.onFailure(stream, code, now);
@@ -441,6 +467,10 @@
    * @param now the time
    */
   public void onAppended(Stream stream, long offset, Instant now) {
-    checkpoints.onAppended(now);
+    if (stream == Stream.RENDEZVOUS) {
+      rendezvous.onAppended(now);
+    } else {
+      checkpoints.onAppended(now);
+    }
   }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadMessage.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadMessage.java
@@ -18,10 +18,10 @@
    * @param reader instance that reads the log
    * @param round number that the reader raises with each heartbeat
    * @param version configuration version of the sender
-   * @param logEnd end of the log as last seen by the reader, 0 if it can't read the log
+   * @param logReadable whether the reader can read the log
    * @param inForce what the region has in force, as far as the reader knows
    */
-  record Heartbeat(String reader, long round, long version, long logEnd, InForce inForce)
+  record Heartbeat(String reader, long round, long version, boolean logReadable, InForce inForce)
       implements SpreadMessage {
 
     /** Checks the fields. */
@@ -29,7 +29,6 @@
       notBlank(reader, "reader");
       notNegative(round, "round");
       notNegative(version, "version");
-      notNegative(logEnd, "logEnd");
       notNull(inForce, "inForce");
     }
   }
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/membership/VirtualMembers.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/membership/VirtualMembers.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,7 @@
   private final SplittableRandom random;
   private final List<Address> seeds = new ArrayList<>();
   private MembershipSettings settings = MembershipSettings.defaults();
+  private final Set<String> paused = new HashSet<>();
   private int started;
 
   VirtualMembers(long seed) {
@@ -63,11 +65,21 @@
 
   private void tick(String instance, MembershipEngine engine) {
     if (engines.get(instance) == engine) {
-      engine.onTick(network.now());
+      if (!paused.contains(instance)) {
+        engine.onTick(network.now());
+      }
       network.after(TICK, () -> tick(instance, engine));
     }
   }
 
+  void pause(String instance, boolean pause) {
+    if (pause) {
+      paused.add(instance);
+    } else {
+      paused.remove(instance);
+    }
+  }
+
   void crash(String instance) {
     MembershipEngine engine = engines.remove(instance);
     network.detach(engine.self().controlAddress());
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/spread/VirtualMesh.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/spread/VirtualMesh.java
@@ -46,6 +46,7 @@
   private final Map<String, Address> addresses = new LinkedHashMap<>();
   private final SplittableRandom random;
   private SpreadSettings settings = SpreadSettings.defaults();
+  private int seedCount = 4;
   private Predicate<Locality> logReachable = place -> true;
 
   VirtualMesh(long seed) {
@@ -54,6 +55,11 @@
     random = new SplittableRandom(seed);
   }
 
+  VirtualMesh withoutSeeds() {
+    seedCount = 0;
+    return this;
+  }
+
   VirtualMesh settings(SpreadSettings changed) {
     settings = changed;
     return this;
@@ -165,7 +171,7 @@
               Set.of(1),
               0,
               "");
-      List<Address> seeds = addresses.values().stream().limit(4).toList();
+      List<Address> seeds = addresses.values().stream().limit(seedCount).toList();
       membership =
           MembershipEngine.create(
               self,
@@ -184,6 +190,7 @@
               random.split(),
               settings,
               this);
+      spread.meetOnLog(membership::addSeed);
     }
 
     private void tick() {
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/control/SpreadCodec.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/control/SpreadCodec.java
@@ -59,7 +59,7 @@
         .setReader(heartbeat.reader())
         .setRound(heartbeat.round())
         .setVersion(heartbeat.version())
-        .setLogEnd(heartbeat.logEnd())
+        .setLogReadable(heartbeat.logReadable())
         .setReportedVersion(heartbeat.inForce().version())
         .setInForce(heartbeat.inForce().count())
         .setMembers(heartbeat.inForce().members())
@@ -120,7 +120,7 @@
         heartbeat.getReader(),
         heartbeat.getRound(),
         heartbeat.getVersion(),
-        heartbeat.getLogEnd(),
+        heartbeat.getLogReadable(),
         inForce);
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/spread/HeartbeatMessage.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/spread/HeartbeatMessage.java
@@ -105,15 +105,15 @@
     return version_;
   }
 
-  public static final int LOG_END_FIELD_NUMBER = 4;
-  private long logEnd_ = 0L;
+  public static final int LOG_READABLE_FIELD_NUMBER = 4;
+  private boolean logReadable_ = false;
   /**
-   * <code>uint64 log_end = 4;</code>
-   * @return The logEnd.
+   * <code>bool log_readable = 4;</code>
+   * @return The logReadable.
    */
   @java.lang.Override
-  public long getLogEnd() {
-    return logEnd_;
+  public boolean getLogReadable() {
+    return logReadable_;
   }
 
   public static final int REPORTED_VERSION_FIELD_NUMBER = 5;
@@ -172,8 +172,8 @@
     if (version_ != 0L) {
       output.writeUInt64(3, version_);
     }
-    if (logEnd_ != 0L) {
-      output.writeUInt64(4, logEnd_);
+    if (logReadable_ != false) {
+      output.writeBool(4, logReadable_);
     }
     if (reportedVersion_ != 0L) {
       output.writeUInt64(5, reportedVersion_);
@@ -204,9 +204,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, version_);
     }
-    if (logEnd_ != 0L) {
+    if (logReadable_ != false) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(4, logEnd_);
+        .computeBoolSize(4, logReadable_);
     }
     if (reportedVersion_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
@@ -241,8 +241,8 @@
         != other.getRound()) return false;
     if (getVersion()
         != other.getVersion()) return false;
-    if (getLogEnd()
-        != other.getLogEnd()) return false;
+    if (getLogReadable()
+        != other.getLogReadable()) return false;
     if (getReportedVersion()
         != other.getReportedVersion()) return false;
     if (getInForce()
@@ -268,9 +268,9 @@
     hash = (37 * hash) + VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getVersion());
-    hash = (37 * hash) + LOG_END_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getLogEnd());
+    hash = (37 * hash) + LOG_READABLE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getLogReadable());
     hash = (37 * hash) + REPORTED_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getReportedVersion());
@@ -412,7 +412,7 @@
       reader_ = "";
       round_ = 0L;
       version_ = 0L;
-      logEnd_ = 0L;
+      logReadable_ = false;
       reportedVersion_ = 0L;
       inForce_ = 0;
       members_ = 0;
@@ -459,7 +459,7 @@
         result.version_ = version_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.logEnd_ = logEnd_;
+        result.logReadable_ = logReadable_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.reportedVersion_ = reportedVersion_;
@@ -495,8 +495,8 @@
       if (other.getVersion() != 0L) {
         setVersion(other.getVersion());
       }
-      if (other.getLogEnd() != 0L) {
-        setLogEnd(other.getLogEnd());
+      if (other.getLogReadable() != false) {
+        setLogReadable(other.getLogReadable());
       }
       if (other.getReportedVersion() != 0L) {
         setReportedVersion(other.getReportedVersion());
@@ -549,7 +549,7 @@
               break;
             } // case 24
             case 32: {
-              logEnd_ = input.readUInt64();
+              logReadable_ = input.readBool();
               bitField0_ |= 0x00000008;
               break;
             } // case 32
@@ -721,34 +721,34 @@
       return this;
     }
 
-    private long logEnd_ ;
+    private boolean logReadable_ ;
     /**
-     * <code>uint64 log_end = 4;</code>
-     * @return The logEnd.
+     * <code>bool log_readable = 4;</code>
+     * @return The logReadable.
      */
     @java.lang.Override
-    public long getLogEnd() {
-      return logEnd_;
+    public boolean getLogReadable() {
+      return logReadable_;
     }
     /**
-     * <code>uint64 log_end = 4;</code>
-     * @param value The logEnd to set.
+     * <code>bool log_readable = 4;</code>
+     * @param value The logReadable to set.
      * @return This builder for chaining.
      */
-    public Builder setLogEnd(long value) {
+    public Builder setLogReadable(boolean value) {
 
-      logEnd_ = value;
+      logReadable_ = value;
       bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 log_end = 4;</code>
+     * <code>bool log_readable = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearLogEnd() {
+    public Builder clearLogReadable() {
       bitField0_ = (bitField0_ & ~0x00000008);
-      logEnd_ = 0L;
+      logReadable_ = false;
       onChanged();
       return this;
     }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/spread/HeartbeatMessageOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/spread/HeartbeatMessageOrBuilder.java
@@ -35,10 +35,10 @@
   long getVersion();
 
   /**
-   * <code>uint64 log_end = 4;</code>
-   * @return The logEnd.
+   * <code>bool log_readable = 4;</code>
+   * @return The logReadable.
    */
-  long getLogEnd();
+  boolean getLogReadable();
 
   /**
    * <code>uint64 reported_version = 5;</code>
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/spread/Spread.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/spread/Spread.java
@@ -83,22 +83,22 @@
       "llMessageH\000\0226\n\010progress\030\004 \001(\0132\".cuminlat" +
       "ch.spread.ProgressMessageH\000\022:\n\ncheckpoin" +
       "t\030\005 \001(\0132$.cuminlatch.spread.CheckpointMe" +
-      "ssageH\000B\t\n\007message\"\220\001\n\020HeartbeatMessage\022" +
+      "ssageH\000B\t\n\007message\"\225\001\n\020HeartbeatMessage\022" +
       "\016\n\006reader\030\001 \001(\t\022\r\n\005round\030\002 \001(\004\022\017\n\007versio" +
-      "n\030\003 \001(\004\022\017\n\007log_end\030\004 \001(\004\022\030\n\020reported_ver" +
-      "sion\030\005 \001(\004\022\020\n\010in_force\030\006 \001(\r\022\017\n\007members\030" +
-      "\007 \001(\r\"0\n\rRecordMessage\022\016\n\006offset\030\001 \001(\004\022\017" +
-      "\n\007content\030\002 \001(\014\"d\n\016RecordsMessage\022\017\n\007ver" +
-      "sion\030\001 \001(\004\0221\n\007records\030\002 \003(\0132 .cuminlatch" +
-      ".spread.RecordMessage\022\016\n\006pushed\030\003 \001(\010\"\033\n" +
-      "\013PullMessage\022\014\n\004from\030\001 \001(\004\"I\n\023VersionCou" +
-      "ntMessage\022\017\n\007version\030\001 \001(\004\022\022\n\nstate_hash" +
-      "\030\002 \001(\t\022\r\n\005count\030\003 \001(\r\"[\n\017ProgressMessage" +
-      "\022\020\n\010instance\030\001 \001(\t\0226\n\006counts\030\002 \003(\0132&.cum" +
-      "inlatch.spread.VersionCountMessage\"5\n\021Ch" +
-      "eckpointMessage\022\017\n\007version\030\001 \001(\004\022\017\n\007cont" +
-      "ent\030\002 \001(\014B$\n org.cuminlatch.wire.proto.s" +
-      "preadP\001b\006proto3"
+      "n\030\003 \001(\004\022\024\n\014log_readable\030\004 \001(\010\022\030\n\020reporte" +
+      "d_version\030\005 \001(\004\022\020\n\010in_force\030\006 \001(\r\022\017\n\007mem" +
+      "bers\030\007 \001(\r\"0\n\rRecordMessage\022\016\n\006offset\030\001 " +
+      "\001(\004\022\017\n\007content\030\002 \001(\014\"d\n\016RecordsMessage\022\017" +
+      "\n\007version\030\001 \001(\004\0221\n\007records\030\002 \003(\0132 .cumin" +
+      "latch.spread.RecordMessage\022\016\n\006pushed\030\003 \001" +
+      "(\010\"\033\n\013PullMessage\022\014\n\004from\030\001 \001(\004\"I\n\023Versi" +
+      "onCountMessage\022\017\n\007version\030\001 \001(\004\022\022\n\nstate" +
+      "_hash\030\002 \001(\t\022\r\n\005count\030\003 \001(\r\"[\n\017ProgressMe" +
+      "ssage\022\020\n\010instance\030\001 \001(\t\0226\n\006counts\030\002 \003(\0132" +
+      "&.cuminlatch.spread.VersionCountMessage\"" +
+      "5\n\021CheckpointMessage\022\017\n\007version\030\001 \001(\004\022\017\n" +
+      "\007content\030\002 \001(\014B$\n org.cuminlatch.wire.pr" +
+      "oto.spreadP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -115,7 +115,7 @@
     internal_static_cuminlatch_spread_HeartbeatMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_spread_HeartbeatMessage_descriptor,
-        new java.lang.String[] { "Reader", "Round", "Version", "LogEnd", "ReportedVersion", "InForce", "Members", });
+        new java.lang.String[] { "Reader", "Round", "Version", "LogReadable", "ReportedVersion", "InForce", "Members", });
     internal_static_cuminlatch_spread_RecordMessage_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_cuminlatch_spread_RecordMessage_fieldAccessorTable = new
--- a/cuminlatch-wire/src/test/java/org/cuminlatch/wire/control/ControlFrameCodecTests.java
+++ b/cuminlatch-wire/src/test/java/org/cuminlatch/wire/control/ControlFrameCodecTests.java
@@ -85,7 +85,7 @@
         new VersionNote("n1", 17),
         new FloorQuery("n1"),
         new FloorAnswer("n2", 17, 18),
-        new Heartbeat("n1", 3, 17, 18, new InForce(17, 5, 9)),
+        new Heartbeat("n1", 3, 17, true, new InForce(17, 5, 9)),
         new Records(17, List.of(logged), true),
         new Pull(3),
         new Progress("n1", List.of(new VersionCount(17, "deadbeef", 4))),
