--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.cuminlatch.bench.spread.SpreadExperiment;
 import org.cuminlatch.bench.move.MoveExperiment;
+import org.cuminlatch.bench.spread.SpreadExperiment;
 
 /** All experiments that the bench can run. */
 final class Experiments {
