--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Address.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Address.java
@@ -3,6 +3,8 @@
 import static org.cuminlatch.core.Preconditions.check;
 import static org.cuminlatch.core.Preconditions.notBlank;
 
+import java.util.regex.Pattern;
+
 /**
  * IP number and port of an instance.
  *
@@ -14,6 +16,8 @@
   /** Largest port. */
   public static final int MAX_PORT = 65_535;
 
+  private static final Pattern PORT = Pattern.compile("\\d{1,5}");
+
   /** Checks the fields. */
   public Address {
     notBlank(host, "host");
@@ -32,7 +36,7 @@
     int colon = text.lastIndexOf(':');
     check(colon > 0, "address", "must have the form host:port but is \"" + text + "\"");
     String port = text.substring(colon + 1);
-    check(port.matches("\\d{1,5}"), "address", "must end with a port but is \"" + text + "\"");
+    check(PORT.matcher(port).matches(), "address", "must end with a port but is \"" + text + "\"");
     return new Address(text.substring(0, colon), Integer.parseInt(port));
   }
 
