Count a target's cold start from when it begins to serve

Cause: the cold start was counted from the first call at a target, so that in a short move the first 10 s of a new version's traffic were all cold and the judge, which gives cold failures the benefit of the doubt, raised a version that failed every second call. Ruled out: a lower bound for cold failures; it would make a slow cold start badness.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/OutcomeReport.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/OutcomeReport.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.function.Supplier;
 import org.cuminlatch.core.membership.Member;
+import org.cuminlatch.core.membership.Member.Phase;
 import org.cuminlatch.core.move.CallObserver;
 import org.cuminlatch.core.move.CallOutcome;
 import org.cuminlatch.core.move.CallOutcome.Result;
@@ -51,11 +52,17 @@
             isCold()));
   }
 
-  private boolean isCold() {
-    Instant now = clock.instant();
-    if (servingSince == null) {
+  /** Notices when the target begins to serve; its cold start counts from then. */
+  void followTarget(Instant now) {
+    if (self.get().phase() != Phase.SERVING) {
+      servingSince = null;
+    } else if (servingSince == null) {
       servingSince = now;
     }
-    return now.isBefore(servingSince.plus(COLD_START));
+  }
+
+  private boolean isCold() {
+    Instant since = servingSince;
+    return since == null || clock.instant().isBefore(since.plus(COLD_START));
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/TargetGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/TargetGate.java
@@ -348,6 +348,7 @@
 
   /** Ends attempts whose time has passed or whose caller's node is gone. */
   void sweep(Instant now) {
+    outcomes.followTarget(now);
     List<Runnable> effects = new ArrayList<>();
     List<RunningAttempt> late;
     List<RunningAttempt> orphans;
