--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/SimulatedMesh.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/SimulatedMesh.java
@@ -72,7 +72,8 @@
     int number = nodes.size() + 1;
     String instance = profile.service() + "-" + number;
     Member member =
-        SimulatedNode.member(instance, number, zone, profile.service(), version, profile.slots());
+        SimulatedNode.announcement(
+            instance, number, zone, profile.service(), version, profile.slots());
     int error = random.nextInt(-MAX_CLOCK_ERROR_MILLIS, MAX_CLOCK_ERROR_MILLIS + 1);
     SimulatedNode[] self = new SimulatedNode[1];
     self[0] =
--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/SimulatedNode.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/SimulatedNode.java
@@ -47,7 +47,7 @@
     start();
   }
 
-  static Member member(
+  static Member announcement(
       String instance,
       int port,
       ServiceProfile.Zone zone,
@@ -123,10 +123,6 @@
     engine.onMessage(from, (EvidenceMessage) message, now.plus(clockError));
   }
 
-  Member member() {
-    return member;
-  }
-
   MoveEngine engine() {
     return engine;
   }
@@ -144,6 +140,10 @@
     return members;
   }
 
+  Member member() {
+    return member;
+  }
+
   @Override
   public Optional<Member> member(String instance) {
     return Optional.ofNullable(membersByName.get(instance));
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/call/IdempotencyKeyTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/call/IdempotencyKeyTests.java
@@ -103,7 +103,7 @@
 
       HttpResponse<String> again = book(other, key);
       mesh.advance(WHILE);
-      HttpResponse<String> fresh = book(other, newKey());
+      final HttpResponse<String> fresh = book(other, newKey());
 
       assertThat(first.statusCode(), is(200));
       assertThat(CallMesh.reason(again), is("key-in-doubt"));
