--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/move/MeshFixture.java
+++ b/cuminlatch-bench/src/test/java/org/cuminlatch/bench/move/MeshFixture.java
@@ -145,13 +145,13 @@
               "stock",
               SERVICE.service(),
               fresh ? "2" : "1",
-              result(node, fresh),
+              resultOf(node, fresh),
               fresh ? newLatency : LATENCY,
               fresh && newIsCold));
     }
   }
 
-  private CallOutcome.Result result(int node, boolean fresh) {
+  private CallOutcome.Result resultOf(int node, boolean fresh) {
     String region = mesh.node(node).member().locality().region();
     boolean spared = failingRegion.isPresent() && !failingRegion.get().equals(region);
     double failures = fresh ? (spared ? 0 : newFailures) : oldFailures;
