Show the control thread's processor time and the nodes' resident memory in the demo

Cause: the limits for control (1.1 % of a core, 128 MB, 3 KB/s) were not observed on real processes.

--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/demo/DemoReportMain.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/demo/DemoReportMain.java
@@ -41,6 +41,12 @@
   @Option(name = "--control-bytes", usage = "control bytes of a node, in and out; repeatable")
   private List<Long> controlBytes = new ArrayList<>();
 
+  @Option(name = "--control-cpu-micros", usage = "time of a node's control thread; repeatable")
+  private List<Long> controlCpuMicros = new ArrayList<>();
+
+  @Option(name = "--resident-kilobytes", usage = "resident memory of a node; repeatable")
+  private List<Long> residentKilobytes = new ArrayList<>();
+
   @Option(name = "--seconds", required = true, usage = "length of the demo")
   private long seconds;
 
@@ -85,6 +91,9 @@
     System.out.printf(
         "%ncontrol bytes a node, in and out: %.0f B/s over %d s%n",
         figures.controlBytesPerSecond(), figures.seconds());
+    System.out.printf(
+        "control thread of a node: %.2f %% of a core, start included; largest node: %.0f MB%n",
+        100 * figures.controlCpuShare(), figures.largestResidentMegabytes());
     System.out.printf(
         "latency of whole answers during the moves: p50 %d us, p99 %d us%n",
         load.path("p50Micros").asLong(), load.path("p99Micros").asLong());
@@ -99,6 +108,8 @@
         runsAfterDrain,
         runsAtEnd,
         controlBytes,
+        controlCpuMicros,
+        residentKilobytes,
         seconds);
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
@@ -2,6 +2,7 @@
 
 import static org.cuminlatch.core.Preconditions.notNull;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -51,6 +52,7 @@
   private static final Logger LOG = LogManager.getLogger(ControlPlane.class);
   private static final Duration TICK = Duration.ofMillis(100);
   private static final Duration REGION_REFRESH = Duration.ofSeconds(1);
+  private static final long NANOS_PER_MICRO = 1_000;
 
   private final Member announced;
   private final InstantSource clock;
@@ -137,6 +139,8 @@
     notNull(settings, "settings");
     ControlPlane plane = new ControlPlane(settings, log, ControlThread.start(), clock, random);
     TransportMetrics.register(metrics, plane.transport.counters());
+    Gauge<Long> cpuMicros = () -> plane.thread.cpuTime().toNanos() / NANOS_PER_MICRO;
+    metrics.gauge("control.cpu-micros", () -> cpuMicros);
     plane.thread.every(TICK, plane::tick);
     plane.thread.every(REGION_REFRESH, () -> plane.regions.refresh(plane.membership.members()));
     return plane;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlThread.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlThread.java
@@ -2,6 +2,7 @@
 
 import static org.cuminlatch.core.Preconditions.notNull;
 
+import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -9,6 +10,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -24,9 +26,11 @@
   private static final long STOP_SECONDS = 2;
 
   private final ScheduledExecutorService executor;
+  private final AtomicLong threadId;
 
-  private ControlThread(ScheduledExecutorService executor) {
+  private ControlThread(ScheduledExecutorService executor, AtomicLong threadId) {
     this.executor = executor;
+    this.threadId = threadId;
   }
 
   /**
@@ -35,8 +39,15 @@
    * @return the running thread
    */
   public static ControlThread start() {
-    return new ControlThread(
-        Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "control")));
+    AtomicLong threadId = new AtomicLong();
+    ScheduledExecutorService executor =
+        Executors.newSingleThreadScheduledExecutor(
+            task -> {
+              Thread thread = new Thread(task, "control");
+              threadId.set(thread.getId());
+              return thread;
+            });
+    return new ControlThread(executor, threadId);
   }
 
   @Override
@@ -83,6 +94,16 @@
     return CompletableFuture.supplyAsync(supplier, executor);
   }
 
+  /**
+   * Returns the processor time that the thread has used.
+   *
+   * @return the time, zero where the platform does not measure it
+   */
+  public Duration cpuTime() {
+    long nanos = ManagementFactory.getThreadMXBean().getThreadCpuTime(threadId.get());
+    return Duration.ofNanos(Math.max(nanos, 0));
+  }
+
   @Override
   public void close() {
     executor.shutdown();
