Let the load generator read the nodes' own word on what was not run

Cause: nodes say x-cuminlatch-outcome, the generator looked for the targets' header only, so that refusals counted as other and their truth was not audited.

--- a/cuminlatch-testkit/src/main/java/org/cuminlatch/testkit/load/LoadGenerator.java
+++ b/cuminlatch-testkit/src/main/java/org/cuminlatch/testkit/load/LoadGenerator.java
@@ -22,7 +22,8 @@
 public final class LoadGenerator {
 
   private static final String REQUEST_ID = "x-request-id";
-  private static final String NOT_RUN = "x-cuminlatch-not-run";
+  private static final String TARGET_REFUSED = "x-cuminlatch-not-run";
+  private static final String OUTCOME = "x-cuminlatch-outcome";
   private static final String VERSION = "x-target-version";
   private static final int OK = 200;
   private static final int BAD_GATEWAY = 502;
@@ -119,13 +120,20 @@
     if (answer.statusCode() == OK) {
       return Arrays.equals(answer.body(), wanted) ? Outcome.OK : Outcome.WRONG_ANSWER;
     }
-    if (answer.headers().firstValue(NOT_RUN).filter("true"::equals).isPresent()) {
+    if (says(answer, TARGET_REFUSED, "true") || says(answer, OUTCOME, "not-run")) {
       return Outcome.NOT_RUN;
     }
+    if (says(answer, OUTCOME, "unknown")) {
+      return Outcome.UNKNOWN;
+    }
     boolean unknown = answer.statusCode() == BAD_GATEWAY || answer.statusCode() == GATEWAY_TIMEOUT;
     return unknown ? Outcome.UNKNOWN : Outcome.OTHER;
   }
 
+  private static boolean says(HttpResponse<byte[]> answer, String header, String value) {
+    return answer.headers().firstValue(header).filter(value::equals).isPresent();
+  }
+
   private byte[] wanted(String id, String path, boolean post) {
     byte[] prefix = (id + "\n").getBytes(UTF_8);
     if (path.matches("/.*bytes/\\d{1,8}")) {
