--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.cuminlatch.bench.config.ConfigurationCost;
 import org.cuminlatch.bench.move.MoveExperiment;
 
 /** All experiments that the bench can run. */
@@ -13,6 +14,7 @@
   static {
     ALL.add(new CallerExperiment());
     ALL.add(new MoveExperiment());
+    ALL.add(new ConfigurationCost());
   }
 
   private Experiments() {}
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/CheckpointCodec.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/CheckpointCodec.java
@@ -11,6 +11,14 @@
    */
   Bytes encode(LedgerState state);
 
+  /**
+   * Encodes one resource; the state hash is taken over these bytes.
+   *
+   * @param resource the resource
+   * @return the bytes
+   */
+  Bytes encodeResource(StoredResource resource);
+
   /**
    * Decodes a state.
    *
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/FoldingReplica.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/FoldingReplica.java
@@ -22,16 +22,16 @@
   private final Consumer<FoldEvent> events;
   private final RecordRules rules;
   private final RetainedRecords retained = new RetainedRecords();
-  private Ledger ledger = new Ledger();
+  private Ledger ledger;
   private RouteReader routes;
   private long version;
-  private Bytes encodedState;
   private Snapshot snapshot;
 
   FoldingReplica(ReplicaCodecs codecs, Set<Integer> schemaVersions, Consumer<FoldEvent> events) {
     this.codecs = codecs;
     this.schemaVersions = Set.copyOf(schemaVersions);
     this.events = events;
+    this.ledger = new Ledger(codecs.checkpoints());
     this.rules = new RecordRules(codecs.bodies());
     this.routes = new RouteReader(codecs.bodies(), schemaVersions);
   }
@@ -77,7 +77,7 @@
 
   @Override
   public Bytes checkpoint() {
-    return CheckpointFrame.wrap(encodedState());
+    return CheckpointFrame.wrap(codecs.checkpoints().encode(ledger.state(version)));
   }
 
   @Override
@@ -91,7 +91,6 @@
     ledger = restored;
     routes = reader;
     version = state.version();
-    encodedState = null;
     snapshot = null;
     retained.clear();
     routesOnLedger().forEach(this::readRoute);
@@ -100,7 +99,6 @@
 
   private void foldOne(LogRecord record) {
     version = record.offset() + 1;
-    encodedState = null;
     snapshot = null;
     retained.add(record);
     Optional<RecordEnvelope> envelope = Optional.empty();
@@ -177,13 +175,6 @@
     return new ResourceStatus(stored.version(), readable ? stored.version() : 0);
   }
 
-  private Bytes encodedState() {
-    if (encodedState == null) {
-      encodedState = codecs.checkpoints().encode(ledger.state(version));
-    }
-    return encodedState;
-  }
-
   private Snapshot buildSnapshot() {
     Map<String, Route> readable = new HashMap<>();
     Map<ResourceKey, ResourceStatus> statuses = new HashMap<>();
@@ -197,12 +188,7 @@
               routes.reading(name).ifPresent(reading -> readable.put(name, reading.route()));
             });
     return new Snapshot(
-        version,
-        StateHash.text(encodedState()),
-        readable,
-        ledger.services(),
-        ledger.moves(),
-        statuses);
+        version, ledger.hash(version), readable, ledger.services(), ledger.moves(), statuses);
   }
 
   private List<StoredResource> routesOnLedger() {
@@ -213,7 +199,7 @@
 
   private Ledger rebuild(LedgerState state) {
     try {
-      return Ledger.of(state, codecs.bodies());
+      return Ledger.of(state, codecs.bodies(), codecs.checkpoints());
     } catch (CuminlatchException
         | IllegalArgumentException
         | ClassCastException
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Ledger.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Ledger.java
@@ -1,6 +1,7 @@
 package org.cuminlatch.core.config;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -21,9 +22,18 @@
 final class Ledger {
 
   private final TreeMap<ResourceKey, StoredResource> resources = new TreeMap<>();
+  private final TreeMap<ResourceKey, byte[]> digests = new TreeMap<>();
+  private final Map<String, Integer> counts = new HashMap<>();
   private final TreeMap<String, ServiceState> services = new TreeMap<>();
   private final Map<String, MoveState> moves = new HashMap<>();
+  private final TreeMap<String, Move> openMoves = new TreeMap<>();
+  private final TreeMap<Long, String> endedMoves = new TreeMap<>();
   private final LinkedHashSet<String> recordIds = new LinkedHashSet<>();
+  private final CheckpointCodec codec;
+
+  Ledger(CheckpointCodec codec) {
+    this.codec = codec;
+  }
 
   Optional<StoredResource> resource(ResourceKey key) {
     return Optional.ofNullable(resources.get(key));
@@ -49,11 +59,18 @@
     return moves;
   }
 
+  /** Returns the open moves in the order of their names. */
+  Collection<Move> openMoves() {
+    return openMoves.values();
+  }
+
   Stream<Move> openMoves(String service) {
-    return moves.values().stream()
-        .filter(MoveState::isOpen)
-        .map(MoveState::move)
-        .filter(move -> move.service().equals(service));
+    return openMoves.values().stream().filter(move -> move.service().equals(service));
+  }
+
+  /** Returns the ended moves, those that ended first before the others. */
+  Collection<String> endedMoves() {
+    return endedMoves.values();
   }
 
   boolean exists(ResourceKey key) {
@@ -69,15 +86,15 @@
         .anyMatch(resource -> resource.refersTo(key));
   }
 
-  long count(String kind) {
-    ResourceKey first = new ResourceKey(kind, "\u0001");
-    return resources.tailMap(first).keySet().stream()
-        .takeWhile(key -> key.kind().equals(kind))
-        .count();
+  int count(String kind) {
+    return counts.getOrDefault(kind, 0);
   }
 
-  long countExtensions() {
-    return resources.keySet().stream().filter(key -> RecordKinds.isExtension(key.kind())).count();
+  int countExtensions() {
+    return counts.entrySet().stream()
+        .filter(entry -> RecordKinds.isExtension(entry.getKey()))
+        .mapToInt(Map.Entry::getValue)
+        .sum();
   }
 
   boolean remembers(String recordId) {
@@ -92,26 +109,50 @@
   }
 
   void put(StoredResource resource) {
-    resources.put(resource.key(), resource);
+    if (resources.put(resource.key(), resource) == null) {
+      counts.merge(resource.key().kind(), 1, Integer::sum);
+    }
+    digests.put(resource.key(), StateHash.digest(codec.encodeResource(resource).toArray()));
   }
 
   void remove(ResourceKey key) {
-    resources.remove(key);
+    if (resources.remove(key) != null) {
+      counts.computeIfPresent(key.kind(), (kind, count) -> count > 1 ? count - 1 : null);
+    }
+    digests.remove(key);
   }
 
   void putService(ServiceState service) {
     services.put(service.service(), service);
   }
 
-  void putMove(MoveState move) {
-    moves.put(move.move().name(), move);
+  void putMove(MoveState state) {
+    String name = state.move().name();
+    moves.put(name, state);
+    if (state.isOpen()) {
+      openMoves.put(name, state.move());
+    } else {
+      openMoves.remove(name);
+      endedMoves.put(endedAt(name), name);
+    }
   }
 
-  void removeMove(String name) {
+  void removeEndedMove(String name) {
+    endedMoves.remove(endedAt(name));
     moves.remove(name);
-    resources.remove(ResourceKey.move(name));
-    resources.remove(new ResourceKey(RecordKinds.MOVE_STOP, name));
-    resources.remove(new ResourceKey(RecordKinds.MOVE_OUTCOME, name));
+    remove(ResourceKey.move(name));
+    remove(new ResourceKey(RecordKinds.MOVE_STOP, name));
+    remove(new ResourceKey(RecordKinds.MOVE_OUTCOME, name));
+  }
+
+  /** Returns the hash over the whole state at a version, from the digests of its resources. */
+  String hash(long version) {
+    StateHash hash = new StateHash();
+    hash.add(version);
+    digests.values().forEach(hash::add);
+    services.values().forEach(service -> addTo(hash, assignment(service)));
+    recordIds.forEach(hash::add);
+    return hash.text();
   }
 
   LedgerState state(long version) {
@@ -127,11 +168,12 @@
    *
    * @param state the state of a checkpoint
    * @param bodies decoder of the base bodies
+   * @param codec encoder of the resources
    * @return the ledger
    * @throws RuntimeException if the state contradicts itself
    */
-  static Ledger of(LedgerState state, BodyDecoder bodies) {
-    Ledger ledger = new Ledger();
+  static Ledger of(LedgerState state, BodyDecoder bodies, CheckpointCodec codec) {
+    Ledger ledger = new Ledger(codec);
     state.resources().forEach(ledger::put);
     ledger.recordIds.addAll(state.recordIds());
     ledger.restoreServices(state.services(), bodies);
@@ -167,6 +209,10 @@
     }
   }
 
+  private long endedAt(String move) {
+    return resources.get(new ResourceKey(RecordKinds.MOVE_OUTCOME, move)).version();
+  }
+
   private List<StoredResource> ofKind(String kind) {
     return resources.values().stream()
         .filter(resource -> resource.key().kind().equals(kind))
@@ -177,6 +223,16 @@
     return bodies.decode(resource.key().kind(), resource.baseBody().orElseThrow());
   }
 
+  private static void addTo(StateHash hash, ServiceAssignment service) {
+    hash.add(service.service());
+    hash.add(service.current());
+    hash.add(service.routes().size());
+    for (RouteAssignment route : service.routes()) {
+      hash.add(route.route());
+      hash.add(route.current());
+    }
+  }
+
   private static ServiceAssignment assignment(ServiceState service) {
     List<RouteAssignment> routes = new ArrayList<>();
     for (String route : new TreeSet<>(service.currentByRoute().keySet())) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/MoveRules.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/MoveRules.java
@@ -3,7 +3,6 @@
 import static org.cuminlatch.core.config.RefusalException.refuseUnless;
 
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -127,7 +126,6 @@
     ledger
         .openMoves(move.service())
         .filter(other -> overlap(move, other))
-        .sorted(Comparator.comparing(Move::name))
         .findFirst()
         .ifPresent(
             other -> {
@@ -157,9 +155,8 @@
   }
 
   private static void checkCount(Ledger ledger) {
-    long open = ledger.moves().values().stream().filter(MoveState::isOpen).count();
     refuseUnless(
-        open < FoldLimits.MAX_OPEN_MOVES,
+        ledger.openMoves().size() < FoldLimits.MAX_OPEN_MOVES,
         RefusalReason.LIMIT_EXCEEDED,
         "the configuration holds " + FoldLimits.MAX_OPEN_MOVES + " open moves already");
   }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RecordApplier.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RecordApplier.java
@@ -142,19 +142,8 @@
   }
 
   private void dropOldestEnded() {
-    List<String> ended =
-        ledger.moves().values().stream()
-            .filter(state -> !state.isOpen())
-            .map(state -> state.move().name())
-            .sorted(Comparator.comparingLong(this::endedAt))
-            .toList();
-    if (ended.size() > FoldLimits.MAX_ENDED_MOVES) {
-      ledger.removeMove(ended.get(0));
+    if (ledger.endedMoves().size() > FoldLimits.MAX_ENDED_MOVES) {
+      ledger.removeEndedMove(ledger.endedMoves().iterator().next());
     }
   }
-
-  private long endedAt(String move) {
-    ResourceKey key = new ResourceKey(RecordKinds.MOVE_OUTCOME, move);
-    return ledger.resource(key).map(StoredResource::version).orElse(0L);
-  }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RouteRules.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RouteRules.java
@@ -61,9 +61,7 @@
   }
 
   private static List<Move> openMoveOf(String route, Ledger ledger) {
-    return ledger.moves().values().stream()
-        .filter(MoveState::isOpen)
-        .map(MoveState::move)
+    return ledger.openMoves().stream()
         .filter(move -> move.route().filter(route::equals).isPresent())
         .toList();
   }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/StateHash.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/StateHash.java
@@ -1,10 +1,12 @@
 package org.cuminlatch.core.config;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 
-/** SHA-256 (FIPS 180-4) over an encoded state. */
+/** Hash over a state: SHA-256 (FIPS 180-4) over its parts, each after its length. */
 final class StateHash {
 
   /** Length of a digest in bytes. */
@@ -12,23 +14,39 @@
 
   private static final int TEXT_BYTES = 16;
 
-  private StateHash() {}
+  private final MessageDigest digest = sha256();
 
   static byte[] digest(byte[] content) {
-    try {
-      return MessageDigest.getInstance("SHA-256").digest(content);
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every JDK has SHA-256", e);
-    }
+    return sha256().digest(content);
+  }
+
+  void add(long number) {
+    digest.update(ByteBuffer.allocate(Long.BYTES).putLong(0, number));
+  }
+
+  void add(byte[] part) {
+    add(part.length);
+    digest.update(part);
+  }
+
+  void add(String part) {
+    add(part.getBytes(StandardCharsets.UTF_8));
   }
 
   /**
    * Returns the hash as text, cut to 128 bits to spare bytes in heartbeats.
    *
-   * @param state the encoded state
    * @return hexadecimal digits
    */
-  static String text(Bytes state) {
-    return HexFormat.of().formatHex(digest(state.toArray()), 0, TEXT_BYTES);
+  String text() {
+    return HexFormat.of().formatHex(digest.digest(), 0, TEXT_BYTES);
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every JDK has SHA-256", e);
+    }
   }
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/config/LedgerCodec.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/config/LedgerCodec.java
@@ -26,6 +26,11 @@
     return Bytes.copyOf(builder.build().toByteArray());
   }
 
+  @Override
+  public Bytes encodeResource(StoredResource resource) {
+    return Bytes.copyOf(message(resource).toByteArray());
+  }
+
   @Override
   public LedgerState decode(Bytes content) {
     return StrictParsing.invalidCheckpointUnless(() -> parse(content));
--- a/cuminlatch-wire/src/test/java/org/cuminlatch/wire/config/SchemaVersionsTests.java
+++ b/cuminlatch-wire/src/test/java/org/cuminlatch/wire/config/SchemaVersionsTests.java
@@ -16,6 +16,7 @@
 import org.cuminlatch.core.config.CallLimits;
 import org.cuminlatch.core.config.FoldEvent;
 import org.cuminlatch.core.config.RecordEnvelope;
+import org.cuminlatch.core.config.RefusalReason;
 import org.cuminlatch.core.config.ResourceKey;
 import org.cuminlatch.core.config.ResourceStatus;
 import org.cuminlatch.core.config.Route;
@@ -151,6 +152,25 @@
       assertThat(newNode.snapshot().stateHash(), is(oldNode.snapshot().stateHash()));
     }
 
+    @Test
+    void takeNoBodyWithFieldThatItsSchemaVersionDoesNotHave() {
+      Route route = Samples.stickyRoute("orders", "/orders");
+      append(Samples.routeRecord("r1", "orders", withUnknownField(Samples.bodyV2(route))));
+      assertThat(routeOn(newNode), is(Optional.empty()));
+      append(Samples.routeRecord("r2", "orders", withUnknownField(Samples.bodyV1(route))));
+      assertThat(newNode.verdict(2), is(Optional.of(RefusalReason.MALFORMED)));
+      assertThat(oldNode.decisions(), equalTo(newNode.decisions()));
+    }
+
+    private SchemaBody withUnknownField(SchemaBody body) {
+      byte[] content = body.content().toArray();
+      byte[] longer = Arrays.copyOf(content, content.length + 3);
+      longer[content.length] = (byte) 0xF8;
+      longer[content.length + 1] = 0x06;
+      longer[content.length + 2] = 1;
+      return new SchemaBody(body.schemaVersion(), Bytes.copyOf(longer));
+    }
+
     private SchemaBody cut(SchemaBody body) {
       byte[] content = body.content().toArray();
       byte[] half = Arrays.copyOf(content, content.length - 3);
