--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadEngine.java
@@ -6,6 +6,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.Bytes;
 import org.cuminlatch.core.config.ConfigurationReplica;
@@ -51,11 +52,16 @@
   private final CheckpointWriting checkpoints;
   private final PullRepair repair;
   private final ReaderWatch watch;
+  private final LogRendezvous rendezvous;
   private final ProgressCount progress = new ProgressCount();
   private final ByteBudget budget;
+  private VersionCount counted;
+  private Checkpoint encoded;
   private List<VersionCount> sentCounts = List.of();
   private Instant progressSentAt = Instant.EPOCH;
   private Instant nextHeartbeat = Instant.EPOCH;
+  private Consumer<Address> contact = address -> {};
+  private boolean meetsOnLog;
   private long round;
   private boolean started;
   private InForce inForce = InForce.UNKNOWN;
@@ -80,6 +86,9 @@
     this.checkpoints = new CheckpointWriting(replica, requests, settings, random);
     this.repair = new PullRepair(view, self, settings, random);
     this.watch = new ReaderWatch(settings, random);
+    this.rendezvous =
+        LogRendezvous.create(
+            self, view, address -> contact.accept(address), this::isReporter, requests, random);
     this.budget = ByteBudget.of(settings.bytesPerSecond(), settings.burstBytes());
   }
 
@@ -140,7 +149,7 @@
    * @return true for the first of the regions' readers that can reach the log
    */
   public boolean isReporter() {
-    if (!topology.isReader() || log.logEnd() == 0) {
+    if (!topology.isReader() || !log.isReadable()) {
       return false;
     }
     for (Member reader : topology.readers()) {
@@ -154,6 +163,16 @@
     return false;
   }
 
+  /**
+   * Lets this instance, while it knows no other, look for some by a stream on the log.
+   *
+   * @param contact takes addresses to join by
+   */
+  public void meetOnLog(Consumer<Address> contact) {
+    this.contact = notNull(contact, "contact");
+    this.meetsOnLog = true;
+  }
+
   @Override
   public void onTick(Instant now) {
     if (!started) {
@@ -161,13 +180,16 @@
       log.waitUpTo(settings.startGrace(), now);
       watch.start(now);
     }
-    topology.refresh();
+    topology.refresh(now);
     repair
         .due(replica.version(), topology.isHead(), now)
         .ifPresent(peer -> pullFrom(peer.controlAddress(), now));
     if (watch.mayRead(topology.standbyRank(), now)) {
       log.advance(now);
     }
+    if (meetsOnLog) {
+      rendezvous.onTick(now);
+    }
     if (isReporter()) {
       checkpoints.onTick(log.checkpointVersion(), log.firstOffset(), now);
     }
@@ -198,7 +220,7 @@
   }
 
   private Heartbeat heartbeat(InForce counted) {
-    return new Heartbeat(self.instance(), round, replica.version(), log.logEnd(), counted);
+    return new Heartbeat(self.instance(), round, replica.version(), log.isReadable(), counted);
   }
 
   private void passDown(Heartbeat heartbeat) {
@@ -210,7 +232,7 @@
             heartbeat.reader(),
             heartbeat.round(),
             replica.version(),
-            heartbeat.logEnd(),
+            heartbeat.logReadable(),
             heartbeat.inForce());
     topology.zoneChildren().forEach(child -> outbox.send(child.controlAddress(), own));
   }
@@ -220,9 +242,12 @@
   }
 
   private VersionCount ownCount() {
-    String hash = replica.snapshot().stateHash();
-    String abbreviated = hash.length() <= HASH_LENGTH ? hash : hash.substring(0, HASH_LENGTH);
-    return new VersionCount(replica.version(), abbreviated, 1);
+    if (counted == null || counted.version() != replica.version()) {
+      String hash = replica.snapshot().stateHash();
+      String abbreviated = hash.length() <= HASH_LENGTH ? hash : hash.substring(0, HASH_LENGTH);
+      counted = new VersionCount(replica.version(), abbreviated, 1);
+    }
+    return counted;
   }
 
   private InForce inRegion(List<VersionCount> counts) {
@@ -269,8 +294,8 @@
       onRecords(from, records, now);
     } else if (message instanceof Pull pull) {
       onPull(from, pull, now);
-    } else if (message instanceof Progress counted) {
-      progress.onProgress(counted, now);
+    } else if (message instanceof Progress report) {
+      progress.onProgress(report, now);
     } else if (message instanceof Checkpoint checkpoint) {
       onCheckpoint(checkpoint);
     }
@@ -289,7 +314,7 @@
       passDown(heartbeat);
     }
     boolean behind = heartbeat.version() > replica.version();
-    boolean logMayBring = !ownRegion && log.logEnd() > 0;
+    boolean logMayBring = !ownRegion && log.isReadable();
     if (behind && !logMayBring && !repair.isAwaited(now)) {
       pullFrom(from, now);
     }
@@ -363,12 +388,19 @@
       }
       return;
     }
-    Bytes checkpoint = replica.checkpoint();
+    Bytes checkpoint = checkpoint();
     if (budget.tryTake(checkpoint.length(), now)) {
       outbox.send(from, new Checkpoint(replica.version(), checkpoint));
     }
   }
 
+  private Bytes checkpoint() {
+    if (encoded == null || encoded.version() != replica.version()) {
+      encoded = new Checkpoint(replica.version(), replica.checkpoint());
+    }
+    return encoded.content();
+  }
+
   private void onCheckpoint(Checkpoint checkpoint) {
     repair.answered();
     try {
@@ -391,6 +423,10 @@
    */
   public void onLogBatch(
       Stream stream, long firstOffset, long nextOffset, List<LogRecord> records, Instant now) {
+    if (stream == Stream.RENDEZVOUS) {
+      rendezvous.onLogBatch(firstOffset, nextOffset, records, now);
+      return;
+    }
     long before = replica.version();
     List<LogRecord> found = log.onBatch(stream, firstOffset, nextOffset, records, now);
     if (replica.version() > before) {
@@ -414,7 +450,9 @@
    * @param now the time
    */
   public void onLogFailure(Stream stream, ErrorCode code, boolean wasAppend, Instant now) {
-    if (wasAppend) {
+    if (stream == Stream.RENDEZVOUS) {
+      rendezvous.onLogFailure(now);
+    } else if (wasAppend) {
       checkpoints.onFailure(now);
     } else {
       log.onFailure(stream, code, now);
@@ -429,6 +467,10 @@
    * @param now the time
    */
   public void onAppended(Stream stream, long offset, Instant now) {
-    checkpoints.onAppended(now);
+    if (stream == Stream.RENDEZVOUS) {
+      rendezvous.onAppended(now);
+    } else {
+      checkpoints.onAppended(now);
+    }
   }
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/control/ControlFrameCodec.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/control/ControlFrameCodec.java
@@ -34,6 +34,8 @@
   private final List<PayloadCodec<?>> codecs;
   private final Map<Protocol, PayloadCodec<?>> byProtocol = new EnumMap<>(Protocol.class);
 
+  private final Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+
   private ControlFrameCodec(String mesh, List<PayloadCodec<?>> codecs) {
     this.mesh = mesh;
     this.codecs = codecs;
@@ -143,17 +145,13 @@
     }
   }
 
-  private static byte[] deflate(byte[] payload) {
-    Deflater deflater = new Deflater(Deflater.BEST_SPEED);
-    try {
-      deflater.setInput(payload);
-      deflater.finish();
-      byte[] deflated = new byte[payload.length];
-      int length = deflater.deflate(deflated);
-      return deflater.finished() ? Arrays.copyOf(deflated, length) : payload;
-    } finally {
-      deflater.end();
-    }
+  private synchronized byte[] deflate(byte[] payload) {
+    deflater.reset();
+    deflater.setInput(payload);
+    deflater.finish();
+    byte[] deflated = new byte[payload.length];
+    int length = deflater.deflate(deflated);
+    return deflater.finished() ? Arrays.copyOf(deflated, length) : payload;
   }
 
   private static byte[] inflate(byte[] deflated, String peer) {
