--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/RoutesCommand.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/RoutesCommand.java
@@ -1,6 +1,11 @@
 package org.cuminlatch.cli;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.cuminlatch.core.config.ResourceKey;
 
 /** Lists the routes and services in force on a node. */
 final class RoutesCommand extends NodeCommand {
@@ -14,8 +19,10 @@
   void print(JsonNode page, Console console) {
     console.out().println("configuration version " + JsonTables.text(page.path("version")));
     JsonTables.of(
-            JsonTables.elements(page.path("routes")),
+            withVersions(page),
             "ROUTE=name",
+            "VERSION=status.version",
+            "IN FORCE=status.versionInForce",
             "HOST=host",
             "PATH=pathPrefix",
             "HEADERS=headers",
@@ -33,4 +40,15 @@
             "ROUTES ELSEWHERE=currentByRoute")
         .print(console.out());
   }
+
+  private static List<JsonNode> withVersions(JsonNode page) {
+    List<JsonNode> routes = new ArrayList<>();
+    for (JsonNode route : page.path("routes")) {
+      ObjectNode row = route.isObject() ? route.deepCopy() : JsonNodeFactory.instance.objectNode();
+      String key = ResourceKey.route(route.path("name").asText("-")).toString();
+      row.set("status", page.path("resources").path(key));
+      routes.add(row);
+    }
+    return routes;
+  }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/CheckpointWriting.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/CheckpointWriting.java
@@ -43,13 +43,17 @@
 
   private boolean isDue(long firstOffset, Instant now) {
     long version = replica.version();
-    if (version <= writtenVersion) {
+    if (version == 0 || version < writtenVersion) {
       return false;
     }
     boolean manyRecords = version - writtenVersion >= settings.checkpointRecords();
     boolean longAgo = !writtenAt.plus(settings.checkpointInterval()).isAfter(now);
-    boolean passed = firstOffset > writtenVersion;
-    return manyRecords || longAgo || passed;
+    return manyRecords || longAgo || version > writtenVersion && isNearEdge(firstOffset);
+  }
+
+  /** Returns whether the log has begun to drop records and half of the way to it is gone. */
+  private boolean isNearEdge(long firstOffset) {
+    return firstOffset > 0 && 2 * (writtenVersion - firstOffset) < replica.version() - firstOffset;
   }
 
   void onAppended(Instant now) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadSettings.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadSettings.java
@@ -21,7 +21,8 @@
  * @param bytesPerSecond average rate of record and checkpoint bytes sent
  * @param burstBytes record and checkpoint bytes that may be sent at once
  * @param checkpointRecords records after which a checkpoint is written
- * @param checkpointInterval time after which a checkpoint is written if there are new records
+ * @param checkpointInterval time after which a checkpoint is written even without new records,
+ *     because the log drops checkpoints with time too
  */
 public record SpreadSettings(
     int fanOut,
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/spread/SpreadEngineTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/spread/SpreadEngineTests.java
@@ -248,6 +248,13 @@
       assertThat(written, is(5L));
     }
 
+    @Test
+    void areRenewedByAgeEvenWithoutNewRecords() {
+      final long before = checkpointed.log.end(Stream.CHECKPOINTS);
+      checkpointed.run((int) SpreadSettings.defaults().checkpointInterval().toSeconds() + 30);
+      assertThat(checkpointed.log.end(Stream.CHECKPOINTS), is(before + 1));
+    }
+
     @Test
     void areWrittenAgainWhenTheAnswerIsLost() {
       final long before = checkpointed.log.end(Stream.CHECKPOINTS);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/operator/NodePages.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/operator/NodePages.java
@@ -99,6 +99,7 @@
     page.put("version", snapshot.version());
     page.put("routes", new TreeMap<>(snapshot.routes()));
     page.put("services", new TreeMap<>(snapshot.services()));
+    page.put("resources", new TreeMap<>(snapshot.resources()));
     return page;
   }
 
