Old updates leave the gossip to the comparison of rosters

Cause: after a start of 100 members updates were still being repeated in the calm window (277 B/s a node of gossip); at 900 the repeats of a herd would last for most of an hour under the byte budget. The search for members that are ahead is kept while the view does not change. Ruled out: a larger budget for gossip; it costs what the limit of 3 KB/s is there to prevent.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/GossipSpread.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/GossipSpread.java
@@ -58,13 +58,13 @@
     }
   }
 
-  void add(Update update) {
-    queues.get(Distance.SAME_ZONE).add(update);
+  void add(Update update, Instant now) {
+    queues.get(Distance.SAME_ZONE).add(update, now);
     if (delegates.isDelegate() || update.instance().equals(self.instance())) {
-      queues.get(Distance.SAME_REGION).add(update);
+      queues.get(Distance.SAME_REGION).add(update, now);
     }
     if (delegates.isHead()) {
-      queues.get(Distance.OTHER_REGION).add(update);
+      queues.get(Distance.OTHER_REGION).add(update, now);
     }
   }
 
@@ -124,7 +124,7 @@
       return List.of();
     }
     int limit = Math.min(settings.maxUpdateBytes(), budget.available(now));
-    List<Update> updates = queue.take(limit, transmissions(distance));
+    List<Update> updates = queue.take(limit, transmissions(distance), now);
     budget.tryTake(updates.stream().mapToInt(Update::estimatedBytes).sum(), now);
     return updates;
   }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/MembershipEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/MembershipEngine.java
@@ -8,7 +8,6 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -297,7 +296,7 @@
     self = Members.withStatus(next, self.incarnation() + 1, next.status());
     Update update = new Update.Announcement(self);
     roster.merge(update, now);
-    gossip.add(update);
+    gossip.add(update, now);
     publish(now);
   }
 
@@ -315,7 +314,7 @@
     if (!roster.merge(update, now)) {
       return false;
     }
-    gossip.add(update);
+    gossip.add(update, now);
     Member after = roster.entry(update.instance()).orElseThrow().member();
     floors.remember(after);
     listener.onChange(after, change(before, after));
@@ -464,8 +463,7 @@
       return;
     }
     publishedRevision = roster.revision();
-    Map<String, Member> next = new LinkedHashMap<>(roster.liveMembers());
-    view = Collections.unmodifiableMap(next);
+    view = Collections.unmodifiableMap(roster.liveMembers());
   }
 
   private final class DetectorPings implements FailureDetector.Pings {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/PullRepair.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/PullRepair.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -15,10 +16,20 @@
  */
 final class PullRepair {
 
+  /** What the search for members ahead depends on; a view's collection never changes. */
+  private record Basis(Collection<Member> members, long version, boolean head) {
+
+    private boolean isSame(Basis other) {
+      return members == other.members && version == other.version && head == other.head;
+    }
+  }
+
   private final MembershipView view;
   private final Member self;
   private final SpreadSettings settings;
   private final RandomGenerator random;
+  private Basis basis;
+  private List<Member> ahead = List.of();
   private Instant behindSince;
   private Instant askedAt = Instant.EPOCH;
 
@@ -61,6 +72,15 @@
   }
 
   private List<Member> nearestAhead(long version, boolean head) {
+    Basis current = new Basis(view.members(), version, head);
+    if (basis == null || !basis.isSame(current)) {
+      basis = current;
+      ahead = find(version, head);
+    }
+    return ahead;
+  }
+
+  private List<Member> find(long version, boolean head) {
     List<Member> nearest = new ArrayList<>();
     Distance best = head ? Distance.OTHER_REGION : Distance.SAME_REGION;
     for (Member member : view.members()) {
