--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
@@ -13,8 +13,8 @@
 
   static {
     ALL.add(new CallerExperiment());
-    ALL.add(new MoveExperiment());
     ALL.add(new SpreadExperiment());
+    ALL.add(new MoveExperiment());
   }
 
   private Experiments() {}
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/MembershipEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/MembershipEngine.java
@@ -138,13 +138,24 @@
   }
 
   /**
-   * Returns the floor: the highest configuration version that peers remember of this instance or
+   * Returns the floor: the highest configuration version that keepers remember of this instance or
    * have in force themselves.
    *
-   * @return the version; empty until a peer has answered
+   * @return the version; empty until a keeper has answered
    */
   public OptionalLong floor() {
-    return floors.floor();
+    return floors.answers().stream()
+        .mapToLong(answer -> Math.max(answer.rememberedVersion(), answer.ownVersion()))
+        .max();
+  }
+
+  /**
+   * Returns what the keepers of this instance remember of it and have in force themselves.
+   *
+   * @return one answer for each keeper that has answered
+   */
+  public Collection<FloorAnswer> floorAnswers() {
+    return floors.answers();
   }
 
   /**
@@ -234,6 +245,11 @@
     publish(now);
   }
 
+  /** Returns whether an instance is remembered, be it as dead. */
+  boolean remembers(String instance) {
+    return roster.entry(instance).isPresent();
+  }
+
   private void probe(Instant now) {
     for (Member failed : detector.onTick(now)) {
       suspect(failed, now);
