Measure the memory of two nodes that carry bodies of 100 MB

Cause: the limit of 128 MB a node had no measurement. Changed: experiment stream-memory; the call path's experiments are registered with the bench.

--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
@@ -3,6 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.cuminlatch.bench.call.AddedLatency;
+import org.cuminlatch.bench.call.AttemptIdentity;
+import org.cuminlatch.bench.call.Goodput;
+import org.cuminlatch.bench.call.RegionTraffic;
+import org.cuminlatch.bench.call.SlowTarget;
+import org.cuminlatch.bench.call.StreamMemory;
 import org.cuminlatch.bench.move.MoveExperiment;
 import org.cuminlatch.bench.spread.SpreadExperiment;
 
@@ -15,6 +21,12 @@
     ALL.add(new CallerExperiment());
     ALL.add(new SpreadExperiment());
     ALL.add(new MoveExperiment());
+    ALL.add(new AddedLatency());
+    ALL.add(new Goodput());
+    ALL.add(new SlowTarget());
+    ALL.add(new RegionTraffic());
+    ALL.add(new AttemptIdentity());
+    ALL.add(new StreamMemory());
   }
 
   private Experiments() {}
--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/call/BenchNode.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/call/BenchNode.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cuminlatch.core.config.CallLimits;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.ServiceState;
 import org.cuminlatch.core.config.Snapshot;
@@ -37,7 +38,7 @@
 
   BenchNode(String instance, URI target, int slots, AtomicReference<List<Member>> members) {
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    Member unbound = member(instance, NOWHERE, slots, Member.Phase.SERVING);
+    Member unbound = serving(instance, NOWHERE, slots);
     Snapshot snapshot = snapshot();
     path =
         CallPath.start(
@@ -52,11 +53,19 @@
                 new SecureRandom(),
                 new MetricRegistry()));
     Address address = new Address("127.0.0.1", path.forwardAddress().getPort());
-    member = member(instance, address, slots, Member.Phase.SERVING);
+    member = serving(instance, address, slots);
   }
 
   private static Snapshot snapshot() {
-    Route route = Route.of("all", "/", SERVICE);
+    CallLimits defaults = CallLimits.defaults();
+    CallLimits limits =
+        new CallLimits(
+            CallLimits.MAX_TIMEOUT,
+            defaults.maxAttempts(),
+            defaults.retryBudget(),
+            defaults.idempotentMethods(),
+            defaults.idempotenceHeader());
+    Route route = Route.of("all", "/", SERVICE).withLimits(limits);
     ServiceState service = new ServiceState(SERVICE, Set.of(VERSION), VERSION);
     return new Snapshot(1, "hash", Map.of("all", route), Map.of(SERVICE, service), Map.of());
   }
@@ -75,6 +84,10 @@
     };
   }
 
+  static Member serving(String instance, Address address, int slots) {
+    return member(instance, address, slots, Member.Phase.SERVING);
+  }
+
   private static Member member(String instance, Address address, int slots, Member.Phase phase) {
     return new Member(
         instance,
