--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/call/IdempotencyKeyTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/call/IdempotencyKeyTests.java
@@ -101,7 +101,7 @@
       mesh.advance(WHILE);
       owner.announce(Member.Phase.LEFT);
 
-      HttpResponse<String> again = book(other, key);
+      final HttpResponse<String> again = book(other, key);
       mesh.advance(WHILE);
       final HttpResponse<String> fresh = book(other, newKey());
 
