--- /dev/null
+++ b/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/Http.java
@@ -0,0 +1,49 @@
+package org.cuminlatch.bench.failure;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+
+/** Requests of the test itself to processes on loopback. */
+final class Http {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(3);
+  private static final HttpClient CLIENT =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(TIMEOUT).build();
+
+  private Http() {}
+
+  /** Returns the status of a GET, 0 if there is no answer. */
+  static int status(int port, String path) throws InterruptedException {
+    try {
+      return CLIENT.send(request(port, path).build(), BodyHandlers.discarding()).statusCode();
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
+  /** Returns the body of a GET, empty if there is no answer. */
+  static String get(int port, String path) throws InterruptedException {
+    try {
+      HttpResponse<String> answer =
+          CLIENT.send(request(port, path).build(), BodyHandlers.ofString());
+      return answer.body();
+    } catch (IOException e) {
+      return "";
+    }
+  }
+
+  static void post(int port, String path) throws IOException, InterruptedException {
+    CLIENT.send(
+        request(port, path).POST(BodyPublishers.noBody()).build(), BodyHandlers.discarding());
+  }
+
+  private static HttpRequest.Builder request(int port, String path) {
+    return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path)).timeout(TIMEOUT);
+  }
+}
