--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.cuminlatch.bench.move.MoveExperiment;
+import org.cuminlatch.bench.process.NodeCost;
 import org.cuminlatch.bench.spread.SpreadExperiment;
 
 /** All experiments that the bench can run. */
@@ -13,6 +14,7 @@
 
   static {
     ALL.add(new CallerExperiment());
+    ALL.add(new NodeCost());
     ALL.add(new SpreadExperiment());
     ALL.add(new MoveExperiment());
   }
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/ChildProcess.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/process/ChildProcess.java
@@ -1,4 +1,4 @@
-package org.cuminlatch.bench.failure;
+package org.cuminlatch.bench.process;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** A Java program that runs as a process of its own. */
-final class ChildProcess implements AutoCloseable {
+public final class ChildProcess implements AutoCloseable {
 
   private static final List<String> JVM =
       List.of(
@@ -42,8 +42,14 @@
     }
   }
 
-  /** Waits for the program to end and returns its exit code. */
-  int join(long seconds) throws InterruptedException {
+  /**
+   * Waits for the program to end.
+   *
+   * @param seconds longest wait
+   * @return its exit code
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public int join(long seconds) throws InterruptedException {
     if (!process.waitFor(seconds, TimeUnit.SECONDS)) {
       process.destroyForcibly();
       throw new IllegalStateException("process did not end within " + seconds + " s");
@@ -51,22 +57,44 @@
     return process.exitValue();
   }
 
-  void kill() throws InterruptedException {
+  /**
+   * Ends the program by SIGKILL.
+   *
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public void kill() throws InterruptedException {
     process.destroyForcibly().waitFor(END_SECONDS, TimeUnit.SECONDS);
   }
 
-  void terminate() {
+  /** Asks the program to end by SIGTERM. */
+  public void terminate() {
     process.destroy();
   }
 
-  void pause() throws IOException, InterruptedException {
+  /**
+   * Stops the program by SIGSTOP.
+   *
+   * @throws IOException if no signal can be sent
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public void pause() throws IOException, InterruptedException {
     signal("STOP");
   }
 
-  void resume() throws IOException, InterruptedException {
+  /**
+   * Lets the program go on by SIGCONT.
+   *
+   * @throws IOException if no signal can be sent
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public void resume() throws IOException, InterruptedException {
     signal("CONT");
   }
 
+  long id() {
+    return process.pid();
+  }
+
   private void signal(String name) throws IOException, InterruptedException {
     new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
   }
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/Http.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/process/Http.java
@@ -1,4 +1,4 @@
-package org.cuminlatch.bench.failure;
+package org.cuminlatch.bench.process;
 
 import java.io.IOException;
 import java.net.URI;
@@ -10,7 +10,7 @@
 import java.time.Duration;
 
 /** Requests of the test itself to processes on loopback. */
-final class Http {
+public final class Http {
 
   private static final Duration TIMEOUT = Duration.ofSeconds(3);
   private static final HttpClient CLIENT =
@@ -18,8 +18,15 @@
 
   private Http() {}
 
-  /** Returns the status of a GET, 0 if there is no answer. */
-  static int status(int port, String path) throws InterruptedException {
+  /**
+   * Sends a GET.
+   *
+   * @param port port on loopback
+   * @param path path and query
+   * @return the status, 0 if there is no answer
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public static int status(int port, String path) throws InterruptedException {
     try {
       return CLIENT.send(request(port, path).build(), BodyHandlers.discarding()).statusCode();
     } catch (IOException e) {
@@ -27,8 +34,15 @@
     }
   }
 
-  /** Returns the body of a GET, empty if there is no answer. */
-  static String get(int port, String path) throws InterruptedException {
+  /**
+   * Sends a GET.
+   *
+   * @param port port on loopback
+   * @param path path and query
+   * @return the body, empty if there is no answer
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public static String get(int port, String path) throws InterruptedException {
     try {
       HttpResponse<String> answer =
           CLIENT.send(request(port, path).build(), BodyHandlers.ofString());
@@ -38,7 +52,15 @@
     }
   }
 
-  static void post(int port, String path) throws IOException, InterruptedException {
+  /**
+   * Sends a POST without a body.
+   *
+   * @param port port on loopback
+   * @param path path and query
+   * @throws IOException if there is no answer
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public static void post(int port, String path) throws IOException, InterruptedException {
     CLIENT.send(
         request(port, path).POST(BodyPublishers.noBody()).build(), BodyHandlers.discarding());
   }
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/Instance.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/process/Instance.java
@@ -1,7 +1,7 @@
-package org.cuminlatch.bench.failure;
+package org.cuminlatch.bench.process;
 
 /** A target instance and the node beside it. */
-final class Instance {
+public final class Instance {
 
   private final String name;
   private final String region;
@@ -22,8 +22,12 @@
     return new Instance("node-" + number, number % 2 == 0 ? "leinster" : "munster");
   }
 
-  /** Lets the node reach its target through another port, from its next start on. */
-  void reachTargetBy(int port) {
+  /**
+   * Lets the node reach its target through another port, from its next start on.
+   *
+   * @param port the other port
+   */
+  public void reachTargetBy(int port) {
     reachedTargetPort = port;
   }
 
@@ -31,19 +35,43 @@
     node = started;
   }
 
-  ChildProcess node() {
+  /**
+   * Returns the process of the node.
+   *
+   * @return the process last started
+   */
+  public ChildProcess node() {
     return node;
   }
 
-  String name() {
+  /**
+   * Returns its name.
+   *
+   * @return the name
+   */
+  public String name() {
     return name;
   }
 
-  int httpPort() {
+  int operatorPort() {
+    return operatorPort;
+  }
+
+  /**
+   * Returns where the node takes callers.
+   *
+   * @return the port
+   */
+  public int httpPort() {
     return httpPort;
   }
 
-  int targetPort() {
+  /**
+   * Returns where the target listens.
+   *
+   * @return the port
+   */
+  public int targetPort() {
     return targetPort;
   }
 
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/Mesh.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/process/Mesh.java
@@ -1,4 +1,4 @@
-package org.cuminlatch.bench.failure;
+package org.cuminlatch.bench.process;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -13,10 +13,13 @@
 import org.cuminlatch.testkit.load.TargetRuns;
 
 /** A log, targets and the nodes beside them as processes, in two regions of one zone each. */
-final class Mesh implements AutoCloseable {
+public final class Mesh implements AutoCloseable {
 
-  static final Duration BOOT = Duration.ofSeconds(60);
-  static final Duration CONVERGENCE = Duration.ofSeconds(15);
+  /** Longest time until all processes serve. */
+  public static final Duration BOOT = Duration.ofSeconds(60);
+
+  /** Time within which a configuration must be in force everywhere. */
+  public static final Duration CONVERGENCE = Duration.ofSeconds(15);
 
   private static final String SERVICE = "orders";
   private static final int SLOTS = 40;
@@ -36,8 +39,15 @@
     this.directory = directory;
   }
 
-  /** Starts a mesh whose nodes reach their targets directly and waits until all serve. */
-  static Mesh start(Path directory, int size) throws Exception {
+  /**
+   * Starts a mesh with one route and waits until all nodes serve it.
+   *
+   * @param directory directory for settings and output
+   * @param size number of instances
+   * @return the running mesh
+   * @throws Exception if a process does not start
+   */
+  public static Mesh start(Path directory, int size) throws Exception {
     Mesh mesh = new Mesh(directory);
     try {
       mesh.startProcesses(size);
@@ -73,7 +83,13 @@
     return process;
   }
 
-  void startNode(Instance instance) throws IOException {
+  /**
+   * Starts the node of an instance, again if it ran before.
+   *
+   * @param instance the instance
+   * @throws IOException if its settings cannot be written
+   */
+  public void startNode(Instance instance) throws IOException {
     Path settings = directory.resolve(instance.name() + ".toml");
     Files.writeString(settings, instance.settings(instances.get(0), logPort, SERVICE, SLOTS));
     Path output = directory.resolve("node-" + instance.name() + ".out");
@@ -91,7 +107,13 @@
         + route("base");
   }
 
-  static String route(String name) {
+  /**
+   * Writes a route whose path is its name.
+   *
+   * @param name name of the route
+   * @return the record in TOML
+   */
+  public static String route(String name) {
     return """
         [[route]]
         name = "%s"
@@ -101,12 +123,27 @@
         .formatted(name, name, SERVICE);
   }
 
-  /** Publishes records by the command-line tool and returns its exit code. */
-  int publish(String records, String... options) throws Exception {
+  /**
+   * Publishes records by the command-line tool.
+   *
+   * @param records records in TOML
+   * @param options further options of the tool
+   * @return its exit code
+   * @throws Exception if it does not end
+   */
+  public int publish(String records, String... options) throws Exception {
     return startPublishing(records, options).join(CLI_SECONDS);
   }
 
-  ChildProcess startPublishing(String records, String... options) throws IOException {
+  /**
+   * Starts the command-line tool to publish records.
+   *
+   * @param records records in TOML
+   * @param options further options of the tool
+   * @return the running tool
+   * @throws IOException if the records cannot be written
+   */
+  public ChildProcess startPublishing(String records, String... options) throws IOException {
     publications++;
     Path file = directory.resolve("publish-" + publications + ".toml");
     Files.writeString(file, records);
@@ -116,8 +153,14 @@
     return track(ChildProcess.start(directory.resolve("publish.out"), CLI_MAIN, arguments));
   }
 
-  /** Waits until callers at every node get answers on a path and returns how long it took. */
-  Duration awaitRoute(String path) throws Exception {
+  /**
+   * Waits until callers at every node get answers on a path.
+   *
+   * @param path the path
+   * @return how long it took
+   * @throws Exception if it takes too long
+   */
+  public Duration awaitRoute(String path) throws Exception {
     return Eventually.seen(
         "route " + path + " in force at every node",
         BOOT,
@@ -131,16 +174,34 @@
         });
   }
 
-  List<Instance> instances() {
+  /**
+   * Returns the instances.
+   *
+   * @return the instances in the order of their start
+   */
+  public List<Instance> instances() {
     return instances;
   }
 
-  int logPort() {
+  /**
+   * Returns where the log listens.
+   *
+   * @return the port
+   */
+  public int logPort() {
     return logPort;
   }
 
-  /** Sends a load of which half may not be repeated to some nodes. */
-  List<Observation> load(String prefix, List<Instance> entries, int rate, Duration length) {
+  /**
+   * Sends a load of which half may not be repeated.
+   *
+   * @param prefix prefix of the requests' ids
+   * @param entries instances at whose nodes the requests enter
+   * @param rate requests per second
+   * @param length how long to send
+   * @return what the callers saw
+   */
+  public List<Observation> load(String prefix, List<Instance> entries, int rate, Duration length) {
     return LoadGenerator.run(
         new LoadOptions(
             entries.stream().map(instance -> "127.0.0.1:" + instance.httpPort()).toList(),
@@ -154,8 +215,14 @@
             7));
   }
 
-  /** Compares what callers saw with what the targets ran. */
-  Audit audit(List<Observation> seen) throws Exception {
+  /**
+   * Compares what callers saw with what the targets ran.
+   *
+   * @param seen what the callers saw
+   * @return the comparison
+   * @throws Exception if a target does not answer
+   */
+  public Audit audit(List<Observation> seen) throws Exception {
     List<String> targets =
         instances.stream().map(instance -> "127.0.0.1:" + instance.targetPort()).toList();
     return Audit.of(seen, TargetRuns.of(targets));
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/Ports.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/process/Ports.java
@@ -1,4 +1,4 @@
-package org.cuminlatch.bench.failure;
+package org.cuminlatch.bench.process;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/NodeFailureTests.java
+++ b/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/NodeFailureTests.java
@@ -10,6 +10,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.cuminlatch.bench.process.Instance;
+import org.cuminlatch.bench.process.Mesh;
 import org.cuminlatch.testkit.load.Audit;
 import org.cuminlatch.testkit.load.LoadSummary;
 import org.cuminlatch.testkit.load.Observation;
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/RouteWatch.java
+++ b/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/RouteWatch.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.cuminlatch.bench.process.Http;
+import org.cuminlatch.bench.process.Instance;
 
 /**
  * Asks every node again and again for all routes published so far and notes each node that, having
