One hash for all rankings, by commons-codec

Cause: FNV-1a with MurmurHash3's finalizer stood three times (membership, route, move), written by hand. Change: StableHash over commons-codec's MurmurHash3, used by all three. Ruled out: one shared copy of the hand-written hash; the library's serves.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Rendezvous.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Rendezvous.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import org.cuminlatch.core.hash.StableHash;
 
 /**
  * Ranks instances for a role by highest random weight, so that all who know the same members agree.
@@ -11,9 +12,6 @@
  */
 public final class Rendezvous {
 
-  private static final long FNV_OFFSET = 0xcbf29ce484222325L;
-  private static final long FNV_PRIME = 0x100000001b3L;
-
   private Rendezvous() {}
 
   /**
@@ -24,7 +22,7 @@
    * @return the weight, compared as an unsigned number
    */
   public static long weight(String role, String instance) {
-    return mix(hash(instance, hash(role, FNV_OFFSET)));
+    return StableHash.of(role, instance);
   }
 
   /**
@@ -44,19 +42,4 @@
         .map(Weighed::member)
         .toList();
   }
-
-  static long hash(String text, long seed) {
-    long hash = seed;
-    for (int i = 0; i < text.length(); i++) {
-      hash = (hash ^ text.charAt(i)) * FNV_PRIME;
-    }
-    return (hash ^ 0xff) * FNV_PRIME;
-  }
-
-  static long mix(long value) {
-    long mixed = value;
-    mixed = (mixed ^ (mixed >>> 33)) * 0xff51afd7ed558ccdL;
-    mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
-    return mixed ^ (mixed >>> 33);
-  }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Roster.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Roster.java
@@ -9,14 +9,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.cuminlatch.core.hash.StableHash;
 import org.cuminlatch.core.membership.Member.Status;
 import org.cuminlatch.core.membership.MembershipMessage.Sender;
 
 /** All instances known, dead ones included while they are remembered, and the rules of merging. */
 final class Roster {
 
-  private static final long INCARNATION_FACTOR = 0x9e3779b97f4a7c15L;
-
   private final Map<String, Entry> entries = new HashMap<>();
   private final Map<Locality, Zone> zones = new LinkedHashMap<>();
   private final List<Entry> suspects = new ArrayList<>();
@@ -232,7 +231,6 @@
   }
 
   static long fingerprint(String instance, long incarnation) {
-    long name = Rendezvous.hash(instance, 0);
-    return Rendezvous.mix(name ^ incarnation * INCARNATION_FACTOR);
+    return StableHash.of(instance, Long.toString(incarnation));
   }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/AggregatorRank.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/AggregatorRank.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.TreeMap;
+import org.cuminlatch.core.hash.StableHash;
 import org.cuminlatch.core.membership.Member;
 
 /**
@@ -36,6 +37,6 @@
   }
 
   private static long weight(Member member, MoveId move) {
-    return Fnv.hash(member.instance() + '@' + move);
+    return StableHash.of(member.instance(), move.toString());
   }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveId.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveId.java
@@ -3,13 +3,14 @@
 import static org.cuminlatch.core.Preconditions.notNull;
 
 import org.cuminlatch.core.config.Move;
+import org.cuminlatch.core.hash.StableHash;
 
 /**
  * Short identity of a move: a hash over its name, service, route and versions.
  *
  * <p>A changed deadline or plan leaves the identity as it is; another pair of versions changes it.
  *
- * @param value 64-bit FNV-1a hash
+ * @param value 64-bit hash, see {@link StableHash}
  */
 public record MoveId(long value) implements Comparable<MoveId> {
 
@@ -31,7 +32,7 @@
             move.route().orElse(""),
             move.from(),
             move.to());
-    return new MoveId(Fnv.hash(text));
+    return new MoveId(StableHash.of(text));
   }
 
   @Override
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/KeyOwners.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/KeyOwners.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import org.cuminlatch.core.hash.StableHash;
 import org.cuminlatch.core.membership.Member;
 
 /**
@@ -18,7 +19,7 @@
   static List<Member> inOrder(List<Member> candidates, String key) {
     return candidates.stream()
         .sorted(
-            Comparator.comparingLong((Member member) -> Hashing.mixed(member.instance(), key))
+            Comparator.comparingLong((Member member) -> StableHash.of(member.instance(), key))
                 .thenComparing(Member::instance))
         .toList();
   }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/VersionChoice.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/VersionChoice.java
@@ -7,6 +7,7 @@
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.ServiceState;
 import org.cuminlatch.core.config.Snapshot;
+import org.cuminlatch.core.hash.StableHash;
 import org.cuminlatch.core.move.VersionShares;
 import org.cuminlatch.core.move.VersionShares.VersionShare;
 
@@ -77,6 +78,6 @@
   }
 
   private static double place(String service, String value) {
-    return (Hashing.mixed(service, value) >>> UNIT_SHIFT) * UNIT;
+    return (StableHash.of(service, value) >>> UNIT_SHIFT) * UNIT;
   }
 }
