--- a/cuminlatch-cli/src/test/java/org/cuminlatch/cli/NodeVerbsTests.java
+++ b/cuminlatch-cli/src/test/java/org/cuminlatch/cli/NodeVerbsTests.java
@@ -74,7 +74,9 @@
     page("/routes", ROUTES);
     assertThat(tool.run("routes", "--node", url), is(ExitStatus.OK));
     assertThat(tool.out(), containsString("configuration version 7"));
-    assertThat(tool.out(), containsString("orders  5        3         -     /orders  -        siparis  PT10S"));
+    assertThat(
+        tool.out(),
+        containsString("orders  5        3         -     /orders  -        siparis  PT10S"));
     assertThat(tool.out(), containsString("siparis  v1       v1"));
   }
 
--- a/cuminlatch-wire/src/test/java/org/cuminlatch/wire/config/ReplicaPropertiesTests.java
+++ b/cuminlatch-wire/src/test/java/org/cuminlatch/wire/config/ReplicaPropertiesTests.java
@@ -18,6 +18,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.Tuple;
+import net.jqwik.api.constraints.IntRange;
 import org.cuminlatch.core.config.Bytes;
 import org.cuminlatch.core.config.LogRecord;
 import org.cuminlatch.core.config.MoveOutcome.Result;
@@ -27,6 +28,7 @@
 import org.cuminlatch.core.config.ResourceKey;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.RouteRemoval;
+import org.cuminlatch.core.config.SchemaBody;
 import org.cuminlatch.core.config.Snapshot;
 import org.cuminlatch.core.config.TargetVersion;
 
@@ -86,6 +88,33 @@
     }
   }
 
+  @Property(tries = TRIES, seed = SEED)
+  void anyBodyIsAcceptedOrRefusedButBreaksNothing(
+      @ForAll("kinds") String kind,
+      @ForAll @IntRange(min = 1, max = 3) int schemaVersion,
+      @ForAll byte[] content) {
+    ReplicaFixture replica = ReplicaFixture.create();
+    replica.publish(new TargetVersion("s1", "v1"));
+    SchemaBody body = new SchemaBody(schemaVersion, Bytes.copyOf(content));
+    replica.append(
+        ConfigurationCodecs.encode(
+            new RecordEnvelope(
+                "id",
+                kind,
+                "r1",
+                OptionalLong.empty(),
+                List.of(ResourceKey.service("s1")),
+                List.of(body))));
+    assertThat(replica.snapshot().version(), is(2L));
+    assertThat(replica.decisions().size(), is(2));
+  }
+
+  @Provide
+  Arbitrary<String> kinds() {
+    return Arbitraries.of(
+        "route", "route-removal", "target-version", "move", "move-stop", "move-outcome", "ext-a");
+  }
+
   private static void assertClosed(Snapshot snapshot) {
     assertThat(
         snapshot.routes().values().stream().map(Route::service).toList(),
--- a/cuminlatch-wire/src/test/java/org/cuminlatch/wire/log/HttpLogClientTests.java
+++ b/cuminlatch-wire/src/test/java/org/cuminlatch/wire/log/HttpLogClientTests.java
@@ -140,6 +140,15 @@
     assertThat(requests.size(), is(1));
   }
 
+  @Test
+  void neverRepeatsAnAppendOnConnectionThatServedBefore() {
+    answer = "{\"offset\": 4}";
+    client.append("configuration", CONTENT).join();
+    closes = true;
+    failure(client.append("configuration", CONTENT));
+    assertThat(requests.size(), is(2));
+  }
+
   @Nested
   class WithSeveralAddresses {
 
