Keep a route on the new version while its service follows

Cause: the fold lets a service move to a version on which one of its routes is already, but the shares then split that route too and took most of its traffic back to the old version.

Changed: a route whose traffic holds the version that the move leads to keeps it.

Shown failing first: without the filter the test sees 0.75 of the orders on v1.

--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/NodePages.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/NodePages.java
@@ -87,7 +87,7 @@
 
   private static CuminlatchException unavailable(URI node, String problem, Throwable cause) {
     return CuminlatchException.of(
-        ErrorCode.PEER_UNAVAILABLE, Step.CODEC, node.getAuthority(), problem, cause);
+        ErrorCode.PEER_UNAVAILABLE, Step.FORWARD, node.getAuthority(), problem, cause);
   }
 
   private static String encode(Map<String, String> query) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/PublishedShares.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/PublishedShares.java
@@ -65,11 +65,11 @@
     if (service == null) {
       return List.of();
     }
-    Optional<Move> open = openMove(of, route);
+    String holder = service.currentFor(route.name());
+    Optional<Move> open = openMove(of, route).filter(move -> !move.to().equals(holder));
     if (open.isPresent()) {
       return split(open.get());
     }
-    String holder = service.currentFor(route.name());
     return List.of(new VersionShare(holder, ALL));
   }
 
