Compare abbreviated state hashes with abbreviated ones

Cause: members carry the first eight characters of a state hash, the report writer compared them with the whole hash, so that every version was reported as a divergence of the mesh. Found by reading the reports of a single node.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/ReportWriter.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/ReportWriter.java
@@ -66,13 +66,12 @@
    * @param now the time
    */
   public void onMembers(long version, String stateHash, Collection<Member> members, Instant now) {
+    String own = HashAbbreviation.of(stateHash);
     for (Member member : members) {
-      boolean differs =
-          member.configVersion() == version
-              && !member.stateHash().isEmpty()
-              && !member.stateHash().equals(stateHash);
+      String other = HashAbbreviation.of(member.stateHash());
+      boolean differs = member.configVersion() == version && !other.isEmpty() && !other.equals(own);
       if (differs) {
-        reportDivergence(version, stateHash, member, now);
+        reportDivergence(version, own, other, member, now);
       }
     }
     reportInForce(members, now);
@@ -103,11 +102,12 @@
     add("unreadable/" + version, Report.Kind.UNREADABLE, version, subject, text, now);
   }
 
-  private void reportDivergence(long version, String stateHash, Member member, Instant now) {
-    String low = stateHash.compareTo(member.stateHash()) < 0 ? stateHash : member.stateHash();
-    String high = low.equals(stateHash) ? member.stateHash() : stateHash;
+  private void reportDivergence(
+      long version, String own, String other, Member member, Instant now) {
+    String low = own.compareTo(other) < 0 ? own : other;
+    String high = low.equals(own) ? other : own;
     String id = "divergence/" + version + "/" + low + "/" + high;
-    String text = "state hash " + member.stateHash() + " differs from " + stateHash;
+    String text = "state hash " + other + " differs from " + own;
     add(id, Report.Kind.DIVERGENCE, version, member.instance(), text, now);
   }
 
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Members.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/Members.java
@@ -1,19 +1,14 @@
 package org.cuminlatch.core.membership;
 
+import org.cuminlatch.core.config.HashAbbreviation;
 import org.cuminlatch.core.membership.Member.Phase;
 import org.cuminlatch.core.membership.Member.Status;
 
 /** Copies of a member with some of its facts changed. */
 final class Members {
 
-  private static final int HASH_LENGTH = 8;
-
   private Members() {}
 
-  static String abbreviate(String stateHash) {
-    return stateHash.length() <= HASH_LENGTH ? stateHash : stateHash.substring(0, HASH_LENGTH);
-  }
-
   static Member withStatus(Member member, long incarnation, Status status) {
     return copy(
         member,
@@ -59,7 +54,7 @@
         member.targetVersion(),
         member.slots(),
         configVersion,
-        abbreviate(stateHash));
+        HashAbbreviation.of(stateHash));
   }
 
   private static Member copy(
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadEngine.java
@@ -10,6 +10,7 @@
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.Bytes;
 import org.cuminlatch.core.config.ConfigurationReplica;
+import org.cuminlatch.core.config.HashAbbreviation;
 import org.cuminlatch.core.config.LogRecord;
 import org.cuminlatch.core.config.Snapshot;
 import org.cuminlatch.core.control.ControlEngine;
@@ -40,7 +41,6 @@
   private static final Duration PROGRESS_REFRESH = Duration.ofSeconds(5);
   private static final int MAX_PULL_BYTES = 32 * 1024;
   private static final int MAX_PULL_RECORDS = 256;
-  private static final int HASH_LENGTH = 8;
 
   private final Member self;
   private final ConfigurationReplica replica;
@@ -244,7 +244,7 @@
   private VersionCount ownCount() {
     if (counted == null || counted.version() != replica.version()) {
       String hash = replica.snapshot().stateHash();
-      String abbreviated = hash.length() <= HASH_LENGTH ? hash : hash.substring(0, HASH_LENGTH);
+      String abbreviated = HashAbbreviation.of(hash);
       counted = new VersionCount(replica.version(), abbreviated, 1);
     }
     return counted;
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/config/ReportWriterTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/config/ReportWriterTests.java
@@ -2,8 +2,11 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 import java.time.Instant;
 import java.util.List;
@@ -69,6 +72,12 @@
     assertThat(texts(), is(empty()));
   }
 
+  @Test
+  void seesNoDivergenceInAbbreviatedHash() {
+    writer.onMembers(5, "24e4b6e553c39f0a", List.of(member("a", 5, "24e4b6e5")), START);
+    assertThat(texts(), not(hasItem(containsString("differs"))));
+  }
+
   @Test
   void tellsGapsAndInvalidCheckpointsOnce() {
     writer.onEvent(new FoldEvent.OffsetGap(7, 9), START);
