--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/MoveRun.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/MoveRun.java
@@ -111,6 +111,7 @@
           mesh.setCut(false);
         }
       }
+      default -> throw new IllegalArgumentException("condition must not be " + condition);
     }
   }
 
--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/SimulatedLog.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/SimulatedLog.java
@@ -26,7 +26,7 @@
         profile.routes().stream()
             .map(part -> Route.of(part.route(), "/" + part.route(), profile.service()))
             .collect(Collectors.toMap(Route::name, route -> route));
-    this.snapshot = snapshot(1, new MoveState(move, 0, Optional.empty(), Optional.empty()));
+    this.snapshot = snapshotOf(1, new MoveState(move, 0, Optional.empty(), Optional.empty()));
   }
 
   Snapshot snapshot() {
@@ -78,10 +78,10 @@
   }
 
   private void change(MoveState state) {
-    snapshot = snapshot(snapshot.version() + 1, state);
+    snapshot = snapshotOf(snapshot.version() + 1, state);
   }
 
-  private Snapshot snapshot(long version, MoveState state) {
+  private Snapshot snapshotOf(long version, MoveState state) {
     Move move = state.move();
     boolean done =
         state.outcome().map(MoveOutcome::result).equals(Optional.of(MoveOutcome.Result.DONE));
--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/SimulatedMesh.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/SimulatedMesh.java
@@ -72,7 +72,7 @@
     int number = nodes.size() + 1;
     String instance = profile.service() + "-" + number;
     Member member =
-        SimulatedNode.member(instance, number, zone, profile.service(), version, profile.slots());
+        SimulatedNode.announcement(instance, number, zone, profile.service(), version, profile.slots());
     int error = random.nextInt(-MAX_CLOCK_ERROR_MILLIS, MAX_CLOCK_ERROR_MILLIS + 1);
     SimulatedNode[] self = new SimulatedNode[1];
     self[0] =
@@ -111,7 +111,7 @@
   }
 
   private static String regionOf(SimulatedNode node) {
-    return node.member().locality().region();
+    return node.own().locality().region();
   }
 
   void setLogUp(boolean up) {
@@ -137,12 +137,12 @@
 
   void stopNode(int node) {
     nodes.get(node).stop();
-    downSince.put(nodes.get(node).member().instance(), now);
+    downSince.put(nodes.get(node).own().instance(), now);
   }
 
   void startNode(int node) {
     nodes.get(node).start();
-    downSince.remove(nodes.get(node).member().instance());
+    downSince.remove(nodes.get(node).own().instance());
     viewsChanged = true;
   }
 
@@ -166,7 +166,7 @@
     for (Delivery delivery : arriving) {
       SimulatedNode receiver = byAddress.get(delivery.to());
       if (receiver.runs(now)) {
-        receiver.receive(delivery.from().member().controlAddress(), delivery.message(), now);
+        receiver.receive(delivery.from().own().controlAddress(), delivery.message(), now);
       } else if (!receiver.isDown()) {
         sent.add(delivery);
       }
@@ -200,13 +200,13 @@
           nodes.stream()
               .filter(node -> !cutShows || regionOf(node).equals(region))
               .filter(this::isBelievedAlive)
-              .map(SimulatedNode::member)
+              .map(SimulatedNode::own)
               .toList());
     }
   }
 
   private boolean isBelievedAlive(SimulatedNode node) {
-    Instant since = downSince.get(node.member().instance());
+    Instant since = downSince.get(node.own().instance());
     return since == null || now.isBefore(since.plus(DETECTION));
   }
 
--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/SimulatedNode.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/move/SimulatedNode.java
@@ -47,7 +47,7 @@
     start();
   }
 
-  static Member member(
+  static Member announcement(
       String instance,
       int port,
       ServiceProfile.Zone zone,
@@ -123,7 +123,7 @@
     engine.onMessage(from, (EvidenceMessage) message, now.plus(clockError));
   }
 
-  Member member() {
+  Member own() {
     return member;
   }
 
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/move/MeshFixture.java
+++ b/cuminlatch-bench/src/test/java/org/cuminlatch/bench/move/MeshFixture.java
@@ -145,14 +145,14 @@
               "stock",
               SERVICE.service(),
               fresh ? "2" : "1",
-              result(node, fresh),
+              resultOf(node, fresh),
               fresh ? newLatency : LATENCY,
               fresh && newIsCold));
     }
   }
 
-  private CallOutcome.Result result(int node, boolean fresh) {
-    String region = mesh.node(node).member().locality().region();
+  private CallOutcome.Result resultOf(int node, boolean fresh) {
+    String region = mesh.node(node).own().locality().region();
     boolean spared = failingRegion.isPresent() && !failingRegion.get().equals(region);
     double failures = fresh ? (spared ? 0 : newFailures) : oldFailures;
     if (random.nextDouble() < failures) {
@@ -178,7 +178,7 @@
   /** Returns the number of the node that judges the move for a zone. */
   int aggregatorOfZone(int zone) {
     for (int node = 0; node < mesh.nodes(); node++) {
-      Member member = mesh.node(node).member();
+      Member member = mesh.node(node).own();
       ServiceProfile.Zone wanted = SERVICE.zones().get(zone);
       boolean inZone =
           member.locality().region().equals(wanted.region())
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/move/MoveLifeTests.java
+++ b/cuminlatch-bench/src/test/java/org/cuminlatch/bench/move/MoveLifeTests.java
@@ -8,6 +8,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -174,7 +175,7 @@
     void lowersTheShareWhenTargetsOfNewVersionDrain() {
       fixture.runUntilShare(0, 0.5);
       for (int node = 8; node < 16; node++) {
-        mesh.announce(node, draining(mesh.node(node).member()));
+        mesh.announce(node, draining(mesh.node(node).own()));
       }
 
       fixture.step();
@@ -183,7 +184,41 @@
       assertThat(fixture.highestShareNow(), closeTo(0, 0));
     }
 
+    @Test
+    void rollsBackWhenItIsLostWhileTheSoakEnds() {
+      fixture.runUntilShare(0, 1).runUntil(107);
+      for (int node = 8; node < 16; node++) {
+        mesh.announce(node, draining(mesh.node(node).own()));
+      }
+
+      fixture.runUntil(125);
+
+      assertThat(fixture.result(), equalTo(ROLLED_BACK));
+    }
+
     private Member draining(Member member) {
+      return inPhase(member, Member.Phase.DRAINING);
+    }
+  }
+
+  @Nested
+  class StartingInstance {
+
+    @Test
+    void doesNotHoldTheMoveUpWithoutConfiguration() {
+      fixture.runUntil(5);
+      mesh.addNode(MeshFixture.SERVICE.zones().get(0), "2");
+      int starting = mesh.nodes() - 1;
+      mesh.announce(starting, inPhase(mesh.node(starting).own(), Member.Phase.STARTING));
+      mesh.freeze(starting, Duration.ofSeconds(300));
+
+      fixture.runUntil(125);
+
+      assertThat(fixture.result(), equalTo(DONE));
+    }
+  }
+
+  private static Member inPhase(Member member, Member.Phase phase) {
       return new Member(
           member.instance(),
           member.incarnation(),
@@ -194,11 +229,10 @@
           member.service(),
           member.targetVersion(),
           member.slots(),
-          Member.Phase.DRAINING,
+          phase,
           member.schemaVersions(),
           member.configVersion(),
           member.stateHash());
-    }
   }
 
   @Nested
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/move/MoveUnderFailureTests.java
+++ b/cuminlatch-bench/src/test/java/org/cuminlatch/bench/move/MoveUnderFailureTests.java
@@ -4,10 +4,13 @@
 import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.startsWith;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.cuminlatch.core.config.MoveOutcome.Result;
@@ -74,15 +77,37 @@
     }
 
     @Test
-    void wakesWithoutItsShareAlthoughNobodyAnswers() {
+    void takesUpItsShareOnceItIsToldAgain() {
       fixture.runUntilShare(1, 0.5);
-      mesh.showView(1, List.of(mesh.node(1).member()));
       mesh.freeze(1, Duration.ofSeconds(6));
-      for (int tick = 0; tick < 31; tick++) {
+      List<Double> shares = new ArrayList<>();
+      for (int tick = 0; tick < 60; tick++) {
+        fixture.step();
+        shares.add(mesh.newShare(1));
+      }
+
+      assertThat(shares, hasItem(0.0));
+      assertThat(shares.get(shares.size() - 1), greaterThanOrEqualTo(0.5));
+    }
+  }
+
+  @Nested
+  class ZoneThatDoesNotAnswer {
+
+    @Test
+    void keepsItsRegionAtTheStepItHasReached() {
+      fixture.runUntilShare(0, 0.05);
+      for (int node = 1; node < mesh.nodes(); node += 4) {
+        mesh.freeze(node, Duration.ofSeconds(50));
+      }
+
+      double highest = 0;
+      for (int tick = 0; tick < 5 * 45; tick++) {
         fixture.step();
+        highest = Math.max(highest, mesh.newShare(0));
       }
 
-      assertThat(mesh.newShare(1), lessThanOrEqualTo(0.5));
+      assertThat(highest, closeTo(0.05, 1e-6));
     }
   }
 
@@ -110,7 +135,7 @@
 
     @Test
     void keepTheBadVersionBelowTheShareOfTheirStep() {
-      List<Member> alone = List.of(mesh.node(0).member(), mesh.node(8).member());
+      List<Member> alone = List.of(mesh.node(0).own(), mesh.node(8).own());
       mesh.showView(0, alone);
       mesh.showView(8, alone);
       fixture.failNew(0.5);
@@ -148,6 +173,7 @@
       fixture.runUntil(125);
       assertThat(fixture.highestShareNow(), closeTo(1, 0));
       assertThat(fixture.result(), equalTo(Optional.empty()));
+      assertThat(fixture.reasons(), hasItem(startsWith("waiting for the end of the soak in")));
 
       mesh.setCut(false);
       fixture.runUntil(140);
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/AggregatorRank.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/AggregatorRank.java
@@ -31,8 +31,12 @@
         .toList();
   }
 
+  /** Returns whether a member takes part; one that starts without a configuration does not yet. */
   static boolean eligible(Member member) {
-    return member.status() != Member.Status.DEAD && member.phase() != Member.Phase.LEFT;
+    boolean hasNothingYet = member.phase() == Member.Phase.STARTING && member.configVersion() == 0;
+    return member.status() != Member.Status.DEAD
+        && member.phase() != Member.Phase.LEFT
+        && !hasNothingYet;
   }
 
   private static long weight(Member member, MoveId move) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveAggregator.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveAggregator.java
@@ -35,6 +35,7 @@
   private Verdict verdict = Verdict.NONE;
   private int step = MoveEvidence.NO_STEP;
   private boolean warm;
+  private boolean zoneClosed;
   private Instant stepSince = Instant.MIN;
   private Instant nextLook = Instant.MIN;
   private long newCallsAtStep;
@@ -160,12 +161,26 @@
         demand.slots());
   }
 
+  /**
+   * Returns whether the whole zone has ended its soak, from when on it may have been said to be
+   * done and this aggregator rolls back no more.
+   */
+  boolean isZoneClosed(MeshSight sight) {
+    zoneClosed = zoneClosed || evidence.allClosed(sight.zoneNodes());
+    return zoneClosed;
+  }
+
   /** Returns whether every zone has ended its soak; a zone lost for long is left out. */
   boolean isClosedEverywhere(MeshSight sight, Instant now) {
-    return evidence.allClosed(sight.zoneNodes())
-        && zones(sight).stream()
-            .filter(zone -> sight.otherZones().contains(zone) || !isLost(zone, now))
-            .allMatch(evidence::isClosed);
+    return isZoneClosed(sight) && unclosedZones(sight, now).isEmpty();
+  }
+
+  /** Returns the other zones whose soak has not ended yet, as far as they are waited for. */
+  List<Locality> unclosedZones(MeshSight sight, Instant now) {
+    return zones(sight).stream()
+        .filter(zone -> sight.otherZones().contains(zone) || !isLost(zone, now))
+        .filter(zone -> !evidence.isClosed(zone))
+        .toList();
   }
 
   private boolean isLost(Locality zone, Instant now) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveEngine.java
@@ -296,7 +296,11 @@
 
   private void decide(MoveAggregator aggregator, Instant now) {
     NodeMove move = aggregator.move();
-    boolean settled = facts.contains(move.id()) || move.stop().isPresent() || move.closed();
+    boolean settled =
+        facts.contains(move.id()) || move.stop().isPresent() || aggregator.isZoneClosed(sight);
+    if (settled && !facts.contains(move.id()) && move.stop().isEmpty()) {
+      noteUnclosedZones(aggregator, now);
+    }
     if (settled || !aggregator.isWarm(sight, now)) {
       return;
     }
@@ -309,11 +313,23 @@
     }
   }
 
+  private void noteUnclosedZones(MoveAggregator aggregator, Instant now) {
+    List<Locality> unclosed = aggregator.unclosedZones(sight, now);
+    if (!unclosed.isEmpty()) {
+      Locality first = unclosed.get(0);
+      journal.decided(
+          aggregator.move(),
+          MoveDecision.Kind.HOLD,
+          "waiting for the end of the soak in " + first.region() + "/" + first.zone(),
+          now);
+    }
+  }
+
   private void reportZone(MoveAggregator aggregator, Instant now) {
     NodeMove move = aggregator.move();
     boolean rolledBack = facts.contains(move.id());
     int step = aggregator.reachedStep(sight);
-    boolean closed = aggregator.evidence().allClosed(sight.zoneNodes());
+    boolean closed = aggregator.isZoneClosed(sight);
     for (Member member : sight.aggregators(move.id())) {
       if (member.locality().equals(locality)) {
         continue;
--- /dev/null
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/move/JudgeTests.java
@@ -0,0 +1,138 @@
+package org.cuminlatch.core.move;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.cuminlatch.core.config.Move;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class JudgeTests {
+
+  private static final Instant START = Instant.parse("2026-03-01T08:00:00Z");
+  private static final double ERROR_RATE = 0.01;
+  private static final MovePlan PLAN =
+      MovePlan.of(
+          new Move(
+              "m",
+              "siparis",
+              Optional.empty(),
+              "1",
+              "2",
+              START,
+              START.plusSeconds(300),
+              List.of(),
+              Duration.ofSeconds(60),
+              false));
+
+  @Nested
+  class Verdicts {
+
+    @ParameterizedTest(name = "old fails {0}, new fails {1}: {2}")
+    @CsvSource({
+      "0.003, 0.003, UNSUSPICIOUS",
+      "0.003, 0.1, BAD",
+      "0.003, 1, BAD",
+      "0.3, 0.3, UNSUSPICIOUS",
+      "0.3, 0.9, BAD",
+      "0.1, 0, UNSUSPICIOUS"
+    })
+    void compareWithTheOldVersion(double old, double fresh, Verdict.Kind expected) {
+      assertThat(judge(old, fresh, 20, 600, 1), is(expected));
+    }
+
+    @Test
+    void areTheSameForTheSameLooks() {
+      assertThat(judge(0.003, 0.05, 5, 300, 9), is(judge(0.003, 0.05, 5, 300, 9)));
+    }
+
+    @Test
+    void fewCallsAreNoReasonAgainstVersion() {
+      Judge judge = new Judge(PLAN, ERROR_RATE);
+      judge.look(evidence(10, 0, 0, 0), 0, START);
+
+      Verdict verdict = judge.look(evidence(10, 0, 2, 1), 0, START.plusSeconds(1));
+
+      assertThat(verdict.kind(), is(Verdict.Kind.UNSUSPICIOUS));
+    }
+  }
+
+  @Nested
+  class ErrorRate {
+
+    @Test
+    void holdsOverAllLooksForVersionAtTheAllowedLimit() {
+      int rolledBack = 0;
+      for (int move = 0; move < 300; move++) {
+        boolean bad = judge(0.02, 0.02, 10, 300, move) == Verdict.Kind.BAD;
+        rolledBack += bad ? 1 : 0;
+      }
+
+      assertThat(rolledBack, lessThanOrEqualTo((int) (300 * ERROR_RATE)));
+    }
+
+    @Test
+    void isKeptByTheTestAtItsVeryBound() {
+      double rate = 0.05;
+      SplittableRandom random = new SplittableRandom(3);
+      int found = 0;
+      for (int run = 0; run < 1_000; run++) {
+        found += reaches(Math.log(1 / rate), random) ? 1 : 0;
+      }
+
+      assertThat(found, lessThanOrEqualTo((int) (1_000 * rate)));
+    }
+
+    private boolean reaches(double threshold, SplittableRandom random) {
+      SequentialTest test = new SequentialTest(0.03, 0.15, 0.6);
+      for (int look = 0; look < 200; look++) {
+        test.begin(1.0 / 200);
+        test.look(binomial(20, 0.05, random), 20, 0.05);
+        if (test.logValue() >= threshold) {
+          return true;
+        }
+      }
+      return false;
+    }
+  }
+
+  private static Verdict.Kind judge(
+      double oldRate, double newRate, int newCallsPerLook, int looks, long seed) {
+    Judge judge = new Judge(PLAN, ERROR_RATE);
+    SplittableRandom random = new SplittableRandom(seed);
+    long oldFailures = 0;
+    long newFailures = 0;
+    Verdict verdict = Verdict.NONE;
+    for (int look = 1; look <= looks; look++) {
+      oldFailures += binomial(50, oldRate, random);
+      newFailures += binomial(newCallsPerLook, newRate, random);
+      long newCalls = (long) look * newCallsPerLook;
+      Instant now = START.plusMillis(500L * look);
+      verdict = judge.look(evidence(50L * look, oldFailures, newCalls, newFailures), 0, now);
+    }
+    return verdict.kind();
+  }
+
+  private static Evidence evidence(
+      long oldCalls, long oldFailures, long newCalls, long newFailures) {
+    Counts old = new Counts(oldCalls, oldFailures, 0, 0, List.of());
+    Counts fresh = new Counts(newCalls, newFailures, 0, 0, List.of());
+    return new Evidence(java.util.Map.of("orders", new Evidence.RouteEvidence(old, fresh)));
+  }
+
+  private static long binomial(int trials, double rate, SplittableRandom random) {
+    long events = 0;
+    for (int i = 0; i < trials; i++) {
+      events += random.nextDouble() < rate ? 1 : 0;
+    }
+    return events;
+  }
+}
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/move/MoveEngineTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/move/MoveEngineTests.java
@@ -10,8 +10,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.cuminlatch.core.config.Move;
 import org.cuminlatch.core.config.MoveOutcome;
 import org.cuminlatch.core.config.MoveStop;
+import org.cuminlatch.core.move.EvidenceMessage.RollbackNotice;
 import org.cuminlatch.core.move.VersionShares.VersionShare;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -84,6 +86,25 @@
     }
   }
 
+  @Nested
+  class RollbackToldByPeer {
+
+    @Test
+    void standsAlthoughTheMoveIsNotKnownYet() {
+      Move move = nodes.move(60, 5);
+      Rollback fact = new Rollback(MoveId.of(move), "seen elsewhere", move.start(), 0.2);
+      nodes.tell(new RollbackNotice(List.of(fact)));
+      nodes.start(move);
+
+      nodes.run(30);
+
+      assertThat(nodes.newShare(), closeTo(0, 0));
+      assertThat(nodes.outcome().result(), is(MoveOutcome.Result.ROLLED_BACK));
+      assertThat(nodes.outcome().reason(), equalTo("seen elsewhere"));
+      assertThat(nodes.outcome().highestShare(), closeTo(0.2, 0));
+    }
+  }
+
   @Nested
   class OperatorsStop {
 
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/move/TwoNodes.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/move/TwoNodes.java
@@ -43,7 +43,8 @@
   private final Deque<Runnable> deliveries = new ArrayDeque<>();
   private Optional<MoveState> state = Optional.empty();
   private Instant now = START;
-  private long version;
+  private long version = 1;
+  private Snapshot snapshot = Snapshot.empty();
   private double newFailures;
   private int newSlots = SLOTS;
 
@@ -105,6 +106,11 @@
     state = state.map(open -> new MoveState(open.move(), 1, Optional.of(stop), Optional.empty()));
   }
 
+  /** Delivers a message to the first node. */
+  void tell(EvidenceMessage message) {
+    engine().onMessage(new Address("127.0.0.1", 3), message, now);
+  }
+
   void failNew(double share) {
     newFailures = share;
   }
@@ -173,10 +179,12 @@
   }
 
   private Snapshot snapshot() {
-    Map<String, MoveState> moves = state.map(open -> Map.of("m", open)).orElse(Map.of());
-    long version = 1 + moves.hashCode();
-    return new Snapshot(
-        Math.abs(version), "", Map.of("orders", ROUTE), Map.of("siparis", service()), moves);
+    if (snapshot.version() != version) {
+      Map<String, MoveState> moves = state.map(open -> Map.of("m", open)).orElse(Map.of());
+      snapshot =
+          new Snapshot(version, "", Map.of("orders", ROUTE), Map.of("siparis", service()), moves);
+    }
+    return snapshot;
   }
 
   /** Returns the service as the fold leaves it: a move that is done has moved its routes. */
