--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/move/MoveLifeTests.java
+++ b/cuminlatch-bench/src/test/java/org/cuminlatch/bench/move/MoveLifeTests.java
@@ -175,7 +175,7 @@
     void lowersTheShareWhenTargetsOfNewVersionDrain() {
       fixture.runUntilShare(0, 0.5);
       for (int node = 8; node < 16; node++) {
-        mesh.announce(node, draining(mesh.node(node).own()));
+        mesh.announce(node, draining(mesh.node(node).member()));
       }
 
       fixture.step();
@@ -188,7 +188,7 @@
     void rollsBackWhenItIsLostWhileTheSoakEnds() {
       fixture.runUntilShare(0, 1).runUntil(107);
       for (int node = 8; node < 16; node++) {
-        mesh.announce(node, draining(mesh.node(node).own()));
+        mesh.announce(node, draining(mesh.node(node).member()));
       }
 
       fixture.runUntil(125);
@@ -209,7 +209,7 @@
       fixture.runUntil(5);
       mesh.addNode(MeshFixture.SERVICE.zones().get(0), "2");
       int starting = mesh.nodes() - 1;
-      mesh.announce(starting, inPhase(mesh.node(starting).own(), Member.Phase.STARTING));
+      mesh.announce(starting, inPhase(mesh.node(starting).member(), Member.Phase.STARTING));
       mesh.freeze(starting, Duration.ofSeconds(300));
 
       fixture.runUntil(125);
@@ -219,20 +219,20 @@
   }
 
   private static Member inPhase(Member member, Member.Phase phase) {
-      return new Member(
-          member.instance(),
-          member.incarnation(),
-          member.status(),
-          member.controlAddress(),
-          member.callAddress(),
-          member.locality(),
-          member.service(),
-          member.targetVersion(),
-          member.slots(),
-          phase,
-          member.schemaVersions(),
-          member.configVersion(),
-          member.stateHash());
+    return new Member(
+        member.instance(),
+        member.incarnation(),
+        member.status(),
+        member.controlAddress(),
+        member.callAddress(),
+        member.locality(),
+        member.service(),
+        member.targetVersion(),
+        member.slots(),
+        phase,
+        member.schemaVersions(),
+        member.configVersion(),
+        member.stateHash());
   }
 
   @Nested
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/move/MoveUnderFailureTests.java
+++ b/cuminlatch-bench/src/test/java/org/cuminlatch/bench/move/MoveUnderFailureTests.java
@@ -135,7 +135,7 @@
 
     @Test
     void keepTheBadVersionBelowTheShareOfTheirStep() {
-      List<Member> alone = List.of(mesh.node(0).own(), mesh.node(8).own());
+      List<Member> alone = List.of(mesh.node(0).member(), mesh.node(8).member());
       mesh.showView(0, alone);
       mesh.showView(8, alone);
       fixture.failNew(0.5);
