Tie the outcome of a move to the move itself

Cause: outcomes were appended under an id of name and result alone and without an expected version. Once an ended move is forgotten its name is free again; while the old id is still remembered, the outcome of the later move of that name was dropped as a repeat, so that it never ended, and a late copy of the old outcome could end the later move.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
@@ -115,7 +115,7 @@
             this::snapshot,
             membership,
             transport,
-            new OutcomeAppender(log),
+            new OutcomeAppender(log, this::snapshot),
             placement,
             MoveSettings.defaults());
   }
