A member of a region out of reach is not declared dead

Changed: a member of another region is suspected, and its suspicion runs out, only where that region was heard from within a probe interval.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/MembershipEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/MembershipEngine.java
@@ -243,7 +243,9 @@
       suspect(failed, now);
     }
     for (Member expired : roster.suspectsSince(now.minus(settings.suspicionTimeout()))) {
-      learn(verdict(expired, Status.DEAD), now);
+      if (hearsRegionOf(expired, now)) {
+        learn(verdict(expired, Status.DEAD), now);
+      }
     }
     if (!nextProbe.isAfter(now)) {
       nextProbe = now.plus(settings.probeInterval());
@@ -256,9 +258,7 @@
   }
 
   private void suspect(Member failed, Instant now) {
-    boolean mayBlame =
-        !isIsolated(now)
-            && (sameRegion(failed) || !targets.isRegionDark(failed.locality().region(), now));
+    boolean mayBlame = !isIsolated(now) && hearsRegionOf(failed, now);
     if (mayBlame) {
       blamed.add(failed.instance());
       learn(verdict(failed, Status.SUSPECT), now);
@@ -269,8 +269,11 @@
     return blamed.contains(suspect.instance());
   }
 
-  private boolean sameRegion(Member member) {
-    return member.locality().region().equals(self.locality().region());
+  /** Returns whether a silent member is likely to be dead itself, its region being within reach. */
+  private boolean hearsRegionOf(Member member, Instant now) {
+    String region = member.locality().region();
+    Instant since = now.minus(settings.probeInterval());
+    return region.equals(self.locality().region()) || targets.heardFromRegion(region, since);
   }
 
   private boolean isIsolated(Instant now) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/ProbeTargets.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/ProbeTargets.java
@@ -20,7 +20,7 @@
 final class ProbeTargets {
 
   /** Time without an answer from another zone after which it counts as dark. */
-  static final Duration DARK_AFTER = Duration.ofSeconds(4);
+  private static final Duration DARK_AFTER = Duration.ofSeconds(4);
 
   private static final int DARK_PROBES = 4;
 
@@ -46,32 +46,16 @@
   }
 
   /** Returns whether probes of a zone have gone unanswered for a while. */
-  boolean isDark(Locality zone, Instant now) {
+  private boolean isDark(Locality zone, Instant now) {
     Instant since = triedSince.get(zone);
     return since != null && !since.plus(DARK_AFTER).isAfter(now);
   }
 
-  /** Returns whether every zone of a region that was probed is dark. */
-  boolean isRegionDark(String region, Instant now) {
-    boolean any = false;
-    for (Locality zone : roster.zones().keySet()) {
-      if (zone.region().equals(region) && triedOrHeard(zone)) {
-        if (!isDark(zone, now) && heardLately(zone, now)) {
-          return false;
-        }
-        any = true;
-      }
-    }
-    return any;
-  }
-
-  private boolean triedOrHeard(Locality zone) {
-    return triedSince.containsKey(zone) || heardFrom.containsKey(zone);
-  }
-
-  private boolean heardLately(Locality zone, Instant now) {
-    Instant heard = heardFrom.get(zone);
-    return heard != null && heard.plus(DARK_AFTER).isAfter(now);
+  /** Returns whether some member of a region was heard from directly since an instant. */
+  boolean heardFromRegion(String region, Instant since) {
+    return heardFrom.entrySet().stream()
+        .anyMatch(
+            entry -> entry.getKey().region().equals(region) && entry.getValue().isAfter(since));
   }
 
   List<Member> next(Instant now) {
