--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.cuminlatch.bench.config.ConfigurationCost;
 import org.cuminlatch.bench.move.MoveExperiment;
 import org.cuminlatch.bench.spread.SpreadExperiment;
 
@@ -15,6 +16,7 @@
     ALL.add(new CallerExperiment());
     ALL.add(new SpreadExperiment());
     ALL.add(new MoveExperiment());
+    ALL.add(new ConfigurationCost());
   }
 
   private Experiments() {}
