--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/SpreadEngine.java
@@ -2,13 +2,10 @@
 
 import static org.cuminlatch.core.Preconditions.notNull;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
-import org.cuminlatch.core.config.Bytes;
 import org.cuminlatch.core.config.ConfigurationReplica;
 import org.cuminlatch.core.config.LogRecord;
 import org.cuminlatch.core.config.Snapshot;
@@ -17,7 +14,6 @@
 import org.cuminlatch.core.error.CuminlatchException;
 import org.cuminlatch.core.error.ErrorCode;
 import org.cuminlatch.core.membership.Address;
-import org.cuminlatch.core.membership.ByteBudget;
 import org.cuminlatch.core.membership.Member;
 import org.cuminlatch.core.membership.MembershipView;
 import org.cuminlatch.core.spread.LogRequests.Stream;
@@ -26,7 +22,6 @@
 import org.cuminlatch.core.spread.SpreadMessage.Progress;
 import org.cuminlatch.core.spread.SpreadMessage.Pull;
 import org.cuminlatch.core.spread.SpreadMessage.Records;
-import org.cuminlatch.core.spread.SpreadMessage.VersionCount;
 
 /**
  * Brings every instance's configuration to the end of the log: ranked readers, push down a tree of
@@ -36,12 +31,6 @@
  */
 public final class SpreadEngine implements ControlEngine<SpreadMessage> {
 
-  private static final Duration PROGRESS_DELAY = Duration.ofMillis(250);
-  private static final Duration PROGRESS_REFRESH = Duration.ofSeconds(5);
-  private static final int MAX_PULL_BYTES = 32 * 1024;
-  private static final int MAX_PULL_RECORDS = 256;
-  private static final int HASH_LENGTH = 8;
-
   private final Member self;
   private final ConfigurationReplica replica;
   private final Outbox outbox;
@@ -53,19 +42,14 @@
   private final PullRepair repair;
   private final ReaderWatch watch;
   private final LogRendezvous rendezvous;
-  private final ProgressCount progress = new ProgressCount();
-  private final ByteBudget budget;
-  private VersionCount counted;
-  private Checkpoint encoded;
-  private List<VersionCount> sentCounts = List.of();
-  private Instant progressSentAt = Instant.EPOCH;
+  private final ProgressCount progress;
+  private final RecordExchange exchange;
   private Instant nextHeartbeat = Instant.EPOCH;
   private Consumer<Address> contact = address -> {};
   private boolean meetsOnLog;
   private long round;
   private boolean started;
   private InForce inForce = InForce.UNKNOWN;
-  private long reportedDivergence = -1;
 
   private SpreadEngine(
       Member self,
@@ -89,7 +73,8 @@
     this.rendezvous =
         LogRendezvous.create(
             self, view, address -> contact.accept(address), this::isReporter, requests, random);
-    this.budget = ByteBudget.of(settings.bytesPerSecond(), settings.burstBytes());
+    this.progress = new ProgressCount(self.instance(), replica, listener);
+    this.exchange = new RecordExchange(replica, outbox, settings);
   }
 
   /**
@@ -197,7 +182,13 @@
       nextHeartbeat = now.plus(settings.heartbeatInterval());
       sendHeartbeat(now);
     }
-    sendProgress(now);
+    topology.parent().ifPresent(parent -> reportTo(parent, now));
+  }
+
+  private void reportTo(Member parent, Instant now) {
+    progress
+        .due(topology.children(), now)
+        .ifPresent(report -> outbox.send(parent.controlAddress(), report));
   }
 
   private void pullFrom(Address peer, Instant now) {
@@ -207,11 +198,10 @@
 
   private void sendHeartbeat(Instant now) {
     round++;
-    List<VersionCount> counts = countSubtree(now);
-    InForce region = inRegion(counts);
+    InForce region =
+        progress.inRegion(topology.children(), topology.memberCount(self.locality().region()), now);
     inForce = watch.withOtherRegions(region);
     listener.onProgress(inForce);
-    reportDivergence(counts);
     Heartbeat down = heartbeat(inForce);
     topology.headChildren().forEach(head -> outbox.send(head.controlAddress(), down));
     Heartbeat across = heartbeat(region);
@@ -237,55 +227,6 @@
     topology.zoneChildren().forEach(child -> outbox.send(child.controlAddress(), own));
   }
 
-  private List<VersionCount> countSubtree(Instant now) {
-    return progress.sum(ownCount(), topology.children(), now);
-  }
-
-  private VersionCount ownCount() {
-    if (counted == null || counted.version() != replica.version()) {
-      String hash = replica.snapshot().stateHash();
-      String abbreviated = hash.length() <= HASH_LENGTH ? hash : hash.substring(0, HASH_LENGTH);
-      counted = new VersionCount(replica.version(), abbreviated, 1);
-    }
-    return counted;
-  }
-
-  private InForce inRegion(List<VersionCount> counts) {
-    long version = replica.version();
-    int have =
-        counts.stream()
-            .filter(count -> count.version() >= version)
-            .mapToInt(VersionCount::count)
-            .sum();
-    return new InForce(version, have, topology.memberCount(self.locality().region()));
-  }
-
-  private void reportDivergence(List<VersionCount> counts) {
-    for (int i = 1; i < counts.size(); i++) {
-      VersionCount a = counts.get(i - 1);
-      VersionCount b = counts.get(i);
-      if (a.version() == b.version() && a.version() != reportedDivergence) {
-        reportedDivergence = a.version();
-        listener.onDivergence(a.version(), a.stateHash() + " and " + b.stateHash());
-      }
-    }
-  }
-
-  private void sendProgress(Instant now) {
-    Optional<Member> parent = topology.parent();
-    if (parent.isEmpty() || progressSentAt.plus(PROGRESS_DELAY).isAfter(now)) {
-      return;
-    }
-    List<VersionCount> counts = countSubtree(now);
-    boolean refresh = !progressSentAt.plus(PROGRESS_REFRESH).isAfter(now);
-    if (refresh || !counts.equals(sentCounts)) {
-      progressSentAt = now;
-      sentCounts = counts;
-      reportDivergence(counts);
-      outbox.send(parent.get().controlAddress(), new Progress(self.instance(), counts));
-    }
-  }
-
   @Override
   public void onMessage(Address from, SpreadMessage message, Instant now) {
     if (message instanceof Heartbeat heartbeat) {
@@ -293,7 +234,7 @@
     } else if (message instanceof Records records) {
       onRecords(from, records, now);
     } else if (message instanceof Pull pull) {
-      onPull(from, pull, now);
+      exchange.answer(from, pull.from(), now);
     } else if (message instanceof Progress report) {
       progress.onProgress(report, now);
     } else if (message instanceof Checkpoint checkpoint) {
@@ -348,7 +289,7 @@
         records.stream()
             .filter(record -> record.offset() >= before && record.offset() < replica.version())
             .toList();
-    push(fresh, now);
+    exchange.push(fresh, topology.children(), now);
     return true;
   }
 
@@ -357,50 +298,6 @@
     listener.onInForce(snapshot);
   }
 
-  private void push(List<LogRecord> records, Instant now) {
-    List<Member> children = topology.children();
-    if (children.isEmpty()) {
-      return;
-    }
-    int size = sizeOf(records);
-    Records pushed = new Records(replica.version(), records, true);
-    for (Member child : children) {
-      if (size <= MAX_PULL_BYTES && budget.tryTake(size, now)) {
-        outbox.send(child.controlAddress(), pushed);
-      }
-    }
-  }
-
-  private static int sizeOf(List<LogRecord> records) {
-    return records.stream().mapToInt(record -> record.content().length()).sum();
-  }
-
-  private void onPull(Address from, Pull pull, Instant now) {
-    long missing = replica.version() - pull.from();
-    if (missing <= 0) {
-      return;
-    }
-    List<LogRecord> records =
-        missing > MAX_PULL_RECORDS ? List.of() : replica.recordsFrom(pull.from(), MAX_PULL_BYTES);
-    if (!records.isEmpty()) {
-      if (budget.tryTake(sizeOf(records), now)) {
-        outbox.send(from, new Records(replica.version(), records, false));
-      }
-      return;
-    }
-    Bytes checkpoint = checkpoint();
-    if (budget.tryTake(checkpoint.length(), now)) {
-      outbox.send(from, new Checkpoint(replica.version(), checkpoint));
-    }
-  }
-
-  private Bytes checkpoint() {
-    if (encoded == null || encoded.version() != replica.version()) {
-      encoded = new Checkpoint(replica.version(), replica.checkpoint());
-    }
-    return encoded.content();
-  }
-
   private void onCheckpoint(Checkpoint checkpoint) {
     repair.answered();
     try {
