--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/Conclusion.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/Conclusion.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import org.cuminlatch.core.retry.AttemptOutcome;
+import org.cuminlatch.wire.proto.call.RefusalReason;
 
 /**
  * How a call ended.
@@ -12,6 +13,7 @@
  */
 record Conclusion(AttemptOutcome outcome, int status, String reason) {
 
+  static final int BAD_REQUEST = 400;
   static final int NOT_FOUND = 404;
   static final int BAD_GATEWAY = 502;
   static final int SERVICE_UNAVAILABLE = 503;
@@ -24,6 +26,9 @@
   }
 
   static Conclusion notRun(Enum<?> reason) {
+    if (reason == RefusalReason.UNSENDABLE) {
+      return new Conclusion(AttemptOutcome.NOT_RUN, BAD_REQUEST, words(reason));
+    }
     return new Conclusion(AttemptOutcome.NOT_RUN, SERVICE_UNAVAILABLE, words(reason));
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/TargetGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/TargetGate.java
@@ -1,5 +1,6 @@
 package org.cuminlatch.node.call;
 
+import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.cuminlatch.core.admission.SlotDecision;
@@ -203,7 +205,14 @@
             token, attempt.begin().getCredit(), new AnswerForwarder(this, attempt, clock));
     attempt.expects(answer);
     Duration left = Duration.between(clock.instant(), attempt.deadline());
-    var exchange = client.run(attempt, answer, left);
+    CompletableFuture<HttpResponse<Void>> exchange;
+    try {
+      exchange = client.run(attempt, answer, left);
+    } catch (IllegalArgumentException unsendable) {
+      connections.release();
+      refuseAdmitted(attempt, RefusalReason.UNSENDABLE, SlotEnd.OTHER);
+      return;
+    }
     exchange.whenComplete(
         (response, error) -> {
           connections.release();
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/call/CallPathTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/call/CallPathTests.java
@@ -1,9 +1,13 @@
 package org.cuminlatch.node.call;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
@@ -56,4 +60,31 @@
       assertThat(CallMesh.outcome(answer), is("answered"));
     }
   }
+
+  @Nested
+  class WithRequestsThatCannotBePassedOn {
+
+    @Test
+    void refusesThemAndLosesNoSlot() throws Exception {
+      CallMesh.Node node = mesh.add("a", 1);
+
+      for (int i = 0; i < 3; i++) {
+        assertThat(firstLine(node, "BO(K"), containsString("400"));
+      }
+
+      assertThat(mesh.get(node, "/stock").body(), is("ok"));
+      assertThat(node.target().runs(), is(1));
+    }
+
+    private String firstLine(CallMesh.Node node, String method) throws IOException {
+      try (Socket socket = new Socket("127.0.0.1", node.uri("/").getPort())) {
+        String request = method + " /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
+            .lines()
+            .findFirst()
+            .orElse("");
+      }
+    }
+  }
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
@@ -144,16 +144,17 @@
       " \001(\0162\036.cuminlatch.call.FailureReason\022#\n\004" +
       "load\030\002 \001(\0132\025.cuminlatch.call.Load\"\025\n\004Pin" +
       "g\022\r\n\005nonce\030\001 \001(\006\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\006*" +
-      "\303\001\n\rRefusalReason\022\027\n\023REFUSAL_UNSPECIFIED" +
+      "\323\001\n\rRefusalReason\022\027\n\023REFUSAL_UNSPECIFIED" +
       "\020\000\022\014\n\010DRAINING\020\001\022\016\n\nQUEUE_FULL\020\002\022\014\n\010DEAD" +
       "LINE\020\003\022\021\n\rWRONG_VERSION\020\004\022\017\n\013NOT_SERVING" +
       "\020\005\022\026\n\022TARGET_UNREACHABLE\020\006\022\017\n\013TARGET_SHE" +
-      "D\020\007\022\r\n\tWITHDRAWN\020\010\022\021\n\rNOT_KEY_OWNER\020\t*\232\001" +
-      "\n\rFailureReason\022\027\n\023FAILURE_UNSPECIFIED\020\000" +
-      "\022\021\n\rTARGET_BROKEN\020\001\022\022\n\016TARGET_TIMEOUT\020\002\022" +
-      "\025\n\021CONNECTION_SILENT\020\003\022\022\n\016ANSWER_CROSSED" +
-      "\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014KEY_IN_DOUBT\020\006B\"\n\036or" +
-      "g.cuminlatch.wire.proto.callP\001b\006proto3"
+      "D\020\007\022\r\n\tWITHDRAWN\020\010\022\021\n\rNOT_KEY_OWNER\020\t\022\016\n" +
+      "\nUNSENDABLE\020\n*\232\001\n\rFailureReason\022\027\n\023FAILU" +
+      "RE_UNSPECIFIED\020\000\022\021\n\rTARGET_BROKEN\020\001\022\022\n\016T" +
+      "ARGET_TIMEOUT\020\002\022\025\n\021CONNECTION_SILENT\020\003\022\022" +
+      "\n\016ANSWER_CROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014KEY_" +
+      "IN_DOUBT\020\006B\"\n\036org.cuminlatch.wire.proto." +
+      "callP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/RefusalReason.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/RefusalReason.java
@@ -51,6 +51,14 @@
    * <code>NOT_KEY_OWNER = 9;</code>
    */
   NOT_KEY_OWNER(9),
+  /**
+   * <pre>
+   * The HTTP client does not accept the method, the path or a header.
+   * </pre>
+   *
+   * <code>UNSENDABLE = 10;</code>
+   */
+  UNSENDABLE(10),
   UNRECOGNIZED(-1),
   ;
 
@@ -103,6 +111,14 @@
    * <code>NOT_KEY_OWNER = 9;</code>
    */
   public static final int NOT_KEY_OWNER_VALUE = 9;
+  /**
+   * <pre>
+   * The HTTP client does not accept the method, the path or a header.
+   * </pre>
+   *
+   * <code>UNSENDABLE = 10;</code>
+   */
+  public static final int UNSENDABLE_VALUE = 10;
 
 
   public final int getNumber() {
@@ -139,6 +155,7 @@
       case 7: return TARGET_SHED;
       case 8: return WITHDRAWN;
       case 9: return NOT_KEY_OWNER;
+      case 10: return UNSENDABLE;
       default: return null;
     }
   }
