--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/Experiments.java
@@ -9,7 +9,9 @@
 import org.cuminlatch.bench.call.RegionTraffic;
 import org.cuminlatch.bench.call.SlowTarget;
 import org.cuminlatch.bench.call.StreamMemory;
+import org.cuminlatch.bench.config.ConfigurationCost;
 import org.cuminlatch.bench.move.MoveExperiment;
+import org.cuminlatch.bench.process.NodeCost;
 import org.cuminlatch.bench.spread.SpreadExperiment;
 
 /** All experiments that the bench can run. */
@@ -19,8 +21,10 @@
 
   static {
     ALL.add(new CallerExperiment());
+    ALL.add(new NodeCost());
     ALL.add(new SpreadExperiment());
     ALL.add(new MoveExperiment());
+    ALL.add(new ConfigurationCost());
     ALL.add(new AddedLatency());
     ALL.add(new Goodput());
     ALL.add(new SlowTarget());
