Give up a silent connection only while it is silent, and no answer that has begun

Changed: a suspected connection is given up only if nothing has come 500 ms after the suspicion and the fresh one answers; a slow one goes on with what it carries. Stalled attempts whose answer has begun are no longer given up, since they can't be moved.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/Peer.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/Peer.java
@@ -20,7 +20,8 @@
 
   static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
   static final Duration PING_AFTER = Duration.ofMillis(200);
-  static final Duration PING_TIMEOUT = Duration.ofMillis(500);
+  static final Duration PING_TIMEOUT = Duration.ofSeconds(1);
+  static final Duration SUSPECT_GRACE = Duration.ofMillis(500);
   static final Duration IDLE_PING = Duration.ofSeconds(10);
   static final Duration UNUSED_CLOSE = Duration.ofSeconds(60);
 
@@ -28,6 +29,7 @@
   private final CallTransport transport;
   private final InstantSource clock;
   private final List<Suspect> suspects = new ArrayList<>();
+  private final List<PeerConnection> older = new ArrayList<>();
   private PeerConnection current;
 
   Peer(Address address, CallTransport transport, InstantSource clock) {
@@ -68,11 +70,13 @@
   /** Looks for silent connections. */
   void check(Instant now) {
     judge(now).forEach(Suspect::end);
-    checkCurrent(now);
+    checkConnections(now);
   }
 
   /** Forgives the time in which this process itself stood still. */
   synchronized void forgive(Instant now) {
+    suspects.clear();
+    older.forEach(connection -> connection.forgive(now));
     if (current != null) {
       current.forgive(now);
     }
@@ -84,16 +88,26 @@
     return judged;
   }
 
-  private synchronized void checkCurrent(Instant now) {
-    if (current == null || !current.isOpen() || !suspects.isEmpty()) {
+  private synchronized void checkConnections(Instant now) {
+    older.removeIf(connection -> !connection.isUsable());
+    if (!suspects.isEmpty()) {
       return;
     }
-    if (current.isPinged()) {
-      suspectIfSilent(now);
-    } else if (current.carriesAttempts()) {
-      if (current.quietFor(now).compareTo(PING_AFTER) > 0) {
-        current.ping(now);
+    for (PeerConnection connection : List.copyOf(older)) {
+      if (connection.carriesAttempts()) {
+        checkInUse(connection, now);
+      } else {
+        connection.end(false);
       }
+    }
+    if (current != null && current.isOpen()) {
+      checkCurrent(now);
+    }
+  }
+
+  private void checkCurrent(Instant now) {
+    if (current.isPinged() || current.carriesAttempts()) {
+      checkInUse(current, now);
     } else if (current.unusedFor(now).compareTo(UNUSED_CLOSE) > 0) {
       current.end(false);
     } else if (current.quietFor(now).compareTo(IDLE_PING) > 0) {
@@ -101,18 +115,27 @@
     }
   }
 
-  private void suspectIfSilent(Instant now) {
-    if (current.pingedFor(now).compareTo(PING_TIMEOUT) <= 0) {
-      return;
+  private void checkInUse(PeerConnection connection, Instant now) {
+    if (connection.isPinged()) {
+      if (connection.pingedFor(now).compareTo(PING_TIMEOUT) > 0) {
+        suspect(connection, now);
+      }
+    } else if (connection.quietFor(now).compareTo(PING_AFTER) > 0) {
+      connection.ping(now);
+    }
+  }
+
+  private void suspect(PeerConnection silent, Instant now) {
+    if (silent == current) {
+      older.add(silent);
+      current = open();
     }
-    PeerConnection old = current;
-    current = open();
     current.ping(now);
-    suspects.add(new Suspect(old, current, now));
+    suspects.add(new Suspect(silent, current, now));
   }
 
   synchronized void close() {
-    suspects.forEach(suspect -> suspect.old().end(false));
+    older.forEach(connection -> connection.end(false));
     if (current != null) {
       current.end(false);
     }
@@ -121,6 +144,9 @@
   private record Suspect(PeerConnection old, PeerConnection fresh, Instant since) {
 
     void end() {
+      if (old.hasReceivedSince(since)) {
+        return;
+      }
       boolean answered = fresh.hasReceivedSince(since);
       old.end(!answered);
       if (!answered) {
@@ -129,9 +155,14 @@
     }
 
     boolean isDecided(Instant now) {
-      return !fresh.isUsable()
-          || fresh.hasReceivedSince(since)
-          || Duration.between(since, now).compareTo(CONNECT_TIMEOUT.plus(PING_TIMEOUT)) > 0;
+      return old.hasReceivedSince(since)
+          || !fresh.isUsable()
+          || fresh.hasReceivedSince(since) && isOlderThan(SUSPECT_GRACE, now)
+          || isOlderThan(CONNECT_TIMEOUT.plus(PING_TIMEOUT), now);
+    }
+
+    private boolean isOlderThan(Duration age, Instant now) {
+      return Duration.between(since, now).compareTo(age) > 0;
     }
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/RunningAttempt.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/RunningAttempt.java
@@ -106,6 +106,11 @@
     answerStarted = true;
   }
 
+  /** Returns whether the attempt may be given up so that it is made elsewhere. */
+  boolean canMove() {
+    return begin.getIdempotent() && !begin.getRetried() && !answerStarted;
+  }
+
   boolean canRejoin() {
     return !answerStarted && bodyComplete;
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/StallWatch.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/StallWatch.java
@@ -13,8 +13,8 @@
  *
  * <p>A silent connection and a slow target look alike, so the target is probed on a fresh
  * connection. If it answers, later requests use fresh connections, and an idempotent attempt that
- * has not been repeated yet is given up as unknown without blame. An attempt that is not idempotent
- * stays: it may be running.
+ * has no answer yet and has not been repeated is given up as unknown without blame. Others stay:
+ * one that is not idempotent may be running, and one whose answer has begun can't be moved.
  */
 final class StallWatch {
 
@@ -52,8 +52,6 @@
       return;
     }
     client.renew(clock.instant());
-    stalled.stream()
-        .filter(attempt -> attempt.begin().getIdempotent() && !attempt.begin().getRetried())
-        .forEach(gate::connectionSilent);
+    stalled.stream().filter(RunningAttempt::canMove).forEach(gate::connectionSilent);
   }
 }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/call/TargetFaultTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/call/TargetFaultTests.java
@@ -221,6 +221,26 @@
       assertThat(requests.get(), is(2));
     }
 
+    @Test
+    void answersThatHaveBegunAreNotCutOff() throws Exception {
+      CountDownLatch never = new CountDownLatch(1);
+      beside
+          .target()
+          .behave(
+              exchange -> {
+                exchange.sendResponseHeaders(200, 200_000);
+                exchange.getResponseBody().write(new byte[100_000]);
+                exchange.getResponseBody().flush();
+                never.await(2500, TimeUnit.MILLISECONDS);
+                exchange.getResponseBody().write(new byte[100_000]);
+                exchange.close();
+              });
+
+      HttpResponse<String> answer = mesh.get(entry, "/drawings");
+
+      assertThat(answer.body().length(), is(200_000));
+    }
+
     @Test
     void bookingWaitsForItsOwnAnswer() throws Exception {
       CountDownLatch probed = new CountDownLatch(1);
