--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/Node.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/Node.java
@@ -53,7 +53,7 @@
         CallPath.start(
             callSettings(settings),
             new CallPathInputs(
-                control::snapshot,
+                control::servingSnapshot,
                 control.members(),
                 control.moves(),
                 control.moves(),
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/CallRunner.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/CallRunner.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.cuminlatch.core.config.CallLimits;
 import org.cuminlatch.core.config.Route;
+import org.cuminlatch.core.error.ErrorCode;
 import org.cuminlatch.core.membership.Locality.Distance;
 import org.cuminlatch.core.membership.Member;
 import org.cuminlatch.core.retry.AttemptId;
@@ -95,7 +96,10 @@
     }
   }
 
-  private static Conclusion refused(Reason reason) {
+  private Conclusion refused(Reason reason) {
+    if (table.snapshot().version() == 0) {
+      return Conclusion.notRun(ErrorCode.NOT_READY);
+    }
     return reason == Reason.NO_ROUTE ? Conclusion.notFound(reason) : Conclusion.notRun(reason);
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
@@ -49,6 +49,7 @@
 public final class ControlPlane implements AutoCloseable {
 
   private static final Logger LOG = LogManager.getLogger(ControlPlane.class);
+  private static final Snapshot NOT_SERVING = Snapshot.empty();
   private static final Duration TICK = Duration.ofMillis(100);
   private static final Duration REGION_REFRESH = Duration.ofSeconds(1);
 
@@ -151,6 +152,15 @@
     return snapshot;
   }
 
+  /**
+   * Returns the configuration that callers may be served with.
+   *
+   * @return the one in force, at version 0 while the node is below its floor
+   */
+  public Snapshot servingSnapshot() {
+    return readiness.isReady() ? snapshot : NOT_SERVING;
+  }
+
   /**
    * Returns the members that this node knows.
    *
