--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/spread/SpreadExperiment.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/spread/SpreadExperiment.java
@@ -46,6 +46,7 @@
     for (String scenario : options.text("scenarios", SCENARIOS).split(",")) {
       for (int size : sizes(options)) {
         runOne(scenario, size, options.seed(), rows, notes);
+        System.err.println(String.join(" | ", rows.get(rows.size() - 1)));
       }
     }
     return new Results("Spread of configuration", Measurement.COLUMNS, rows, notes);
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/spread/SpreadEngineTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/spread/SpreadEngineTests.java
@@ -203,7 +203,12 @@
       mesh.restart(node -> node.locality.equals(VirtualMesh.IZMIR), Duration.ofSeconds(3));
       mesh.run(15);
       for (int i = 0; i < 6; i++) {
-        assertThat(mesh.nodes.get("izmir-" + i).membership.floor().orElse(-1), is(10L));
+        VirtualMesh.Node node = mesh.nodes.get("izmir-" + i);
+        assertThat(node.membership.floor().orElse(-1), is(10L));
+        boolean fromOtherZone =
+            node.membership.floorAnswers().stream()
+                .anyMatch(a -> a.rememberedVersion() == 10 && !a.instance().startsWith("izmir"));
+        assertThat(fromOtherZone, is(true));
       }
     }
   }
