--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/AggregatorRank.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/AggregatorRank.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.TreeMap;
+import org.cuminlatch.core.hash.StableHash;
 import org.cuminlatch.core.membership.Member;
 
 /**
@@ -31,11 +32,15 @@
         .toList();
   }
 
+  /** Returns whether a member takes part; one that starts without a configuration does not yet. */
   static boolean eligible(Member member) {
-    return member.status() != Member.Status.DEAD && member.phase() != Member.Phase.LEFT;
+    boolean hasNothingYet = member.phase() == Member.Phase.STARTING && member.configVersion() == 0;
+    return member.status() != Member.Status.DEAD
+        && member.phase() != Member.Phase.LEFT
+        && !hasNothingYet;
   }
 
   private static long weight(Member member, MoveId move) {
-    return Fnv.hash(member.instance() + '@' + move);
+    return StableHash.of(member.instance(), move.toString());
   }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/ProgressCount.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/ProgressCount.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.cuminlatch.core.config.ConfigurationReplica;
+import org.cuminlatch.core.config.HashAbbreviation;
 import org.cuminlatch.core.membership.Member;
 import org.cuminlatch.core.spread.SpreadMessage.Progress;
 import org.cuminlatch.core.spread.SpreadMessage.VersionCount;
@@ -22,7 +23,6 @@
   private static final Duration DELAY = Duration.ofMillis(250);
   private static final Duration REFRESH = Duration.ofSeconds(5);
   private static final int MAX_VERSIONS = 6;
-  private static final int HASH_LENGTH = 8;
 
   private record Report(Progress progress, Instant at) {}
 
@@ -76,7 +76,7 @@
   private VersionCount own() {
     if (own == null || own.version() != replica.version()) {
       String hash = replica.snapshot().stateHash();
-      String abbreviated = hash.length() <= HASH_LENGTH ? hash : hash.substring(0, HASH_LENGTH);
+      String abbreviated = HashAbbreviation.of(hash);
       own = new VersionCount(replica.version(), abbreviated, 1);
     }
     return own;
