--- a/spec/move.pml
+++ b/spec/move.pml
@@ -5,6 +5,10 @@
  * be out, and the answer to an append may be lost, so that it is repeated.
  * spec/README.md names the classes that the processes stand for. Variants: see spec/check. */
 
+#if defined(LIVENESS) || defined(RESTART)
+#define SMALL              /* neither stop nor lapse */
+#endif
+
 #define ZONES 2
 #define NO_STEP 0          /* no share */
 #define FIRST_STEP 1       /* the small share */
@@ -97,7 +101,7 @@
 
 proctype MoveEngine(byte z) {
   byte share;
-#ifdef LIVENESS
+#ifdef SMALL
   byte lapses = 0;
 #else
   byte lapses = 1;
@@ -175,7 +179,7 @@
 init {
   atomic {
     run MoveEngine(0); run MoveEngine(1); run Environment();
-#ifndef LIVENESS
+#ifndef SMALL
     run Operator();
 #endif
 #ifdef RESTART
