--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
@@ -116,7 +116,7 @@
             this::snapshot,
             membership,
             transport,
-            new OutcomeAppender(log),
+            new OutcomeAppender(log, this::snapshot),
             placement,
             MoveSettings.defaults());
   }
