--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/LogFailureTests.java
+++ b/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/LogFailureTests.java
@@ -17,9 +17,11 @@
 import org.cuminlatch.testkit.load.LoadSummary;
 import org.cuminlatch.testkit.load.Observation;
 import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+@Tag("process")
 @DisplayName("Faults of the platform's log")
 class LogFailureTests {
 
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/NodeFailureTests.java
+++ b/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/NodeFailureTests.java
@@ -16,9 +16,11 @@
 import org.cuminlatch.testkit.load.LoadSummary;
 import org.cuminlatch.testkit.load.Observation;
 import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+@Tag("process")
 @DisplayName("Nodes as processes")
 class NodeFailureTests {
 
--- a/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/SilentConnectionTests.java
+++ b/cuminlatch-bench/src/test/java/org/cuminlatch/bench/failure/SilentConnectionTests.java
@@ -16,9 +16,11 @@
 import org.cuminlatch.testkit.load.Observation;
 import org.cuminlatch.testkit.relay.Relay;
 import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+@Tag("process")
 @DisplayName("Connections to a target that go silent for good")
 class SilentConnectionTests {
 
