--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
@@ -109,6 +109,7 @@
             SpreadSettings.defaults(),
             new Installer());
     gateway.answerTo(spread);
+    spread.meetOnLog(membership::addSeed);
     this.moves =
         MoveEngine.create(
             settings.instance(),
