--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/Node.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/Node.java
@@ -34,7 +34,7 @@
   private static final Logger LOG = LogManager.getLogger(Node.class);
   private static final Duration LOG_TIMEOUT = Duration.ofSeconds(5);
   private static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(60);
-  private static final long MONITOR_MILLIS = 500;
+  private static final long MONITOR_MILLIS = 1_000;
 
   private final LogClient log;
   private final ControlPlane control;
@@ -112,7 +112,11 @@
   }
 
   private void watchTarget(NodeSettings settings) {
-    HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    HttpClient client =
+        HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .executor(Runnable::run)
+            .build();
     TargetMonitor target = TargetMonitor.of(client, settings.target().uri());
     Runnable ask = () -> target.ask().thenAccept(control::targetIs);
     monitor.scheduleWithFixedDelay(ask, 0, MONITOR_MILLIS, TimeUnit.MILLISECONDS);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/CallPath.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/CallPath.java
@@ -39,6 +39,7 @@
   private static final int TRANSPORT_THREADS = 2;
   private static final int BACKLOG = 1024;
   private static final long SWEEP_MILLIS = 20;
+  private static final long IDLE_SWEEP_MILLIS = 100;
 
   private final CallPathInputs inputs;
   private final CallTransport transport;
@@ -82,8 +83,7 @@
     JdkHttp.configure();
     CallPath path = new CallPath(notNull(settings, "settings"), notNull(inputs, "inputs"));
     path.server.start();
-    path.timer.scheduleWithFixedDelay(
-        path::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    path.scheduleSweep();
     Gauge<Boolean> idle = path::isIdle;
     inputs.metrics().gauge("calls.idle", () -> idle);
     return path;
@@ -180,6 +180,18 @@
     transport.close();
   }
 
+  private void scheduleSweep() {
+    long delay = isIdle() ? IDLE_SWEEP_MILLIS : SWEEP_MILLIS;
+    timer.schedule(this::sweepAndScheduleNext, delay, TimeUnit.MILLISECONDS);
+  }
+
+  private void sweepAndScheduleNext() {
+    sweep();
+    if (!timer.isShutdown()) {
+      scheduleSweep();
+    }
+  }
+
   private void sweep() {
     try {
       Instant now = inputs.clock().instant();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlPlane.java
@@ -53,6 +53,7 @@
   private static final Snapshot NOT_SERVING = Snapshot.empty();
   private static final Duration TICK = Duration.ofMillis(100);
   private static final Duration REGION_REFRESH = Duration.ofSeconds(1);
+  private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
   private static final long NANOS_PER_MICRO = 1_000;
 
   private final Member announced;
@@ -144,6 +145,7 @@
     Gauge<Long> cpuMicros = () -> plane.thread.cpuTime().toNanos() / NANOS_PER_MICRO;
     metrics.gauge("control.cpu-micros", () -> cpuMicros);
     plane.thread.every(TICK, plane::tick);
+    plane.thread.every(REPORT_INTERVAL, plane::report);
     plane.thread.every(REGION_REFRESH, () -> plane.regions.refresh(plane.membership.members()));
     return plane;
   }
@@ -285,10 +287,13 @@
     moves.onTick(now);
     readiness = floor.onTick(membership, snapshot.version(), now);
     floorVersion = floor.floor();
-    reports.onTick(spread.isReporter(), snapshot, membership.members(), now);
     announcePhase(now);
   }
 
+  private void report() {
+    reports.onTick(spread.isReporter(), snapshot, membership.members(), clock.instant());
+  }
+
   private void announcePhase(Instant now) {
     membership.updatePhase(phase(), now);
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/control/FloorWatch.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/FloorWatch.java
@@ -33,6 +33,7 @@
   private final Executor control;
   private final RandomGenerator random;
   private Instant askAt;
+  private boolean ready;
 
   FloorWatch(LogClient log, Executor control, RandomGenerator random, Instant startedAt) {
     this.log = notNull(log, "log");
@@ -47,11 +48,15 @@
 
   /** Decides whether the node may serve with a version. */
   Readiness onTick(MembershipEngine membership, long version, Instant now) {
+    if (ready) {
+      return floor.readiness(version);
+    }
     Collection<Member> members = membership.members();
     floor.onKnownPeers(members.size() - 1);
     membership.floorAnswers().forEach(answer -> take(answer, membership));
     Readiness readiness = floor.readiness(version);
-    if (!readiness.isReady() && !now.isBefore(askAt)) {
+    ready = readiness.isReady();
+    if (!ready && !now.isBefore(askAt)) {
       askAt = now.plus(PEER_PATIENCE).plus(jitter());
       askLog();
     }
