--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/EvidenceMessage.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/EvidenceMessage.java
@@ -71,7 +71,7 @@
   }
 
   /**
-   * Leave to use a step, sent by a zone's aggregator in answer to a node's report.
+   * Lease on a step, sent by a zone's aggregator in answer to a node's report.
    *
    * @param move identity of the move
    * @param step highest step that the receiver's region may use
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveDecision.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveDecision.java
@@ -21,7 +21,7 @@
     RAISE,
     /** The share stays although the schedule would let it rise. */
     HOLD,
-    /** The share falls because leave to use it has lapsed or slots are missing. */
+    /** The share falls because the lease on it has expired or slots are missing. */
     LOWER,
     /** The new version takes no more traffic. */
     ROLL_BACK,
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveEngine.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveEngine.java
@@ -374,7 +374,10 @@
       move.refresh(facts.contains(move.id()), ready, lifetime, now);
       if (move.share() < before && !facts.contains(move.id())) {
         journal.decided(
-            move, MoveDecision.Kind.LOWER, "no fresh leave, or too few ready slots", now);
+            move,
+            MoveDecision.Kind.LOWER,
+            "the lease on the step has expired, or too few slots are ready",
+            now);
       }
       shares.put(move.id(), move.share());
     }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/NodeMove.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/NodeMove.java
@@ -45,7 +45,7 @@
     }
   }
 
-  /** Takes leave to use a step that was given in answer to a report sent at an instant. */
+  /** Takes a lease on a step that was granted in answer to a report sent at an instant. */
   void grant(StepGrant grant, Instant reportSentAt) {
     learnHighestShare(grant.highestShare());
     if (provenAt.isPresent() && reportSentAt.isBefore(provenAt.get())) {
@@ -56,7 +56,7 @@
     provenAt = Optional.of(reportSentAt);
   }
 
-  /** Forgets the leave, as after a pause. */
+  /** Forgets the lease, as after a pause. */
   void forgetProof() {
     provenAt = Optional.empty();
   }
