--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/process/NodeCost.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/process/NodeCost.java
@@ -36,8 +36,8 @@
   public Results run(ExperimentOptions options) {
     Duration length = Duration.ofSeconds(options.longValue("seconds", 20));
     List<List<String>> rows = new ArrayList<>();
-    for (int size : SIZES) {
-      rows.add(measure(size, length));
+    for (String size : options.text("nodes", SIZES).split(",")) {
+      rows.add(measure(Integer.parseInt(size), length));
     }
     return new Results(
         "Cost of a node without calls",
