--- a/cuminlatch-bench/src/main/java/org/cuminlatch/bench/process/NodeCost.java
+++ b/cuminlatch-bench/src/main/java/org/cuminlatch/bench/process/NodeCost.java
@@ -17,7 +17,7 @@
 /** What nodes without calls cost: memory, processor time and control bytes of real processes. */
 public final class NodeCost implements Experiment {
 
-  private static final int[] SIZES = {4, 8, 12};
+  private static final String SIZES = "4,8,12";
   private static final double TICKS_PER_SECOND = 100;
   private static final Pattern BYTES =
       Pattern.compile("\"(control\\.[a-z]+\\.bytes-(?:in|out))\"\\s*:\\s*(\\d+)");
