--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlThread.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/control/ControlThread.java
@@ -4,14 +4,12 @@
 
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -60,18 +58,6 @@
     }
   }
 
-  /**
-   * Runs a task on the thread once after a delay.
-   *
-   * @param delay how long to wait
-   * @param task the task
-   */
-  public void after(Duration delay, Runnable task) {
-    if (!executor.isShutdown()) {
-      executor.schedule(() -> runLogged(task), delay.toMillis(), TimeUnit.MILLISECONDS);
-    }
-  }
-
   /**
    * Runs a task on the thread again and again.
    *
@@ -83,17 +69,6 @@
     executor.scheduleWithFixedDelay(() -> runLogged(task), millis, millis, TimeUnit.MILLISECONDS);
   }
 
-  /**
-   * Computes a value on the thread.
-   *
-   * @param supplier computes the value
-   * @param <T> type of the value
-   * @return the value, once computed
-   */
-  public <T> CompletableFuture<T> ask(Supplier<T> supplier) {
-    return CompletableFuture.supplyAsync(supplier, executor);
-  }
-
   /**
    * Returns the processor time that the thread has used.
    *
