--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Route.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Route.java
@@ -17,6 +17,7 @@
  * @param service name of the service that serves the route
  * @param limits limits on the calls of the route
  * @param stickyHeader request header whose value keeps a caller on one target version
+ * @param policy how its calls are treated beyond the limits
  */
 public record Route(
     String name,
@@ -25,7 +26,8 @@
     Map<String, String> headers,
     String service,
     CallLimits limits,
-    Optional<String> stickyHeader)
+    Optional<String> stickyHeader,
+    RoutePolicy policy)
     implements Resource {
 
   /** Checks the fields and copies the headers. */
@@ -38,6 +40,29 @@
     notBlank(service, "service");
     notNull(limits, "limits");
     notNull(stickyHeader, "stickyHeader");
+    notNull(policy, "policy");
+  }
+
+  /**
+   * Creates a route with the default policy.
+   *
+   * @param name unique name
+   * @param host host to match, any host if empty
+   * @param pathPrefix prefix of the path to match
+   * @param headers request headers that must be present with exactly these values
+   * @param service name of the service that serves the route
+   * @param limits limits on the calls of the route
+   * @param stickyHeader request header whose value keeps a caller on one target version
+   */
+  public Route(
+      String name,
+      Optional<String> host,
+      String pathPrefix,
+      Map<String, String> headers,
+      String service,
+      CallLimits limits,
+      Optional<String> stickyHeader) {
+    this(name, host, pathPrefix, headers, service, limits, stickyHeader, RoutePolicy.DEFAULT);
   }
 
   /**
@@ -66,6 +91,6 @@
    * @return a copy
    */
   public Route withLimits(CallLimits other) {
-    return new Route(name, host, pathPrefix, headers, service, other, stickyHeader);
+    return new Route(name, host, pathPrefix, headers, service, other, stickyHeader, policy);
   }
 }
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RoutePolicy.java
@@ -0,0 +1,58 @@
+package org.cuminlatch.core.config;
+
+import static org.cuminlatch.core.Preconditions.check;
+import static org.cuminlatch.core.Preconditions.notBlank;
+import static org.cuminlatch.core.Preconditions.notNegative;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * How the calls of a route are treated, beyond its {@link CallLimits}.
+ *
+ * @param repeatability whether a call may be executed more than once
+ * @param goal time within which an answer is worth most to the caller
+ * @param priority rank of the route, 0 is the highest
+ * @param split services that share the calls by weight; empty if the route has one service
+ */
+public record RoutePolicy(
+    Repeatability repeatability, Duration goal, int priority, List<Share> split) {
+
+  /** Policy of a route that names none: the method decides, no goal, the highest priority. */
+  public static final RoutePolicy DEFAULT =
+      new RoutePolicy(Repeatability.BY_METHOD, CallLimits.MAX_TIMEOUT, 0, List.of());
+
+  /** Checks the fields and copies the split. */
+  public RoutePolicy {
+    notNull(repeatability, "repeatability");
+    notNull(goal, "goal");
+    notNegative(priority, "priority");
+    split = List.copyOf(notNull(split, "split"));
+  }
+
+  /** Whether a call may be executed more than once. */
+  public enum Repeatability {
+    /** The method or a header of the request says so, see {@link CallLimits}. */
+    BY_METHOD,
+    /** Any call of the route may be repeated. */
+    IDEMPOTENT,
+    /** No call of the route may be repeated. */
+    ONCE
+  }
+
+  /**
+   * Part of the calls that goes to one service.
+   *
+   * @param service name of the service
+   * @param weight its part relative to the sum of all weights
+   */
+  public record Share(String service, double weight) {
+
+    /** Checks the fields. */
+    public Share {
+      notBlank(service, "service");
+      check(weight >= 0, "weight", "must not be negative");
+    }
+  }
+}
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
@@ -15,6 +15,7 @@
  * @param services services by name
  * @param moves moves by name, ended ones included while they are kept
  * @param resources version and readability of each resource on the log
+ * @param callerLimits what a caller may send and how long it may take
  */
 public record Snapshot(
     long version,
@@ -22,7 +23,8 @@
     Map<String, Route> routes,
     Map<String, ServiceState> services,
     Map<String, MoveState> moves,
-    Map<ResourceKey, ResourceStatus> resources) {
+    Map<ResourceKey, ResourceStatus> resources,
+    CallerLimits callerLimits) {
 
   /** Checks the fields and copies the maps. */
   public Snapshot {
@@ -32,6 +34,27 @@
     services = Map.copyOf(notNull(services, "services"));
     moves = Map.copyOf(notNull(moves, "moves"));
     resources = Map.copyOf(notNull(resources, "resources"));
+    notNull(callerLimits, "callerLimits");
+  }
+
+  /**
+   * Creates a snapshot with the default limits for callers.
+   *
+   * @param version configuration version
+   * @param stateHash hash over the state
+   * @param routes routes by name
+   * @param services services by name
+   * @param moves moves by name
+   * @param resources version and readability of each resource
+   */
+  public Snapshot(
+      long version,
+      String stateHash,
+      Map<String, Route> routes,
+      Map<String, ServiceState> services,
+      Map<String, MoveState> moves,
+      Map<ResourceKey, ResourceStatus> resources) {
+    this(version, stateHash, routes, services, moves, resources, CallerLimits.DEFAULT);
   }
 
   /**
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveOrder.java
@@ -0,0 +1,27 @@
+package org.cuminlatch.core.move;
+
+import static org.cuminlatch.core.Preconditions.check;
+import static org.cuminlatch.core.Preconditions.notBlank;
+import static org.cuminlatch.core.Preconditions.notNegative;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.time.Duration;
+
+/**
+ * An operator's order to move all calls of a service to one target version.
+ *
+ * @param id place of the order among all records of operators; a repeated order has another one
+ * @param service name of the service
+ * @param version target version that is to serve all calls
+ * @param length time from the order to its deadline
+ */
+public record MoveOrder(long id, String service, String version, Duration length) {
+
+  /** Checks the fields. */
+  public MoveOrder {
+    notNegative(id, "id");
+    notBlank(service, "service");
+    notBlank(version, "version");
+    check(!notNull(length, "length").isNegative(), "length", "must not be negative");
+  }
+}
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/RouteTable.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/RouteTable.java
@@ -2,8 +2,11 @@
 
 import static org.cuminlatch.core.Preconditions.notNull;
 
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import org.cuminlatch.core.config.Route;
@@ -17,6 +20,7 @@
  */
 public final class RouteTable {
 
+  private static final String ANY_HOST = "";
   private static final Comparator<Route> MOST_SPECIFIC_FIRST =
       Comparator.comparing((Route route) -> route.host().isEmpty())
           .thenComparing(route -> -route.pathPrefix().length())
@@ -24,11 +28,22 @@
           .thenComparing(Route::name);
 
   private final Snapshot snapshot;
-  private final List<Route> routes;
+  private final Map<String, Map<String, List<Route>>> byHostAndPrefix = new HashMap<>();
 
   private RouteTable(Snapshot snapshot) {
     this.snapshot = snapshot;
-    this.routes = snapshot.routes().values().stream().sorted(MOST_SPECIFIC_FIRST).toList();
+    snapshot.routes().values().stream().sorted(MOST_SPECIFIC_FIRST).forEach(this::add);
+  }
+
+  private void add(Route route) {
+    byHostAndPrefix
+        .computeIfAbsent(hostKey(route.host().orElse(ANY_HOST)), unused -> new HashMap<>())
+        .computeIfAbsent(route.pathPrefix(), unused -> new ArrayList<>(1))
+        .add(route);
+  }
+
+  private static String hostKey(String host) {
+    return host.toLowerCase(Locale.ROOT);
   }
 
   /**
@@ -57,31 +72,44 @@
    * @return the most specific route that matches, empty if none does
    */
   public Optional<Route> match(RequestHead request) {
-    for (Route route : routes) {
-      if (matches(route, request)) {
-        return Optional.of(route);
-      }
-    }
-    return Optional.empty();
-  }
-
-  private static boolean matches(Route route, RequestHead request) {
-    return hostMatches(route, request.host())
-        && pathMatches(route.pathPrefix(), request.path())
-        && headersMatch(route.headers(), request);
+    Optional<Route> ofHost =
+        request.host().isEmpty()
+            ? Optional.empty()
+            : longestPrefix(byHostAndPrefix.get(hostKey(request.host())), request);
+    return ofHost.isPresent() ? ofHost : longestPrefix(byHostAndPrefix.get(ANY_HOST), request);
   }
 
-  private static boolean hostMatches(Route route, String host) {
-    return route.host().isEmpty() || route.host().get().equalsIgnoreCase(host);
+  /** Looks up each prefix of the path that ends at a segment, the longest first. */
+  private static Optional<Route> longestPrefix(
+      Map<String, List<Route>> routesByPrefix, RequestHead request) {
+    if (routesByPrefix == null) {
+      return Optional.empty();
+    }
+    String path = request.path();
+    for (int end = path.length(); end > 0; end = path.lastIndexOf('/', end - 1)) {
+      Optional<Route> found = Optional.empty();
+      if (end < path.length()) {
+        found = first(routesByPrefix.get(path.substring(0, end + 1)), request);
+      }
+      if (found.isEmpty()) {
+        found = first(routesByPrefix.get(path.substring(0, end)), request);
+      }
+      if (found.isPresent()) {
+        return found;
+      }
+    }
+    return path.startsWith("/") ? first(routesByPrefix.get("/"), request) : Optional.empty();
   }
 
-  private static boolean pathMatches(String prefix, String path) {
-    if (!path.startsWith(prefix)) {
-      return false;
+  private static Optional<Route> first(List<Route> routes, RequestHead request) {
+    if (routes != null) {
+      for (Route route : routes) {
+        if (headersMatch(route.headers(), request)) {
+          return Optional.of(route);
+        }
+      }
     }
-    return prefix.endsWith("/")
-        || path.length() == prefix.length()
-        || path.charAt(prefix.length()) == '/';
+    return Optional.empty();
   }
 
   private static boolean headersMatch(Map<String, String> wanted, RequestHead request) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceIndex.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceIndex.java
@@ -14,15 +14,20 @@
 public final class ServiceIndex {
 
   private final Map<ServiceVersion, List<Member>> serving = new HashMap<>();
+  private final Map<String, List<Member>> servingByService = new HashMap<>();
 
   private ServiceIndex(Collection<Member> members) {
     for (Member member : members) {
       if (member.takesCalls()) {
         ServiceVersion key = new ServiceVersion(member.service(), member.targetVersion());
         serving.computeIfAbsent(key, unused -> new ArrayList<>()).add(member);
+        servingByService
+            .computeIfAbsent(member.service(), unused -> new ArrayList<>())
+            .add(member);
       }
     }
     serving.values().forEach(list -> list.sort(Comparator.comparing(Member::instance)));
+    servingByService.values().forEach(list -> list.sort(Comparator.comparing(Member::instance)));
   }
 
   /**
@@ -46,5 +51,15 @@
     return serving.getOrDefault(new ServiceVersion(service, version), List.of());
   }
 
+  /**
+   * Returns the members that take calls for a service, whatever their target version.
+   *
+   * @param service name of the service
+   * @return the members in the order of their names
+   */
+  public List<Member> serving(String service) {
+    return servingByService.getOrDefault(service, List.of());
+  }
+
   private record ServiceVersion(String service, String version) {}
 }
--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
@@ -0,0 +1,111 @@
+package org.cuminlatch.core.route;
+
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.cuminlatch.core.membership.Locality;
+import org.cuminlatch.core.membership.Member;
+import org.cuminlatch.core.route.VersionRule.Fallback;
+
+/** Chooses the target of a call among those that serve its service. */
+public final class ServicePlacement {
+
+  private final TargetChooser chooser;
+
+  /**
+   * Creates a placement.
+   *
+   * @param loads what is known of the targets
+   * @param link budget of the link between the regions
+   */
+  public ServicePlacement(TargetLoads loads, LinkBudget link) {
+    this.chooser = new TargetChooser(notNull(loads, "loads"), notNull(link, "link"));
+  }
+
+  /**
+   * Chooses a target.
+   *
+   * @param index members that take calls
+   * @param service name of the service
+   * @param rule division of the service's calls by version, empty if all versions serve alike
+   * @param context place, time and instances not to choose
+   * @param random source of random choices
+   * @return the target and why, empty if no member can serve
+   */
+  public Optional<Placed> place(
+      ServiceIndex index,
+      String service,
+      Optional<VersionRule> rule,
+      Context context,
+      RandomGenerator random) {
+    List<Member> all = context.without(index.serving(service));
+    for (List<Member> side : sides(all, rule, random)) {
+      Optional<TargetChooser.Choice> choice =
+          chooser.choose(side, context.own(), context.now(), random);
+      if (choice.isPresent()) {
+        return choice.map(chosen -> new Placed(chosen.member(), chosen.reason()));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static List<List<Member>> sides(
+      List<Member> all, Optional<VersionRule> rule, RandomGenerator random) {
+    if (rule.isEmpty()) {
+      return List.of(all);
+    }
+    List<Member> named = new ArrayList<>();
+    List<Member> others = new ArrayList<>();
+    for (Member member : all) {
+      (member.targetVersion().equals(rule.get().version()) ? named : others).add(member);
+    }
+    if (random.nextDouble() >= rule.get().share()) {
+      return List.of(others);
+    }
+    return rule.get().fallback() == Fallback.TO_OTHERS ? List.of(named, others) : List.of(named);
+  }
+
+  /**
+   * Circumstances of a choice.
+   *
+   * @param own place of the deciding node
+   * @param avoided instances that have been tried for the call
+   * @param now present time
+   */
+  public record Context(Locality own, Set<String> avoided, Instant now) {
+
+    /** Checks the fields. */
+    public Context {
+      notNull(own, "own");
+      notNull(avoided, "avoided");
+      notNull(now, "now");
+    }
+
+    private List<Member> without(List<Member> members) {
+      if (avoided.isEmpty()) {
+        return members;
+      }
+      return members.stream().filter(member -> !avoided.contains(member.instance())).toList();
+    }
+  }
+
+  /**
+   * A chosen target.
+   *
+   * @param member the target
+   * @param reason why
+   */
+  public record Placed(Member member, RoutingDecision.Reason reason) {
+
+    /** Checks the fields. */
+    public Placed {
+      notNull(member, "member");
+      notNull(reason, "reason");
+    }
+  }
+}
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP towards callers, targets and the platform, on Netty's codec. */
+package org.cuminlatch.node.http;
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
@@ -0,0 +1,226 @@
+package org.cuminlatch.node.mesh;
+
+import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.cuminlatch.core.config.Route;
+import org.cuminlatch.core.config.RoutePolicy;
+import org.cuminlatch.core.retry.RetryBudget;
+import org.cuminlatch.core.route.LinkBudget;
+import org.cuminlatch.core.route.RequestHead;
+import org.cuminlatch.core.route.RouteTable;
+import org.cuminlatch.core.route.ServicePlacement;
+import org.cuminlatch.core.route.TargetLoads;
+import org.cuminlatch.node.http.ExchangeHandler;
+import org.cuminlatch.node.http.ServerExchange;
+
+/** Where callers' requests enter the mesh; used on the traffic loop. */
+final class Entry implements ExchangeHandler {
+
+  /** Bytes a second that one node may move to the other region and back. */
+  private static final long REGION_LINK_BYTES_PER_SECOND = 200_000;
+
+  /** Repeats that a node may send per first attempt. */
+  static final double RETRY_SHARE = 0.1;
+
+  private static final int MOST_ID_CHARS = 128;
+  private static final double RETRY_WITHOUT_CONFIGURATION_SECONDS = 0.5;
+
+  private final EventLoop loop;
+  private final MeshSettings settings;
+  private final InstantSource clock;
+  private final RandomGenerator random;
+  private final PeerLinks links;
+  private final Supplier<MeshView> view;
+  private final EventLog log;
+  private final MeshMetrics metrics;
+  private final TargetLoads loads = new TargetLoads();
+  private final LinkBudget link;
+  private final ServicePlacement placement;
+  private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final Set<EntryCall> calls = new HashSet<>();
+
+  Entry(
+      EventLoop loop,
+      MeshSettings settings,
+      InstantSource clock,
+      RandomGenerator random,
+      PeerLinks links,
+      Supplier<MeshView> view,
+      EventLog log,
+      MeshMetrics metrics) {
+    this.loop = loop;
+    this.settings = settings;
+    this.clock = clock;
+    this.random = random;
+    this.links = links;
+    this.view = view;
+    this.log = log;
+    this.metrics = metrics;
+    this.link = new LinkBudget(REGION_LINK_BYTES_PER_SECOND, clock.instant());
+    this.placement = new ServicePlacement(loads, link);
+  }
+
+  @Override
+  public void handle(ServerExchange exchange) {
+    List<String> ids = exchange.headers(settings.headers().requestId());
+    if (ids.size() != 1 || ids.get(0).isEmpty() || ids.get(0).length() > MOST_ID_CHARS) {
+      reject(exchange, "-", 400, "request has no single id");
+      return;
+    }
+    String id = ids.get(0);
+    if (!exchange.target().startsWith("/")) {
+      reject(exchange, id, 400, "target of the request is not a path");
+      return;
+    }
+    MeshView now = view.get();
+    if (now.table().isEmpty()) {
+      refuse(exchange, id, "no configuration yet", RETRY_WITHOUT_CONFIGURATION_SECONDS);
+      return;
+    }
+    Optional<Route> route = now.table().get().match(headOf(exchange));
+    if (route.isEmpty()) {
+      reject(exchange, id, 404, "no route in configuration " + now.version());
+      return;
+    }
+    EntryCall call = new EntryCall(this, exchange, id, route.get(), service(route.get()));
+    calls.add(call);
+    call.start();
+  }
+
+  private static RequestHead headOf(ServerExchange exchange) {
+    String target = exchange.target();
+    int query = target.indexOf('?');
+    String path = query < 0 ? target : target.substring(0, query);
+    String host = exchange.header("host").orElse("");
+    int colon = host.lastIndexOf(':');
+    String name = colon < 0 ? host : host.substring(0, colon);
+    return new RequestHead(
+        exchange.method(), name.toLowerCase(Locale.ROOT), path, Map.of());
+  }
+
+  /** Returns the service of a call, by weight where several share the route. */
+  private String service(Route route) {
+    List<RoutePolicy.Share> split = route.policy().split();
+    double sum = split.stream().mapToDouble(RoutePolicy.Share::weight).sum();
+    double place = random.nextDouble() * sum;
+    for (RoutePolicy.Share share : split) {
+      place -= share.weight();
+      if (place < 0) {
+        return share.service();
+      }
+    }
+    return route.service();
+  }
+
+  private void reject(ServerExchange exchange, String id, int status, String reason) {
+    log.event("rejected")
+        .with("request", id)
+        .with("status", status)
+        .with("reason", reason)
+        .with("path", exchange.target())
+        .write();
+    metrics.rejected(status);
+    exchange.respond(status, List.of(), (reason + "\n").getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Says that a request has not run and when to come back. */
+  void refuse(ServerExchange exchange, String id, String reason, double retrySeconds) {
+    log.event("refused")
+        .with("request", id)
+        .with("status", 503)
+        .with("reason", reason)
+        .with("retryAfter", retrySeconds)
+        .with("config", view.get().version())
+        .write();
+    metrics.refused(reason);
+    String after = String.format(Locale.ROOT, "%.3f", retrySeconds);
+    exchange.respond(
+        503,
+        List.of(Map.entry("Retry-After", after)),
+        (reason + "\n").getBytes(StandardCharsets.UTF_8));
+  }
+
+  void ended(EntryCall call) {
+    calls.remove(call);
+  }
+
+  RetryBudget budget(String service) {
+    return budgets.computeIfAbsent(service, unused -> new RetryBudget());
+  }
+
+  Optional<ServicePlacement.Placed> place(String service, Set<String> avoided) {
+    return placement.place(
+        links.index(),
+        service,
+        Optional.ofNullable(view.get().rules().get(service)),
+        new ServicePlacement.Context(settings.locality(), avoided, now()),
+        random);
+  }
+
+  boolean knowsTargetOf(String service) {
+    return !links.index().serving(service).isEmpty();
+  }
+
+  Instant now() {
+    return clock.instant();
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  MeshSettings settings() {
+    return settings;
+  }
+
+  RandomGenerator random() {
+    return random;
+  }
+
+  PeerLinks links() {
+    return links;
+  }
+
+  TargetLoads loads() {
+    return loads;
+  }
+
+  LinkBudget link() {
+    return link;
+  }
+
+  EventLog log() {
+    return log;
+  }
+
+  MeshMetrics metrics() {
+    return metrics;
+  }
+
+  long configVersion() {
+    return view.get().version();
+  }
+
+  boolean isIdle() {
+    return calls.isEmpty();
+  }
+
+  Duration oldestCall() {
+    return calls.stream()
+        .map(call -> Duration.between(call.startedAt(), now()))
+        .max(Duration::compareTo)
+        .orElse(Duration.ZERO);
+  }
+}
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/GateAttempt.java
@@ -0,0 +1,165 @@
+package org.cuminlatch.node.mesh;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
+import io.netty.util.concurrent.Future;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.cuminlatch.core.admission.SlotQueue;
+import org.cuminlatch.core.retry.AttemptId;
+import org.cuminlatch.node.http.ClientCall;
+import org.cuminlatch.node.http.ClientResponse;
+import org.cuminlatch.wire.call.CallChannel;
+import org.cuminlatch.wire.call.CallFrames;
+import org.cuminlatch.wire.proto.call.Answer;
+import org.cuminlatch.wire.proto.call.Begin;
+import org.cuminlatch.wire.proto.call.Body;
+import org.cuminlatch.wire.proto.call.CallFrame;
+import org.cuminlatch.wire.proto.call.Header;
+import org.cuminlatch.wire.proto.call.Load;
+
+/** An attempt at the gate of its target, from the first frame to the last byte of its answer. */
+final class GateAttempt {
+
+  private static final int PART_BYTES = 64 * 1024;
+
+  private final AttemptId id;
+  private final Begin begin;
+  private final CallChannel origin;
+  private final Instant arrivedAt;
+  private final Instant deadline;
+  private ByteString body;
+  private Instant dispatchedAt;
+  private SlotQueue queue;
+  private ClientCall call;
+  private Future<?> timer;
+  private byte[] answer;
+  private int answerSent;
+  private long credit;
+
+  GateAttempt(AttemptId id, Begin begin, CallChannel origin, Instant now) {
+    this.id = id;
+    this.begin = begin;
+    this.origin = origin;
+    this.arrivedAt = now;
+    this.deadline = now.plus(Duration.ofNanos(begin.getDeadlineMicros() * 1000));
+    this.body = begin.getBody();
+    this.credit = begin.getCredit();
+  }
+
+  AttemptId id() {
+    return id;
+  }
+
+  Begin begin() {
+    return begin;
+  }
+
+  CallChannel origin() {
+    return origin;
+  }
+
+  Instant deadline() {
+    return deadline;
+  }
+
+  Instant arrivedAt() {
+    return arrivedAt;
+  }
+
+  byte[] body() {
+    return body.toByteArray();
+  }
+
+  void append(ByteString part) {
+    body = body.concat(part);
+  }
+
+  boolean isDispatched() {
+    return dispatchedAt != null;
+  }
+
+  Instant dispatchedAt() {
+    return dispatchedAt;
+  }
+
+  void dispatched(Instant now, SlotQueue holder) {
+    dispatchedAt = now;
+    queue = holder;
+  }
+
+  /** Returns the queue whose slot the attempt holds. */
+  SlotQueue queue() {
+    return queue;
+  }
+
+  void runs(ClientCall running, Future<?> deadlineTimer) {
+    call = running;
+    timer = deadlineTimer;
+  }
+
+  void cancelCall() {
+    if (call != null) {
+      call.cancel();
+    }
+    stopTimer();
+  }
+
+  void stopTimer() {
+    if (timer != null) {
+      timer.cancel(false);
+    }
+  }
+
+  /** Starts to send a whole answer as far as the credit allows. */
+  void answer(ClientResponse response, List<Map.Entry<String, String>> headers, Load load) {
+    answer = response.body();
+    Answer.Builder head = Answer.newBuilder().setStatus(response.status());
+    List<Header> list = new ArrayList<>(headers.size());
+    headers.forEach(
+        entry ->
+            list.add(
+                Header.newBuilder().setName(entry.getKey()).setValue(entry.getValue()).build()));
+    ByteString first = nextPart();
+    head.addAllHeaders(list)
+        .setContentLength(answer.length)
+        .setBody(first)
+        .setLast(isAnswerSent())
+        .setLoad(load);
+    origin.send(CallFrames.of(id).setAnswer(head).build());
+    sendParts();
+  }
+
+  void grant(long bytes) {
+    credit += bytes;
+    if (answer != null) {
+      sendParts();
+    }
+  }
+
+  boolean isAnswerSent() {
+    return answer != null && answerSent == answer.length;
+  }
+
+  private void sendParts() {
+    while (!isAnswerSent() && credit > 0) {
+      ByteString part = nextPart();
+      CallFrame frame =
+          CallFrames.of(id)
+              .setBody(Body.newBuilder().setContent(part).setLast(isAnswerSent()))
+              .build();
+      origin.send(frame);
+    }
+  }
+
+  private ByteString nextPart() {
+    int length = (int) Math.min(Math.min(PART_BYTES, answer.length - answerSent), credit);
+    ByteString part = UnsafeByteOperations.unsafeWrap(answer, answerSent, length);
+    answerSent += length;
+    credit -= length;
+    return part;
+  }
+}
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -0,0 +1,382 @@
+package org.cuminlatch.node.mesh;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.cuminlatch.core.config.Snapshot;
+import org.cuminlatch.core.membership.Address;
+import org.cuminlatch.core.membership.Member;
+import org.cuminlatch.core.move.CallOutcome.Result;
+import org.cuminlatch.core.route.RouteTable;
+import org.cuminlatch.core.target.TargetExit;
+import org.cuminlatch.core.target.TargetLife;
+import org.cuminlatch.core.target.TargetReport;
+import org.cuminlatch.node.mesh.KeyedStore.Item;
+import org.cuminlatch.node.mesh.KeyedStore.Stream;
+import org.cuminlatch.wire.proto.call.Begin;
+import org.cuminlatch.wire.proto.call.CallFrame;
+import org.cuminlatch.wire.proto.call.TargetPhase;
+import org.cuminlatch.wire.proto.call.TargetStatus;
+
+/**
+ * What the node believes of the configuration, of the other nodes and of the target beside it.
+ *
+ * <p>State is changed on the control loop only; the traffic gets it as one immutable view, and what
+ * concerns gate and links as tasks for its own loop.
+ */
+final class MeshControl implements TargetReports {
+
+  /** Time in which changes of the configuration gather before the next wait for one. */
+  private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(400);
+
+  /** Time in which new nodes gather before the next wait for one. */
+  private static final Duration NODES_PAUSE = Duration.ofMillis(1000);
+
+  /** Time for other nodes to enter themselves before the first look at them. */
+  private static final Duration FIRST_LOOK = Duration.ofMillis(700);
+
+  /** Longest time for which a target's report waits for the store. */
+  private static final Duration LONGEST_STORE_WAIT = Duration.ofMillis(600);
+
+  private static final Duration REGISTER_RETRY = Duration.ofMillis(500);
+
+  private final MeshSettings settings;
+  private final EventLoop control;
+  private final EventLoop traffic;
+  private final RandomGenerator random;
+  private final EventLog log;
+  private final KeyedStore store;
+  private final OperatorRecords records;
+  private final TargetLife life = new TargetLife();
+  private final Set<Address> nodes = new HashSet<>();
+  private final CompletableFuture<Void> exitsRead = new CompletableFuture<>();
+  private final InstantSource clock;
+  private SlotGate gate;
+  private PeerLinks links;
+  private LocalLink localLink;
+  private volatile MeshView view = MeshView.EMPTY;
+  private volatile boolean stopping;
+  private volatile TargetStatus status;
+
+  MeshControl(
+      MeshSettings settings,
+      EventLoop control,
+      EventLoop traffic,
+      InstantSource clock,
+      long seed,
+      EventLog log,
+      KeyedStore store,
+      OperatorRecords records) {
+    this.settings = settings;
+    this.control = control;
+    this.traffic = traffic;
+    this.clock = clock;
+    this.random = new SplittableRandom(seed);
+    this.log = log;
+    this.store = store;
+    this.records = records;
+    this.status = TargetStatus.getDefaultInstance();
+  }
+
+  void connect(SlotGate slotGate, PeerLinks peerLinks, LocalLink link) {
+    gate = slotGate;
+    links = peerLinks;
+    localLink = link;
+    status = describe();
+  }
+
+  void start() {
+    control.execute(
+        () -> {
+          readExits();
+          follow(Stream.OPERATOR, CONFIGURATION_PAUSE, this::operatorRecord, () -> {}).start();
+          register();
+          StoreFollower followsNodes =
+              follow(Stream.NODES, NODES_PAUSE, this::nodeRecord, this::nodesChanged);
+          control.schedule(followsNodes::start, FIRST_LOOK.toMillis(), TimeUnit.MILLISECONDS);
+        });
+    control.schedule(
+        () -> exitsRead.complete(null), LONGEST_STORE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  MeshView view() {
+    return view;
+  }
+
+  boolean isReady() {
+    return view.table().isPresent() && !stopping;
+  }
+
+  void stopping() {
+    control.execute(
+        () -> {
+          stopping = true;
+          publishTarget();
+        });
+  }
+
+  private StoreFollower follow(
+      Stream stream,
+      Duration pause,
+      java.util.function.Consumer<Item> taker,
+      Runnable afterPage) {
+    StoreFollower.ItemListener listener =
+        new StoreFollower.ItemListener() {
+          @Override
+          public void item(Item item) {
+            taker.accept(item);
+          }
+
+          @Override
+          public void caughtUp() {
+            afterPage.run();
+          }
+        };
+    return new StoreFollower(control, store, stream, pause, random, log, listener);
+  }
+
+  private void operatorRecord(Item item) {
+    Optional<OperatorRecords.Decoded> decoded = records.decode(item);
+    if (decoded.isEmpty()) {
+      log.event("record-ignored").with("key", item.key()).with("offset", item.offset()).write();
+      return;
+    }
+    decoded.get().configuration().ifPresent(this::configuration);
+  }
+
+  private void configuration(Snapshot snapshot) {
+    if (snapshot.version() <= view.version()) {
+      return;
+    }
+    RouteTable table = RouteTable.of(snapshot);
+    view = view.withTable(table);
+    log.event("configuration")
+        .with("version", snapshot.version())
+        .with("routes", snapshot.routes().size())
+        .write();
+    publishTarget();
+  }
+
+  private void nodeRecord(Item item) {
+    Address address = Address.parse(item.key());
+    if (item.value().length == 0) {
+      nodes.remove(address);
+    } else if (!address.equals(settings.peers())) {
+      nodes.add(address);
+    }
+  }
+
+  private void nodesChanged() {
+    Set<Address> known = Set.copyOf(nodes);
+    traffic.execute(() -> links.nodes(known));
+  }
+
+  /** Enters the node's address; it stays the same over restarts, so that once is enough. */
+  private void register() {
+    store
+        .append(
+            Stream.NODES,
+            settings.peers().toString(),
+            settings.node().getBytes(java.nio.charset.StandardCharsets.UTF_8),
+            OptionalLong.empty())
+        .whenComplete(
+            (end, error) -> {
+              if (error != null) {
+                control.schedule(
+                    this::register, REGISTER_RETRY.toMillis(), TimeUnit.MILLISECONDS);
+              }
+            });
+  }
+
+  private void readExits() {
+    store
+        .newest(Stream.TARGET_EXITS)
+        .whenComplete(
+            (page, error) -> {
+              if (error == null) {
+                page.items().stream()
+                    .filter(item -> item.key().equals(settings.peers().toString()))
+                    .forEach(this::restoreExit);
+              }
+              exitsRead.complete(null);
+            });
+  }
+
+  private void restoreExit(Item item) {
+    try {
+      TargetStatus left = TargetStatus.parseFrom(item.value());
+      life.restore(new TargetExit(left.getInstance(), left.getBornMillis()));
+    } catch (InvalidProtocolBufferException | IllegalArgumentException unreadable) {
+      log.event("record-unusable")
+          .with("stream", Stream.TARGET_EXITS.name())
+          .with("reason", String.valueOf(unreadable))
+          .write();
+    }
+  }
+
+  @Override
+  public CompletionStage<Void> report(TargetReport report) {
+    return exitsRead.thenComposeAsync(unused -> take(report), control);
+  }
+
+  private CompletionStage<Void> take(TargetReport report) {
+    TargetLife.Change change = life.report(report);
+    if (change != TargetLife.Change.NONE) {
+      log.event("target-report")
+          .with("target", report.instance())
+          .with("born", report.bornMillis())
+          .with("sequence", report.sequence())
+          .with("ready", String.valueOf(report.ready()))
+          .with("version", report.version())
+          .with("slots", report.slots())
+          .with("change", change.name())
+          .write();
+    }
+    return switch (change) {
+      case READY -> {
+        publishTarget();
+        yield onTraffic(
+            () -> {
+              gate.open(report);
+              gate.targetHeard();
+            });
+      }
+      case LEAVES -> leave(report.instance(), report.bornMillis());
+      case NONE -> onTraffic(gate::targetHeard);
+      default -> CompletableFuture.completedFuture(null);
+    };
+  }
+
+  @Override
+  public CompletionStage<Void> deregister(String instance, long bornMillis) {
+    return exitsRead.thenComposeAsync(
+        unused -> {
+          TargetLife.Change change = life.deregister(instance, bornMillis);
+          log.event("target-deregistered")
+              .with("target", instance)
+              .with("born", bornMillis)
+              .with("change", change.name())
+              .write();
+          return change == TargetLife.Change.LEAVES
+              ? leave(instance, bornMillis)
+              : CompletableFuture.completedFuture(null);
+        },
+        control);
+  }
+
+  /** Shuts the gate, and remembers it where a restart finds it, before it is acknowledged. */
+  private CompletionStage<Void> leave(String instance, long bornMillis) {
+    publishTarget();
+    byte[] value =
+        TargetStatus.newBuilder()
+            .setInstance(instance)
+            .setBornMillis(bornMillis)
+            .setPhase(TargetPhase.LEAVING)
+            .build()
+            .toByteArray();
+    CompletableFuture<Long> written =
+        store
+            .append(
+                Stream.TARGET_EXITS, settings.peers().toString(), value, OptionalLong.empty())
+            .toCompletableFuture()
+            .completeOnTimeout(-1L, LONGEST_STORE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+    CompletableFuture<Void> shut = onTraffic(gate::shut);
+    return shut.thenCombine(
+        written.handle(
+            (end, error) -> {
+              if (error != null || end < 0) {
+                log.event("exit-not-stored")
+                    .with("target", instance)
+                    .with("reason", error == null ? "timeout" : String.valueOf(error))
+                    .write();
+              }
+              return end;
+            }),
+        (done, end) -> null);
+  }
+
+  private CompletableFuture<Void> onTraffic(Runnable task) {
+    return CompletableFuture.runAsync(task, traffic);
+  }
+
+  private TargetStatus describe() {
+    TargetStatus.Builder built =
+        TargetStatus.newBuilder()
+            .setNode(settings.node())
+            .setRegion(settings.locality().region())
+            .setZone(settings.locality().zone())
+            .setNodeStops(stopping)
+            .setConfigVersion(view.version());
+    Optional<TargetReport> latest = life.latest();
+    if (latest.isEmpty()) {
+      return built.setPhase(TargetPhase.ABSENT).build();
+    }
+    TargetReport report = latest.get();
+    boolean reachable = !gate.isAbsent();
+    TargetPhase phase =
+        !life.takesRequests()
+            ? TargetPhase.LEAVING
+            : reachable ? TargetPhase.READY : TargetPhase.ABSENT;
+    return built
+        .setPhase(phase)
+        .setInstance(report.instance())
+        .setBornMillis(report.bornMillis())
+        .setService(report.service())
+        .setVersion(report.version())
+        .setSlots(report.slots())
+        .setColdMicros(report.coldLeft().toNanos() / 1000)
+        .build();
+  }
+
+  /** Tells the traffic and all connected nodes what the node says of its target. */
+  private void publishTarget() {
+    TargetStatus described = describe();
+    if (described.equals(status)) {
+      return;
+    }
+    status = described;
+    traffic.execute(
+        () -> {
+          Optional<Member> member = PeerLinks.member(described, settings.peers());
+          links.local(member, localLink);
+          gate.broadcast(CallFrame.newBuilder().setStatus(described).build());
+        });
+  }
+
+  SlotGate.GateListener gateListener() {
+    return new SlotGate.GateListener() {
+      @Override
+      public void reachabilityChanged() {
+        control.execute(MeshControl.this::publishTarget);
+      }
+
+      @Override
+      public void ended(Begin begin, Result result, Duration took, boolean cold) {}
+
+      @Override
+      public TargetStatus status() {
+        return status;
+      }
+    };
+  }
+
+  PeerLinks.StatusListener statusListener() {
+    return new PeerLinks.StatusListener() {
+      @Override
+      public void changed(TargetStatus peer) {}
+
+      @Override
+      public void evidence(CallFrame frame) {}
+    };
+  }
+}
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshSettings.java
@@ -0,0 +1,57 @@
+package org.cuminlatch.node.mesh;
+
+import static org.cuminlatch.core.Preconditions.notBlank;
+import static org.cuminlatch.core.Preconditions.notNull;
+
+import java.time.Duration;
+import org.cuminlatch.core.membership.Address;
+import org.cuminlatch.core.membership.Locality;
+
+/**
+ * Fixed settings of a node on an operator's platform.
+ *
+ * @param node name of the node
+ * @param locality where it stands
+ * @param service service of the target beside it
+ * @param target address of the target beside it
+ * @param callers address for callers
+ * @param peers address for other nodes
+ * @param ready address of the readiness check
+ * @param control address for the target's reports
+ * @param metrics address of the metrics
+ * @param store address of the platform's store
+ * @param stopPeriod time between the request to stop and the end of the process
+ * @param exposure part of a service's calls that an unproven version may get
+ * @param headers names of headers
+ */
+public record MeshSettings(
+    String node,
+    Locality locality,
+    String service,
+    Address target,
+    Address callers,
+    Address peers,
+    Address ready,
+    Address control,
+    Address metrics,
+    Address store,
+    Duration stopPeriod,
+    double exposure,
+    HeaderNames headers) {
+
+  /** Checks the fields. */
+  public MeshSettings {
+    notBlank(node, "node");
+    notNull(locality, "locality");
+    notBlank(service, "service");
+    notNull(target, "target");
+    notNull(callers, "callers");
+    notNull(peers, "peers");
+    notNull(ready, "ready");
+    notNull(control, "control");
+    notNull(metrics, "metrics");
+    notNull(store, "store");
+    notNull(stopPeriod, "stopPeriod");
+    notNull(headers, "headers");
+  }
+}
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -0,0 +1,249 @@
+package org.cuminlatch.node.mesh;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.cuminlatch.core.membership.Address;
+import org.cuminlatch.core.membership.Member;
+import org.cuminlatch.core.route.ServiceIndex;
+import org.cuminlatch.wire.call.CallChannel;
+import org.cuminlatch.wire.call.CallFrameHandler;
+import org.cuminlatch.wire.call.CallFrames;
+import org.cuminlatch.wire.call.CallTransport;
+import org.cuminlatch.wire.proto.call.CallFrame;
+import org.cuminlatch.wire.proto.call.Ping;
+import org.cuminlatch.wire.proto.call.TargetPhase;
+import org.cuminlatch.wire.proto.call.TargetStatus;
+
+/**
+ * Connections to the gates of all other nodes; used on the traffic loop.
+ *
+ * <p>A target is offered for calls only while the connection to its node is open and the node says
+ * over it that the target is ready. A connection on which nothing comes although it was probed is
+ * given up and opened anew.
+ */
+final class PeerLinks implements CallFrameHandler {
+
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1000);
+  private static final Duration FIRST_REDIAL = Duration.ofMillis(100);
+  private static final Duration LONGEST_REDIAL = Duration.ofSeconds(2);
+
+  /** Silence after which a connection with attempts is probed. */
+  private static final Duration PROBE_BUSY = Duration.ofMillis(300);
+
+  /** Silence after which a connection without attempts is probed. */
+  private static final Duration PROBE_IDLE = Duration.ofSeconds(2);
+
+  /** Silence after a probe with which a connection is given up. */
+  private static final Duration GIVE_UP = Duration.ofMillis(900);
+
+  private final CallTransport transport;
+  private final RandomGenerator random;
+  private final EventLog log;
+  private final StatusListener listener;
+  private final Map<Address, PeerLink> links = new HashMap<>();
+  private final Map<String, TargetLink> linkByInstance = new HashMap<>();
+  private Optional<Member> local = Optional.empty();
+  private TargetLink localLink;
+  private ServiceIndex index = ServiceIndex.of(List.of());
+
+  PeerLinks(
+      CallTransport transport, RandomGenerator random, EventLog log, StatusListener listener) {
+    this.transport = transport;
+    this.random = random;
+    this.log = log;
+    this.listener = listener;
+  }
+
+  /** Takes what nodes say of themselves over their connections. */
+  interface StatusListener {
+
+    void changed(TargetStatus status);
+
+    void evidence(CallFrame frame);
+  }
+
+  /** Sets the target beside this node, empty while it takes no requests. */
+  void local(Optional<Member> member, TargetLink link) {
+    local = member;
+    localLink = link;
+    rebuild();
+  }
+
+  /** Sets the nodes that are known; connections to others are closed. */
+  void nodes(Set<Address> addresses) {
+    for (Address address : addresses) {
+      links.computeIfAbsent(address, PeerLink::new);
+    }
+    for (Address known : List.copyOf(links.keySet())) {
+      if (!addresses.contains(known)) {
+        links.remove(known).lost();
+      }
+    }
+    check();
+  }
+
+  ServiceIndex index() {
+    return index;
+  }
+
+  Optional<TargetLink> linkTo(String instance) {
+    return Optional.ofNullable(linkByInstance.get(instance));
+  }
+
+  Collection<TargetStatus> statuses() {
+    List<TargetStatus> statuses = new ArrayList<>();
+    links.values().forEach(link -> link.status().ifPresent(statuses::add));
+    return statuses;
+  }
+
+  int openLinks() {
+    return (int) links.values().stream().filter(PeerLink::isOpen).count();
+  }
+
+  /** Opens what is missing, probes what is silent and gives up what stays so. */
+  void check() {
+    for (PeerLink link : List.copyOf(links.values())) {
+      if (link.mayDial()) {
+        dial(link);
+      } else if (link.isOpen()) {
+        probe(link);
+      }
+    }
+  }
+
+  private void probe(PeerLink link) {
+    Duration limit = link.hasAttempts() ? PROBE_BUSY : PROBE_IDLE;
+    long silent = link.silentNanos();
+    if (silent > limit.plus(GIVE_UP).toNanos() && link.nanosSincePing() < silent) {
+      log.event("link-silent")
+          .with("peer", link.address().toString())
+          .with("silentMillis", silent / 1_000_000)
+          .write();
+      drop(link);
+    } else if (silent > limit.toNanos() && link.nanosSincePing() > PROBE_BUSY.toNanos()) {
+      link.pinged();
+      link.send(CallFrame.newBuilder().setPing(Ping.getDefaultInstance()).build());
+    }
+  }
+
+  private void dial(PeerLink link) {
+    link.dialling();
+    transport
+        .connect(link.address(), CONNECT_TIMEOUT, this)
+        .whenComplete(
+            (channel, error) -> {
+              if (error != null) {
+                link.notOpened(redialDelay(link.failures()));
+              } else if (links.get(link.address()) == link) {
+                link.opened(channel);
+              } else {
+                channel.close();
+              }
+            });
+  }
+
+  /** Full jitter over an exponential bound, so that a herd does not dial in step. */
+  private long redialDelay(int failures) {
+    long bound = FIRST_REDIAL.toNanos() << Math.min(failures, 6);
+    long capped = Math.min(bound, LONGEST_REDIAL.toNanos());
+    return capped / 2 + random.nextLong(capped / 2 + 1);
+  }
+
+  @Override
+  public void received(CallChannel channel, CallFrame frame) {
+    PeerLink link = linkOver(channel);
+    if (link == null) {
+      return;
+    }
+    link.heard();
+    switch (frame.getKindCase()) {
+      case STATUS -> statusChanged(link, frame.getStatus());
+      case EVIDENCE -> listener.evidence(frame);
+      case PONG -> {}
+      default -> link.received(frame, CallFrames.attempt(frame));
+    }
+  }
+
+  private void statusChanged(PeerLink link, TargetStatus status) {
+    link.status(status);
+    log.event("peer-status")
+        .with("peer", status.getNode())
+        .with("target", status.getInstance())
+        .with("service", status.getService())
+        .with("version", status.getVersion())
+        .with("phase", status.getPhase().name())
+        .with("stops", String.valueOf(status.getNodeStops()))
+        .write();
+    rebuild();
+    listener.changed(status);
+  }
+
+  @Override
+  public void closed(CallChannel channel) {
+    PeerLink link = linkOver(channel);
+    if (link != null) {
+      log.event("link-lost").with("peer", link.address().toString()).write();
+      drop(link);
+    }
+  }
+
+  private void drop(PeerLink link) {
+    link.lost();
+    rebuild();
+  }
+
+  private PeerLink linkOver(CallChannel channel) {
+    for (PeerLink link : links.values()) {
+      if (link.isOver(channel)) {
+        return link;
+      }
+    }
+    return null;
+  }
+
+  private void rebuild() {
+    linkByInstance.clear();
+    List<Member> members = new ArrayList<>();
+    for (PeerLink link : links.values()) {
+      Optional<Member> member = link.status().flatMap(status -> member(status, link.address()));
+      if (link.isOpen() && member.isPresent()) {
+        members.add(member.get());
+        linkByInstance.put(member.get().instance(), link);
+      }
+    }
+    if (local.isPresent()) {
+      members.add(local.get());
+      linkByInstance.put(local.get().instance(), localLink);
+    }
+    index = ServiceIndex.of(members);
+  }
+
+  /** Returns the target that a status describes, empty if it takes no calls. */
+  static Optional<Member> member(TargetStatus status, Address address) {
+    if (status.getPhase() != TargetPhase.READY || status.getNodeStops()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new Member(
+            status.getInstance(),
+            status.getBornMillis(),
+            Member.Status.ALIVE,
+            address,
+            address,
+            new org.cuminlatch.core.membership.Locality(status.getRegion(), status.getZone()),
+            status.getService(),
+            status.getVersion(),
+            status.getSlots(),
+            Member.Phase.SERVING,
+            Set.of(),
+            0,
+            ""));
+  }
+}
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -0,0 +1,119 @@
+package org.cuminlatch.node.mesh;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.cuminlatch.core.error.CuminlatchException;
+import org.cuminlatch.core.error.ErrorCode;
+import org.cuminlatch.node.mesh.KeyedStore.Item;
+import org.cuminlatch.node.mesh.KeyedStore.Page;
+import org.cuminlatch.node.mesh.KeyedStore.Stream;
+
+/** Reads a stream from its newest records on and never stops; used on the control loop. */
+final class StoreFollower {
+
+  private static final Duration WAIT = Duration.ofSeconds(25);
+  private static final Duration FIRST_BACKOFF = Duration.ofMillis(150);
+  private static final Duration LONGEST_BACKOFF = Duration.ofMillis(1600);
+
+  private final EventLoop loop;
+  private final KeyedStore store;
+  private final Stream stream;
+  private final Duration pause;
+  private final RandomGenerator random;
+  private final EventLog log;
+  private final ItemListener listener;
+  private long next = -1;
+  private int failures;
+
+  /** Takes records in their order; called on the control loop. */
+  interface ItemListener {
+
+    void item(Item item);
+
+    /** A page of records has been handed over. */
+    void caughtUp();
+  }
+
+  /**
+   * Creates a follower.
+   *
+   * @param pause time between the arrival of records and the next wait, in which changes gather
+   */
+  StoreFollower(
+      EventLoop loop,
+      KeyedStore store,
+      Stream stream,
+      Duration pause,
+      RandomGenerator random,
+      EventLog log,
+      ItemListener listener) {
+    this.loop = loop;
+    this.store = store;
+    this.stream = stream;
+    this.pause = pause;
+    this.random = random;
+    this.log = log;
+    this.listener = listener;
+  }
+
+  void start() {
+    var reading = next < 0 ? store.newest(stream) : store.follow(stream, next, WAIT);
+    reading.whenComplete((page, error) -> loop.execute(() -> ended(page, error)));
+  }
+
+  private void ended(Page page, Throwable error) {
+    if (error != null) {
+      failed(error);
+      return;
+    }
+    if (failures > 0) {
+      log.event("store-regained").with("stream", stream.name()).with("failures", failures).write();
+      failures = 0;
+    }
+    next = page.end();
+    page.items().forEach(this::deliver);
+    listener.caughtUp();
+    if (page.items().isEmpty()) {
+      start();
+    } else {
+      schedule(pause);
+    }
+  }
+
+  private void deliver(Item item) {
+    try {
+      listener.item(item);
+    } catch (RuntimeException unusable) {
+      log.event("record-unusable")
+          .with("stream", stream.name())
+          .with("key", item.key())
+          .with("offset", item.offset())
+          .with("reason", String.valueOf(unusable))
+          .write();
+    }
+  }
+
+  private void failed(Throwable error) {
+    boolean truncated =
+        error instanceof CuminlatchException known && known.code() == ErrorCode.LOG_TRUNCATED;
+    if (failures == 0) {
+      log.event("store-lost")
+          .with("stream", stream.name())
+          .with("reason", String.valueOf(error))
+          .write();
+    }
+    failures++;
+    if (truncated) {
+      next = -1;
+    }
+    long bound = FIRST_BACKOFF.toMillis() << Math.min(failures, 6);
+    long capped = Math.min(bound, LONGEST_BACKOFF.toMillis());
+    schedule(Duration.ofMillis(capped / 2 + random.nextLong(capped / 2 + 1)));
+  }
+
+  private void schedule(Duration delay) {
+    loop.schedule(this::start, delay.toMillis(), TimeUnit.MILLISECONDS);
+  }
+}
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallChannelHandler.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallChannelHandler.java
@@ -24,6 +24,11 @@
     handler.received(channel, frame);
   }
 
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    handler.connected(channel);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     handler.closed(channel);
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallFrameHandler.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallFrameHandler.java
@@ -5,6 +5,13 @@
 /** Takes what arrives on connections; called by their threads and must not block. */
 public interface CallFrameHandler {
 
+  /**
+   * Takes the beginning of a connection.
+   *
+   * @param channel the connection
+   */
+  default void connected(CallChannel channel) {}
+
   /**
    * Takes a frame.
    *
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallTransport.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallTransport.java
@@ -49,9 +49,11 @@
   private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
 
   private final EventLoopGroup group;
+  private final boolean ownsGroup;
 
-  private CallTransport(int threads) {
-    this.group = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+  private CallTransport(EventLoopGroup group, boolean ownsGroup) {
+    this.group = group;
+    this.ownsGroup = ownsGroup;
   }
 
   /**
@@ -62,7 +64,18 @@
    */
   public static CallTransport start(int threads) {
     check(threads >= 1, "threads", "must be at least 1");
-    return new CallTransport(threads);
+    return new CallTransport(
+        new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory()), true);
+  }
+
+  /**
+   * Uses threads that serve other connections too.
+   *
+   * @param group the threads; not stopped by {@link #close}
+   * @return the transport
+   */
+  public static CallTransport on(EventLoopGroup group) {
+    return new CallTransport(notNull(group, "group"), false);
   }
 
   /**
@@ -118,6 +131,9 @@
 
   @Override
   public void close() {
+    if (!ownsGroup) {
+      return;
+    }
     group
         .shutdownGracefully(QUIET_PERIOD.toMillis(), STOP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
         .awaitUninterruptibly(STOP_TIMEOUT.toMillis());
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
@@ -40,6 +40,9 @@
     headers_ = java.util.Collections.emptyList();
     idempotencyKey_ = "";
     body_ = com.google.protobuf.ByteString.EMPTY;
+    requestId_ = "";
+    originService_ = "";
+    expectedInstance_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -462,6 +465,177 @@
     return credit_;
   }
 
+  public static final int REQUEST_ID_FIELD_NUMBER = 16;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object requestId_ = "";
+  /**
+   * <pre>
+   * Caller's name of the request, repeated by the target in its answer.
+   * </pre>
+   *
+   * <code>string request_id = 16;</code>
+   * @return The requestId.
+   */
+  @java.lang.Override
+  public java.lang.String getRequestId() {
+    java.lang.Object ref = requestId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      requestId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Caller's name of the request, repeated by the target in its answer.
+   * </pre>
+   *
+   * <code>string request_id = 16;</code>
+   * @return The bytes for requestId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRequestIdBytes() {
+    java.lang.Object ref = requestId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      requestId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int ORIGIN_SERVICE_FIELD_NUMBER = 17;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object originService_ = "";
+  /**
+   * <pre>
+   * Service beside whose target the request began.
+   * </pre>
+   *
+   * <code>string origin_service = 17;</code>
+   * @return The originService.
+   */
+  @java.lang.Override
+  public java.lang.String getOriginService() {
+    java.lang.Object ref = originService_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      originService_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Service beside whose target the request began.
+   * </pre>
+   *
+   * <code>string origin_service = 17;</code>
+   * @return The bytes for originService.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getOriginServiceBytes() {
+    java.lang.Object ref = originService_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      originService_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int EXPECTED_INSTANCE_FIELD_NUMBER = 18;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object expectedInstance_ = "";
+  /**
+   * <pre>
+   * Target that must run the attempt, empty if any may.
+   * </pre>
+   *
+   * <code>string expected_instance = 18;</code>
+   * @return The expectedInstance.
+   */
+  @java.lang.Override
+  public java.lang.String getExpectedInstance() {
+    java.lang.Object ref = expectedInstance_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      expectedInstance_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Target that must run the attempt, empty if any may.
+   * </pre>
+   *
+   * <code>string expected_instance = 18;</code>
+   * @return The bytes for expectedInstance.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getExpectedInstanceBytes() {
+    java.lang.Object ref = expectedInstance_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      expectedInstance_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int PRIORITY_FIELD_NUMBER = 19;
+  private int priority_ = 0;
+  /**
+   * <pre>
+   * Rank of the route, 0 is the highest.
+   * </pre>
+   *
+   * <code>int32 priority = 19;</code>
+   * @return The priority.
+   */
+  @java.lang.Override
+  public int getPriority() {
+    return priority_;
+  }
+
+  public static final int GOAL_MICROS_FIELD_NUMBER = 20;
+  private long goalMicros_ = 0L;
+  /**
+   * <pre>
+   * Time left within which an answer is worth most, negative if it has passed.
+   * </pre>
+   *
+   * <code>int64 goal_micros = 20;</code>
+   * @return The goalMicros.
+   */
+  @java.lang.Override
+  public long getGoalMicros() {
+    return goalMicros_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -521,6 +695,21 @@
     if (credit_ != 0) {
       output.writeInt32(15, credit_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 16, requestId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(originService_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 17, originService_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(expectedInstance_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 18, expectedInstance_);
+    }
+    if (priority_ != 0) {
+      output.writeInt32(19, priority_);
+    }
+    if (goalMicros_ != 0L) {
+      output.writeInt64(20, goalMicros_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -584,6 +773,23 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(15, credit_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(16, requestId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(originService_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(17, originService_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(expectedInstance_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(18, expectedInstance_);
+    }
+    if (priority_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(19, priority_);
+    }
+    if (goalMicros_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(20, goalMicros_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -629,6 +835,16 @@
         != other.getContentLength()) return false;
     if (getCredit()
         != other.getCredit()) return false;
+    if (!getRequestId()
+        .equals(other.getRequestId())) return false;
+    if (!getOriginService()
+        .equals(other.getOriginService())) return false;
+    if (!getExpectedInstance()
+        .equals(other.getExpectedInstance())) return false;
+    if (getPriority()
+        != other.getPriority()) return false;
+    if (getGoalMicros()
+        != other.getGoalMicros()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -677,6 +893,17 @@
         getContentLength());
     hash = (37 * hash) + CREDIT_FIELD_NUMBER;
     hash = (53 * hash) + getCredit();
+    hash = (37 * hash) + REQUEST_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getRequestId().hashCode();
+    hash = (37 * hash) + ORIGIN_SERVICE_FIELD_NUMBER;
+    hash = (53 * hash) + getOriginService().hashCode();
+    hash = (37 * hash) + EXPECTED_INSTANCE_FIELD_NUMBER;
+    hash = (53 * hash) + getExpectedInstance().hashCode();
+    hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
+    hash = (53 * hash) + getPriority();
+    hash = (37 * hash) + GOAL_MICROS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getGoalMicros());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -833,6 +1060,11 @@
       bodyComplete_ = false;
       contentLength_ = 0L;
       credit_ = 0;
+      requestId_ = "";
+      originService_ = "";
+      expectedInstance_ = "";
+      priority_ = 0;
+      goalMicros_ = 0L;
       return this;
     }
 
@@ -921,6 +1153,21 @@
       if (((from_bitField0_ & 0x00004000) != 0)) {
         result.credit_ = credit_;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.requestId_ = requestId_;
+      }
+      if (((from_bitField0_ & 0x00010000) != 0)) {
+        result.originService_ = originService_;
+      }
+      if (((from_bitField0_ & 0x00020000) != 0)) {
+        result.expectedInstance_ = expectedInstance_;
+      }
+      if (((from_bitField0_ & 0x00040000) != 0)) {
+        result.priority_ = priority_;
+      }
+      if (((from_bitField0_ & 0x00080000) != 0)) {
+        result.goalMicros_ = goalMicros_;
+      }
     }
 
     @java.lang.Override
@@ -1015,6 +1262,27 @@
       if (other.getCredit() != 0) {
         setCredit(other.getCredit());
       }
+      if (!other.getRequestId().isEmpty()) {
+        requestId_ = other.requestId_;
+        bitField0_ |= 0x00008000;
+        onChanged();
+      }
+      if (!other.getOriginService().isEmpty()) {
+        originService_ = other.originService_;
+        bitField0_ |= 0x00010000;
+        onChanged();
+      }
+      if (!other.getExpectedInstance().isEmpty()) {
+        expectedInstance_ = other.expectedInstance_;
+        bitField0_ |= 0x00020000;
+        onChanged();
+      }
+      if (other.getPriority() != 0) {
+        setPriority(other.getPriority());
+      }
+      if (other.getGoalMicros() != 0L) {
+        setGoalMicros(other.getGoalMicros());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1124,6 +1392,31 @@
               bitField0_ |= 0x00004000;
               break;
             } // case 120
+            case 130: {
+              requestId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 130
+            case 138: {
+              originService_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00010000;
+              break;
+            } // case 138
+            case 146: {
+              expectedInstance_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00020000;
+              break;
+            } // case 146
+            case 152: {
+              priority_ = input.readInt32();
+              bitField0_ |= 0x00040000;
+              break;
+            } // case 152
+            case 160: {
+              goalMicros_ = input.readInt64();
+              bitField0_ |= 0x00080000;
+              break;
+            } // case 160
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2193,6 +2486,370 @@
       return this;
     }
 
+    private java.lang.Object requestId_ = "";
+    /**
+     * <pre>
+     * Caller's name of the request, repeated by the target in its answer.
+     * </pre>
+     *
+     * <code>string request_id = 16;</code>
+     * @return The requestId.
+     */
+    public java.lang.String getRequestId() {
+      java.lang.Object ref = requestId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        requestId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Caller's name of the request, repeated by the target in its answer.
+     * </pre>
+     *
+     * <code>string request_id = 16;</code>
+     * @return The bytes for requestId.
+     */
+    public com.google.protobuf.ByteString
+        getRequestIdBytes() {
+      java.lang.Object ref = requestId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        requestId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Caller's name of the request, repeated by the target in its answer.
+     * </pre>
+     *
+     * <code>string request_id = 16;</code>
+     * @param value The requestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      requestId_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Caller's name of the request, repeated by the target in its answer.
+     * </pre>
+     *
+     * <code>string request_id = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequestId() {
+      requestId_ = getDefaultInstance().getRequestId();
+      bitField0_ = (bitField0_ & ~0x00008000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Caller's name of the request, repeated by the target in its answer.
+     * </pre>
+     *
+     * <code>string request_id = 16;</code>
+     * @param value The bytes for requestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      requestId_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object originService_ = "";
+    /**
+     * <pre>
+     * Service beside whose target the request began.
+     * </pre>
+     *
+     * <code>string origin_service = 17;</code>
+     * @return The originService.
+     */
+    public java.lang.String getOriginService() {
+      java.lang.Object ref = originService_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        originService_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Service beside whose target the request began.
+     * </pre>
+     *
+     * <code>string origin_service = 17;</code>
+     * @return The bytes for originService.
+     */
+    public com.google.protobuf.ByteString
+        getOriginServiceBytes() {
+      java.lang.Object ref = originService_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        originService_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Service beside whose target the request began.
+     * </pre>
+     *
+     * <code>string origin_service = 17;</code>
+     * @param value The originService to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOriginService(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      originService_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Service beside whose target the request began.
+     * </pre>
+     *
+     * <code>string origin_service = 17;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOriginService() {
+      originService_ = getDefaultInstance().getOriginService();
+      bitField0_ = (bitField0_ & ~0x00010000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Service beside whose target the request began.
+     * </pre>
+     *
+     * <code>string origin_service = 17;</code>
+     * @param value The bytes for originService to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOriginServiceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      originService_ = value;
+      bitField0_ |= 0x00010000;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object expectedInstance_ = "";
+    /**
+     * <pre>
+     * Target that must run the attempt, empty if any may.
+     * </pre>
+     *
+     * <code>string expected_instance = 18;</code>
+     * @return The expectedInstance.
+     */
+    public java.lang.String getExpectedInstance() {
+      java.lang.Object ref = expectedInstance_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        expectedInstance_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Target that must run the attempt, empty if any may.
+     * </pre>
+     *
+     * <code>string expected_instance = 18;</code>
+     * @return The bytes for expectedInstance.
+     */
+    public com.google.protobuf.ByteString
+        getExpectedInstanceBytes() {
+      java.lang.Object ref = expectedInstance_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        expectedInstance_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Target that must run the attempt, empty if any may.
+     * </pre>
+     *
+     * <code>string expected_instance = 18;</code>
+     * @param value The expectedInstance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExpectedInstance(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      expectedInstance_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Target that must run the attempt, empty if any may.
+     * </pre>
+     *
+     * <code>string expected_instance = 18;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExpectedInstance() {
+      expectedInstance_ = getDefaultInstance().getExpectedInstance();
+      bitField0_ = (bitField0_ & ~0x00020000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Target that must run the attempt, empty if any may.
+     * </pre>
+     *
+     * <code>string expected_instance = 18;</code>
+     * @param value The bytes for expectedInstance to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExpectedInstanceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      expectedInstance_ = value;
+      bitField0_ |= 0x00020000;
+      onChanged();
+      return this;
+    }
+
+    private int priority_ ;
+    /**
+     * <pre>
+     * Rank of the route, 0 is the highest.
+     * </pre>
+     *
+     * <code>int32 priority = 19;</code>
+     * @return The priority.
+     */
+    @java.lang.Override
+    public int getPriority() {
+      return priority_;
+    }
+    /**
+     * <pre>
+     * Rank of the route, 0 is the highest.
+     * </pre>
+     *
+     * <code>int32 priority = 19;</code>
+     * @param value The priority to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPriority(int value) {
+
+      priority_ = value;
+      bitField0_ |= 0x00040000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Rank of the route, 0 is the highest.
+     * </pre>
+     *
+     * <code>int32 priority = 19;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPriority() {
+      bitField0_ = (bitField0_ & ~0x00040000);
+      priority_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long goalMicros_ ;
+    /**
+     * <pre>
+     * Time left within which an answer is worth most, negative if it has passed.
+     * </pre>
+     *
+     * <code>int64 goal_micros = 20;</code>
+     * @return The goalMicros.
+     */
+    @java.lang.Override
+    public long getGoalMicros() {
+      return goalMicros_;
+    }
+    /**
+     * <pre>
+     * Time left within which an answer is worth most, negative if it has passed.
+     * </pre>
+     *
+     * <code>int64 goal_micros = 20;</code>
+     * @param value The goalMicros to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGoalMicros(long value) {
+
+      goalMicros_ = value;
+      bitField0_ |= 0x00080000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time left within which an answer is worth most, negative if it has passed.
+     * </pre>
+     *
+     * <code>int64 goal_micros = 20;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGoalMicros() {
+      bitField0_ = (bitField0_ & ~0x00080000);
+      goalMicros_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.Begin)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/BeginOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/BeginOrBuilder.java
@@ -197,4 +197,84 @@
    * @return The credit.
    */
   int getCredit();
+
+  /**
+   * <pre>
+   * Caller's name of the request, repeated by the target in its answer.
+   * </pre>
+   *
+   * <code>string request_id = 16;</code>
+   * @return The requestId.
+   */
+  java.lang.String getRequestId();
+  /**
+   * <pre>
+   * Caller's name of the request, repeated by the target in its answer.
+   * </pre>
+   *
+   * <code>string request_id = 16;</code>
+   * @return The bytes for requestId.
+   */
+  com.google.protobuf.ByteString
+      getRequestIdBytes();
+
+  /**
+   * <pre>
+   * Service beside whose target the request began.
+   * </pre>
+   *
+   * <code>string origin_service = 17;</code>
+   * @return The originService.
+   */
+  java.lang.String getOriginService();
+  /**
+   * <pre>
+   * Service beside whose target the request began.
+   * </pre>
+   *
+   * <code>string origin_service = 17;</code>
+   * @return The bytes for originService.
+   */
+  com.google.protobuf.ByteString
+      getOriginServiceBytes();
+
+  /**
+   * <pre>
+   * Target that must run the attempt, empty if any may.
+   * </pre>
+   *
+   * <code>string expected_instance = 18;</code>
+   * @return The expectedInstance.
+   */
+  java.lang.String getExpectedInstance();
+  /**
+   * <pre>
+   * Target that must run the attempt, empty if any may.
+   * </pre>
+   *
+   * <code>string expected_instance = 18;</code>
+   * @return The bytes for expectedInstance.
+   */
+  com.google.protobuf.ByteString
+      getExpectedInstanceBytes();
+
+  /**
+   * <pre>
+   * Rank of the route, 0 is the highest.
+   * </pre>
+   *
+   * <code>int32 priority = 19;</code>
+   * @return The priority.
+   */
+  int getPriority();
+
+  /**
+   * <pre>
+   * Time left within which an answer is worth most, negative if it has passed.
+   * </pre>
+   *
+   * <code>int64 goal_micros = 20;</code>
+   * @return The goalMicros.
+   */
+  long getGoalMicros();
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
@@ -96,6 +96,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cuminlatch_call_Pong_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cuminlatch_call_TargetStatus_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cuminlatch_call_TargetStatus_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cuminlatch_call_MoveEvidence_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cuminlatch_call_MoveEvidence_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cuminlatch_call_EvidenceCount_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cuminlatch_call_EvidenceCount_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -105,7 +120,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\ncall.proto\022\017cuminlatch.call\"\223\004\n\tCallFr" +
+      "\n\ncall.proto\022\017cuminlatch.call\"\367\004\n\tCallFr" +
       "ame\022\024\n\014attempt_high\030\001 \001(\006\022\023\n\013attempt_low" +
       "\030\002 \001(\006\022\'\n\005begin\030\003 \001(\0132\026.cuminlatch.call." +
       "BeginH\000\022%\n\004body\030\004 \001(\0132\025.cuminlatch.call." +
@@ -118,43 +133,62 @@
       " \001(\0132\032.cuminlatch.call.CancelledH\000\022%\n\004pi" +
       "ng\030\013 \001(\0132\025.cuminlatch.call.PingH\000\022%\n\004pon" +
       "g\030\014 \001(\0132\025.cuminlatch.call.PongH\000\022)\n\006rejo" +
-      "in\030\r \001(\0132\027.cuminlatch.call.RejoinH\000B\006\n\004k" +
-      "ind\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001" +
-      "(\t\"\272\002\n\005Begin\022\r\n\005route\030\001 \001(\t\022\017\n\007service\030\002" +
-      " \001(\t\022\026\n\016target_version\030\003 \001(\t\022\016\n\006method\030\004" +
-      " \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007headers\030\006 \003(\0132\027.cu" +
-      "minlatch.call.Header\022\027\n\017deadline_micros\030" +
-      "\007 \001(\003\022\r\n\005depth\030\010 \001(\005\022\017\n\007retried\030\t \001(\010\022\022\n" +
-      "\nidempotent\030\n \001(\010\022\027\n\017idempotency_key\030\013 \001" +
-      "(\t\022\014\n\004body\030\014 \001(\014\022\025\n\rbody_complete\030\r \001(\010\022" +
-      "\026\n\016content_length\030\016 \001(\003\022\016\n\006credit\030\017 \001(\005\"" +
-      "J\n\004Body\022\017\n\007content\030\001 \001(\014\022\014\n\004last\030\002 \001(\010\022#" +
-      "\n\004load\030\003 \001(\0132\025.cuminlatch.call.Load\"\027\n\006C" +
-      "redit\022\r\n\005bytes\030\001 \001(\005\"\034\n\006Cancel\022\022\n\nage_mi" +
-      "cros\030\001 \001(\003\"\034\n\006Rejoin\022\022\n\nage_micros\030\001 \001(\003" +
-      "\"\034\n\tCancelled\022\017\n\007not_run\030\001 \001(\010\"3\n\004Load\022\014" +
-      "\n\004busy\030\001 \001(\005\022\016\n\006queued\030\002 \001(\005\022\r\n\005limit\030\003 " +
-      "\001(\005\"\233\001\n\006Answer\022\016\n\006status\030\001 \001(\005\022(\n\007header" +
-      "s\030\002 \003(\0132\027.cuminlatch.call.Header\022\026\n\016cont" +
-      "ent_length\030\003 \001(\003\022\014\n\004body\030\004 \001(\014\022\014\n\004last\030\005" +
-      " \001(\010\022#\n\004load\030\006 \001(\0132\025.cuminlatch.call.Loa" +
-      "d\"^\n\007Refusal\022.\n\006reason\030\001 \001(\0162\036.cuminlatc" +
-      "h.call.RefusalReason\022#\n\004load\030\002 \001(\0132\025.cum" +
-      "inlatch.call.Load\"^\n\007Failure\022.\n\006reason\030\001" +
-      " \001(\0162\036.cuminlatch.call.FailureReason\022#\n\004" +
-      "load\030\002 \001(\0132\025.cuminlatch.call.Load\"\025\n\004Pin" +
-      "g\022\r\n\005nonce\030\001 \001(\006\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\006*" +
-      "\323\001\n\rRefusalReason\022\027\n\023REFUSAL_UNSPECIFIED" +
-      "\020\000\022\014\n\010DRAINING\020\001\022\016\n\nQUEUE_FULL\020\002\022\014\n\010DEAD" +
-      "LINE\020\003\022\021\n\rWRONG_VERSION\020\004\022\017\n\013NOT_SERVING" +
-      "\020\005\022\026\n\022TARGET_UNREACHABLE\020\006\022\017\n\013TARGET_SHE" +
-      "D\020\007\022\r\n\tWITHDRAWN\020\010\022\021\n\rNOT_KEY_OWNER\020\t\022\016\n" +
-      "\nUNSENDABLE\020\n*\232\001\n\rFailureReason\022\027\n\023FAILU" +
-      "RE_UNSPECIFIED\020\000\022\021\n\rTARGET_BROKEN\020\001\022\022\n\016T" +
-      "ARGET_TIMEOUT\020\002\022\025\n\021CONNECTION_SILENT\020\003\022\022" +
-      "\n\016ANSWER_CROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014KEY_" +
-      "IN_DOUBT\020\006B\"\n\036org.cuminlatch.wire.proto." +
-      "callP\001b\006proto3"
+      "in\030\r \001(\0132\027.cuminlatch.call.RejoinH\000\022/\n\006s" +
+      "tatus\030\016 \001(\0132\035.cuminlatch.call.TargetStat" +
+      "usH\000\0221\n\010evidence\030\017 \001(\0132\035.cuminlatch.call" +
+      ".MoveEvidenceH\000B\006\n\004kind\"%\n\006Header\022\014\n\004nam" +
+      "e\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\250\003\n\005Begin\022\r\n\005rout" +
+      "e\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\026\n\016target_versi" +
+      "on\030\003 \001(\t\022\016\n\006method\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(" +
+      "\n\007headers\030\006 \003(\0132\027.cuminlatch.call.Header" +
+      "\022\027\n\017deadline_micros\030\007 \001(\003\022\r\n\005depth\030\010 \001(\005" +
+      "\022\017\n\007retried\030\t \001(\010\022\022\n\nidempotent\030\n \001(\010\022\027\n" +
+      "\017idempotency_key\030\013 \001(\t\022\014\n\004body\030\014 \001(\014\022\025\n\r" +
+      "body_complete\030\r \001(\010\022\026\n\016content_length\030\016 " +
+      "\001(\003\022\016\n\006credit\030\017 \001(\005\022\022\n\nrequest_id\030\020 \001(\t\022" +
+      "\026\n\016origin_service\030\021 \001(\t\022\031\n\021expected_inst" +
+      "ance\030\022 \001(\t\022\020\n\010priority\030\023 \001(\005\022\023\n\013goal_mic" +
+      "ros\030\024 \001(\003\"J\n\004Body\022\017\n\007content\030\001 \001(\014\022\014\n\004la" +
+      "st\030\002 \001(\010\022#\n\004load\030\003 \001(\0132\025.cuminlatch.call" +
+      ".Load\"\027\n\006Credit\022\r\n\005bytes\030\001 \001(\005\"\034\n\006Cancel" +
+      "\022\022\n\nage_micros\030\001 \001(\003\"\034\n\006Rejoin\022\022\n\nage_mi" +
+      "cros\030\001 \001(\003\"\034\n\tCancelled\022\017\n\007not_run\030\001 \001(\010" +
+      "\"3\n\004Load\022\014\n\004busy\030\001 \001(\005\022\016\n\006queued\030\002 \001(\005\022\r" +
+      "\n\005limit\030\003 \001(\005\"\233\001\n\006Answer\022\016\n\006status\030\001 \001(\005" +
+      "\022(\n\007headers\030\002 \003(\0132\027.cuminlatch.call.Head" +
+      "er\022\026\n\016content_length\030\003 \001(\003\022\014\n\004body\030\004 \001(\014" +
+      "\022\014\n\004last\030\005 \001(\010\022#\n\004load\030\006 \001(\0132\025.cuminlatc" +
+      "h.call.Load\"v\n\007Refusal\022.\n\006reason\030\001 \001(\0162\036" +
+      ".cuminlatch.call.RefusalReason\022#\n\004load\030\002" +
+      " \001(\0132\025.cuminlatch.call.Load\022\026\n\016free_in_m" +
+      "icros\030\003 \001(\003\"^\n\007Failure\022.\n\006reason\030\001 \001(\0162\036" +
+      ".cuminlatch.call.FailureReason\022#\n\004load\030\002" +
+      " \001(\0132\025.cuminlatch.call.Load\"\025\n\004Ping\022\r\n\005n" +
+      "once\030\001 \001(\006\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\006\"\200\002\n\014Ta" +
+      "rgetStatus\022\014\n\004node\030\001 \001(\t\022\016\n\006region\030\002 \001(\t" +
+      "\022\014\n\004zone\030\003 \001(\t\022+\n\005phase\030\004 \001(\0162\034.cuminlat" +
+      "ch.call.TargetPhase\022\020\n\010instance\030\005 \001(\t\022\023\n" +
+      "\013born_millis\030\006 \001(\003\022\017\n\007service\030\007 \001(\t\022\017\n\007v" +
+      "ersion\030\010 \001(\t\022\r\n\005slots\030\t \001(\005\022\023\n\013cold_micr" +
+      "os\030\n \001(\003\022\022\n\nnode_stops\030\013 \001(\010\022\026\n\016config_v" +
+      "ersion\030\014 \001(\003\"P\n\014MoveEvidence\022\020\n\010instance" +
+      "\030\001 \001(\t\022.\n\006counts\030\002 \003(\0132\036.cuminlatch.call" +
+      ".EvidenceCount\"}\n\rEvidenceCount\022\r\n\005route" +
+      "\030\001 \001(\t\022\r\n\005calls\030\002 \001(\003\022\020\n\010failures\030\003 \001(\003\022" +
+      "\022\n\ncold_calls\030\004 \001(\003\022\025\n\rcold_failures\030\005 \001" +
+      "(\003\022\021\n\tlatencies\030\006 \003(\003*\350\001\n\rRefusalReason\022" +
+      "\027\n\023REFUSAL_UNSPECIFIED\020\000\022\014\n\010DRAINING\020\001\022\016" +
+      "\n\nQUEUE_FULL\020\002\022\014\n\010DEADLINE\020\003\022\021\n\rWRONG_VE" +
+      "RSION\020\004\022\017\n\013NOT_SERVING\020\005\022\026\n\022TARGET_UNREA" +
+      "CHABLE\020\006\022\017\n\013TARGET_SHED\020\007\022\r\n\tWITHDRAWN\020\010" +
+      "\022\021\n\rNOT_KEY_OWNER\020\t\022\016\n\nUNSENDABLE\020\n\022\023\n\017T" +
+      "ARGET_REPLACED\020\013*\232\001\n\rFailureReason\022\027\n\023FA" +
+      "ILURE_UNSPECIFIED\020\000\022\021\n\rTARGET_BROKEN\020\001\022\022" +
+      "\n\016TARGET_TIMEOUT\020\002\022\025\n\021CONNECTION_SILENT\020" +
+      "\003\022\022\n\016ANSWER_CROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014K" +
+      "EY_IN_DOUBT\020\006*1\n\013TargetPhase\022\n\n\006ABSENT\020\000" +
+      "\022\t\n\005READY\020\001\022\013\n\007LEAVING\020\002B\"\n\036org.cuminlat" +
+      "ch.wire.proto.callP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -165,7 +199,7 @@
     internal_static_cuminlatch_call_CallFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_CallFrame_descriptor,
-        new java.lang.String[] { "AttemptHigh", "AttemptLow", "Begin", "Body", "Credit", "Cancel", "Answer", "Refusal", "Failure", "Cancelled", "Ping", "Pong", "Rejoin", "Kind", });
+        new java.lang.String[] { "AttemptHigh", "AttemptLow", "Begin", "Body", "Credit", "Cancel", "Answer", "Refusal", "Failure", "Cancelled", "Ping", "Pong", "Rejoin", "Status", "Evidence", "Kind", });
     internal_static_cuminlatch_call_Header_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_cuminlatch_call_Header_fieldAccessorTable = new
@@ -177,7 +211,7 @@
     internal_static_cuminlatch_call_Begin_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_Begin_descriptor,
-        new java.lang.String[] { "Route", "Service", "TargetVersion", "Method", "Path", "Headers", "DeadlineMicros", "Depth", "Retried", "Idempotent", "IdempotencyKey", "Body", "BodyComplete", "ContentLength", "Credit", });
+        new java.lang.String[] { "Route", "Service", "TargetVersion", "Method", "Path", "Headers", "DeadlineMicros", "Depth", "Retried", "Idempotent", "IdempotencyKey", "Body", "BodyComplete", "ContentLength", "Credit", "RequestId", "OriginService", "ExpectedInstance", "Priority", "GoalMicros", });
     internal_static_cuminlatch_call_Body_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_cuminlatch_call_Body_fieldAccessorTable = new
@@ -225,7 +259,7 @@
     internal_static_cuminlatch_call_Refusal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_Refusal_descriptor,
-        new java.lang.String[] { "Reason", "Load", });
+        new java.lang.String[] { "Reason", "Load", "FreeInMicros", });
     internal_static_cuminlatch_call_Failure_descriptor =
       getDescriptor().getMessageType(11);
     internal_static_cuminlatch_call_Failure_fieldAccessorTable = new
@@ -244,6 +278,24 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_Pong_descriptor,
         new java.lang.String[] { "Nonce", });
+    internal_static_cuminlatch_call_TargetStatus_descriptor =
+      getDescriptor().getMessageType(14);
+    internal_static_cuminlatch_call_TargetStatus_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cuminlatch_call_TargetStatus_descriptor,
+        new java.lang.String[] { "Node", "Region", "Zone", "Phase", "Instance", "BornMillis", "Service", "Version", "Slots", "ColdMicros", "NodeStops", "ConfigVersion", });
+    internal_static_cuminlatch_call_MoveEvidence_descriptor =
+      getDescriptor().getMessageType(15);
+    internal_static_cuminlatch_call_MoveEvidence_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cuminlatch_call_MoveEvidence_descriptor,
+        new java.lang.String[] { "Instance", "Counts", });
+    internal_static_cuminlatch_call_EvidenceCount_descriptor =
+      getDescriptor().getMessageType(16);
+    internal_static_cuminlatch_call_EvidenceCount_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cuminlatch_call_EvidenceCount_descriptor,
+        new java.lang.String[] { "Route", "Calls", "Failures", "ColdCalls", "ColdFailures", "Latencies", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrame.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrame.java
@@ -64,6 +64,8 @@
     PING(11),
     PONG(12),
     REJOIN(13),
+    STATUS(14),
+    EVIDENCE(15),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -92,6 +94,8 @@
         case 11: return PING;
         case 12: return PONG;
         case 13: return REJOIN;
+        case 14: return STATUS;
+        case 15: return EVIDENCE;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -470,6 +474,68 @@
     return org.cuminlatch.wire.proto.call.Rejoin.getDefaultInstance();
   }
 
+  public static final int STATUS_FIELD_NUMBER = 14;
+  /**
+   * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+   * @return Whether the status field is set.
+   */
+  @java.lang.Override
+  public boolean hasStatus() {
+    return kindCase_ == 14;
+  }
+  /**
+   * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+   * @return The status.
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.TargetStatus getStatus() {
+    if (kindCase_ == 14) {
+       return (org.cuminlatch.wire.proto.call.TargetStatus) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.TargetStatus.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.TargetStatusOrBuilder getStatusOrBuilder() {
+    if (kindCase_ == 14) {
+       return (org.cuminlatch.wire.proto.call.TargetStatus) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.TargetStatus.getDefaultInstance();
+  }
+
+  public static final int EVIDENCE_FIELD_NUMBER = 15;
+  /**
+   * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+   * @return Whether the evidence field is set.
+   */
+  @java.lang.Override
+  public boolean hasEvidence() {
+    return kindCase_ == 15;
+  }
+  /**
+   * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+   * @return The evidence.
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.MoveEvidence getEvidence() {
+    if (kindCase_ == 15) {
+       return (org.cuminlatch.wire.proto.call.MoveEvidence) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.MoveEvidence.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.MoveEvidenceOrBuilder getEvidenceOrBuilder() {
+    if (kindCase_ == 15) {
+       return (org.cuminlatch.wire.proto.call.MoveEvidence) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.MoveEvidence.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -523,6 +589,12 @@
     if (kindCase_ == 13) {
       output.writeMessage(13, (org.cuminlatch.wire.proto.call.Rejoin) kind_);
     }
+    if (kindCase_ == 14) {
+      output.writeMessage(14, (org.cuminlatch.wire.proto.call.TargetStatus) kind_);
+    }
+    if (kindCase_ == 15) {
+      output.writeMessage(15, (org.cuminlatch.wire.proto.call.MoveEvidence) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -584,6 +656,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(13, (org.cuminlatch.wire.proto.call.Rejoin) kind_);
     }
+    if (kindCase_ == 14) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, (org.cuminlatch.wire.proto.call.TargetStatus) kind_);
+    }
+    if (kindCase_ == 15) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(15, (org.cuminlatch.wire.proto.call.MoveEvidence) kind_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -649,6 +729,14 @@
         if (!getRejoin()
             .equals(other.getRejoin())) return false;
         break;
+      case 14:
+        if (!getStatus()
+            .equals(other.getStatus())) return false;
+        break;
+      case 15:
+        if (!getEvidence()
+            .equals(other.getEvidence())) return false;
+        break;
       case 0:
       default:
     }
@@ -714,6 +802,14 @@
         hash = (37 * hash) + REJOIN_FIELD_NUMBER;
         hash = (53 * hash) + getRejoin().hashCode();
         break;
+      case 14:
+        hash = (37 * hash) + STATUS_FIELD_NUMBER;
+        hash = (53 * hash) + getStatus().hashCode();
+        break;
+      case 15:
+        hash = (37 * hash) + EVIDENCE_FIELD_NUMBER;
+        hash = (53 * hash) + getEvidence().hashCode();
+        break;
       case 0:
       default:
     }
@@ -887,6 +983,12 @@
       if (rejoinBuilder_ != null) {
         rejoinBuilder_.clear();
       }
+      if (statusBuilder_ != null) {
+        statusBuilder_.clear();
+      }
+      if (evidenceBuilder_ != null) {
+        evidenceBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -978,6 +1080,14 @@
           rejoinBuilder_ != null) {
         result.kind_ = rejoinBuilder_.build();
       }
+      if (kindCase_ == 14 &&
+          statusBuilder_ != null) {
+        result.kind_ = statusBuilder_.build();
+      }
+      if (kindCase_ == 15 &&
+          evidenceBuilder_ != null) {
+        result.kind_ = evidenceBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1043,6 +1153,14 @@
           mergeRejoin(other.getRejoin());
           break;
         }
+        case STATUS: {
+          mergeStatus(other.getStatus());
+          break;
+        }
+        case EVIDENCE: {
+          mergeEvidence(other.getEvidence());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -1160,6 +1278,20 @@
               kindCase_ = 13;
               break;
             } // case 106
+            case 114: {
+              input.readMessage(
+                  internalGetStatusFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 14;
+              break;
+            } // case 114
+            case 122: {
+              input.readMessage(
+                  internalGetEvidenceFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 15;
+              break;
+            } // case 122
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2818,6 +2950,290 @@
       return rejoinBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.TargetStatus, org.cuminlatch.wire.proto.call.TargetStatus.Builder, org.cuminlatch.wire.proto.call.TargetStatusOrBuilder> statusBuilder_;
+    /**
+     * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+     * @return Whether the status field is set.
+     */
+    @java.lang.Override
+    public boolean hasStatus() {
+      return kindCase_ == 14;
+    }
+    /**
+     * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+     * @return The status.
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.TargetStatus getStatus() {
+      if (statusBuilder_ == null) {
+        if (kindCase_ == 14) {
+          return (org.cuminlatch.wire.proto.call.TargetStatus) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.TargetStatus.getDefaultInstance();
+      } else {
+        if (kindCase_ == 14) {
+          return statusBuilder_.getMessage();
+        }
+        return org.cuminlatch.wire.proto.call.TargetStatus.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+     */
+    public Builder setStatus(org.cuminlatch.wire.proto.call.TargetStatus value) {
+      if (statusBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        statusBuilder_.setMessage(value);
+      }
+      kindCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+     */
+    public Builder setStatus(
+        org.cuminlatch.wire.proto.call.TargetStatus.Builder builderForValue) {
+      if (statusBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        statusBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+     */
+    public Builder mergeStatus(org.cuminlatch.wire.proto.call.TargetStatus value) {
+      if (statusBuilder_ == null) {
+        if (kindCase_ == 14 &&
+            kind_ != org.cuminlatch.wire.proto.call.TargetStatus.getDefaultInstance()) {
+          kind_ = org.cuminlatch.wire.proto.call.TargetStatus.newBuilder((org.cuminlatch.wire.proto.call.TargetStatus) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 14) {
+          statusBuilder_.mergeFrom(value);
+        } else {
+          statusBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+     */
+    public Builder clearStatus() {
+      if (statusBuilder_ == null) {
+        if (kindCase_ == 14) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 14) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        statusBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+     */
+    public org.cuminlatch.wire.proto.call.TargetStatus.Builder getStatusBuilder() {
+      return internalGetStatusFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.TargetStatusOrBuilder getStatusOrBuilder() {
+      if ((kindCase_ == 14) && (statusBuilder_ != null)) {
+        return statusBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 14) {
+          return (org.cuminlatch.wire.proto.call.TargetStatus) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.TargetStatus.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.TargetStatus, org.cuminlatch.wire.proto.call.TargetStatus.Builder, org.cuminlatch.wire.proto.call.TargetStatusOrBuilder> 
+        internalGetStatusFieldBuilder() {
+      if (statusBuilder_ == null) {
+        if (!(kindCase_ == 14)) {
+          kind_ = org.cuminlatch.wire.proto.call.TargetStatus.getDefaultInstance();
+        }
+        statusBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cuminlatch.wire.proto.call.TargetStatus, org.cuminlatch.wire.proto.call.TargetStatus.Builder, org.cuminlatch.wire.proto.call.TargetStatusOrBuilder>(
+                (org.cuminlatch.wire.proto.call.TargetStatus) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 14;
+      onChanged();
+      return statusBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.MoveEvidence, org.cuminlatch.wire.proto.call.MoveEvidence.Builder, org.cuminlatch.wire.proto.call.MoveEvidenceOrBuilder> evidenceBuilder_;
+    /**
+     * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+     * @return Whether the evidence field is set.
+     */
+    @java.lang.Override
+    public boolean hasEvidence() {
+      return kindCase_ == 15;
+    }
+    /**
+     * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+     * @return The evidence.
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.MoveEvidence getEvidence() {
+      if (evidenceBuilder_ == null) {
+        if (kindCase_ == 15) {
+          return (org.cuminlatch.wire.proto.call.MoveEvidence) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.MoveEvidence.getDefaultInstance();
+      } else {
+        if (kindCase_ == 15) {
+          return evidenceBuilder_.getMessage();
+        }
+        return org.cuminlatch.wire.proto.call.MoveEvidence.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+     */
+    public Builder setEvidence(org.cuminlatch.wire.proto.call.MoveEvidence value) {
+      if (evidenceBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        evidenceBuilder_.setMessage(value);
+      }
+      kindCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+     */
+    public Builder setEvidence(
+        org.cuminlatch.wire.proto.call.MoveEvidence.Builder builderForValue) {
+      if (evidenceBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        evidenceBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+     */
+    public Builder mergeEvidence(org.cuminlatch.wire.proto.call.MoveEvidence value) {
+      if (evidenceBuilder_ == null) {
+        if (kindCase_ == 15 &&
+            kind_ != org.cuminlatch.wire.proto.call.MoveEvidence.getDefaultInstance()) {
+          kind_ = org.cuminlatch.wire.proto.call.MoveEvidence.newBuilder((org.cuminlatch.wire.proto.call.MoveEvidence) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 15) {
+          evidenceBuilder_.mergeFrom(value);
+        } else {
+          evidenceBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+     */
+    public Builder clearEvidence() {
+      if (evidenceBuilder_ == null) {
+        if (kindCase_ == 15) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 15) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        evidenceBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+     */
+    public org.cuminlatch.wire.proto.call.MoveEvidence.Builder getEvidenceBuilder() {
+      return internalGetEvidenceFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.MoveEvidenceOrBuilder getEvidenceOrBuilder() {
+      if ((kindCase_ == 15) && (evidenceBuilder_ != null)) {
+        return evidenceBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 15) {
+          return (org.cuminlatch.wire.proto.call.MoveEvidence) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.MoveEvidence.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.MoveEvidence, org.cuminlatch.wire.proto.call.MoveEvidence.Builder, org.cuminlatch.wire.proto.call.MoveEvidenceOrBuilder> 
+        internalGetEvidenceFieldBuilder() {
+      if (evidenceBuilder_ == null) {
+        if (!(kindCase_ == 15)) {
+          kind_ = org.cuminlatch.wire.proto.call.MoveEvidence.getDefaultInstance();
+        }
+        evidenceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cuminlatch.wire.proto.call.MoveEvidence, org.cuminlatch.wire.proto.call.MoveEvidence.Builder, org.cuminlatch.wire.proto.call.MoveEvidenceOrBuilder>(
+                (org.cuminlatch.wire.proto.call.MoveEvidence) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 15;
+      onChanged();
+      return evidenceBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.CallFrame)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrameOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrameOrBuilder.java
@@ -187,5 +187,35 @@
    */
   org.cuminlatch.wire.proto.call.RejoinOrBuilder getRejoinOrBuilder();
 
+  /**
+   * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+   * @return Whether the status field is set.
+   */
+  boolean hasStatus();
+  /**
+   * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+   * @return The status.
+   */
+  org.cuminlatch.wire.proto.call.TargetStatus getStatus();
+  /**
+   * <code>.cuminlatch.call.TargetStatus status = 14;</code>
+   */
+  org.cuminlatch.wire.proto.call.TargetStatusOrBuilder getStatusOrBuilder();
+
+  /**
+   * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+   * @return Whether the evidence field is set.
+   */
+  boolean hasEvidence();
+  /**
+   * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+   * @return The evidence.
+   */
+  org.cuminlatch.wire.proto.call.MoveEvidence getEvidence();
+  /**
+   * <code>.cuminlatch.call.MoveEvidence evidence = 15;</code>
+   */
+  org.cuminlatch.wire.proto.call.MoveEvidenceOrBuilder getEvidenceOrBuilder();
+
   org.cuminlatch.wire.proto.call.CallFrame.KindCase getKindCase();
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Refusal.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Refusal.java
@@ -93,6 +93,21 @@
     return load_ == null ? org.cuminlatch.wire.proto.call.Load.getDefaultInstance() : load_;
   }
 
+  public static final int FREE_IN_MICROS_FIELD_NUMBER = 3;
+  private long freeInMicros_ = 0L;
+  /**
+   * <pre>
+   * Time after which a slot is expected to be free, 0 if not known.
+   * </pre>
+   *
+   * <code>int64 free_in_micros = 3;</code>
+   * @return The freeInMicros.
+   */
+  @java.lang.Override
+  public long getFreeInMicros() {
+    return freeInMicros_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -113,6 +128,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(2, getLoad());
     }
+    if (freeInMicros_ != 0L) {
+      output.writeInt64(3, freeInMicros_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -130,6 +148,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, getLoad());
     }
+    if (freeInMicros_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, freeInMicros_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -151,6 +173,8 @@
       if (!getLoad()
           .equals(other.getLoad())) return false;
     }
+    if (getFreeInMicros()
+        != other.getFreeInMicros()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -168,6 +192,9 @@
       hash = (37 * hash) + LOAD_FIELD_NUMBER;
       hash = (53 * hash) + getLoad().hashCode();
     }
+    hash = (37 * hash) + FREE_IN_MICROS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getFreeInMicros());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -315,6 +342,7 @@
         loadBuilder_.dispose();
         loadBuilder_ = null;
       }
+      freeInMicros_ = 0L;
       return this;
     }
 
@@ -358,6 +386,9 @@
             : loadBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.freeInMicros_ = freeInMicros_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -379,6 +410,9 @@
       if (other.hasLoad()) {
         mergeLoad(other.getLoad());
       }
+      if (other.getFreeInMicros() != 0L) {
+        setFreeInMicros(other.getFreeInMicros());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -417,6 +451,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              freeInMicros_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -606,6 +645,50 @@
       return loadBuilder_;
     }
 
+    private long freeInMicros_ ;
+    /**
+     * <pre>
+     * Time after which a slot is expected to be free, 0 if not known.
+     * </pre>
+     *
+     * <code>int64 free_in_micros = 3;</code>
+     * @return The freeInMicros.
+     */
+    @java.lang.Override
+    public long getFreeInMicros() {
+      return freeInMicros_;
+    }
+    /**
+     * <pre>
+     * Time after which a slot is expected to be free, 0 if not known.
+     * </pre>
+     *
+     * <code>int64 free_in_micros = 3;</code>
+     * @param value The freeInMicros to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFreeInMicros(long value) {
+
+      freeInMicros_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time after which a slot is expected to be free, 0 if not known.
+     * </pre>
+     *
+     * <code>int64 free_in_micros = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFreeInMicros() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      freeInMicros_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.Refusal)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/RefusalOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/RefusalOrBuilder.java
@@ -35,4 +35,14 @@
    * <code>.cuminlatch.call.Load load = 2;</code>
    */
   org.cuminlatch.wire.proto.call.LoadOrBuilder getLoadOrBuilder();
+
+  /**
+   * <pre>
+   * Time after which a slot is expected to be free, 0 if not known.
+   * </pre>
+   *
+   * <code>int64 free_in_micros = 3;</code>
+   * @return The freeInMicros.
+   */
+  long getFreeInMicros();
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/RefusalReason.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/RefusalReason.java
@@ -59,6 +59,14 @@
    * <code>UNSENDABLE = 10;</code>
    */
   UNSENDABLE(10),
+  /**
+   * <pre>
+   * Another target answers at the address.
+   * </pre>
+   *
+   * <code>TARGET_REPLACED = 11;</code>
+   */
+  TARGET_REPLACED(11),
   UNRECOGNIZED(-1),
   ;
 
@@ -119,6 +127,14 @@
    * <code>UNSENDABLE = 10;</code>
    */
   public static final int UNSENDABLE_VALUE = 10;
+  /**
+   * <pre>
+   * Another target answers at the address.
+   * </pre>
+   *
+   * <code>TARGET_REPLACED = 11;</code>
+   */
+  public static final int TARGET_REPLACED_VALUE = 11;
 
 
   public final int getNumber() {
@@ -156,6 +172,7 @@
       case 8: return WITHDRAWN;
       case 9: return NOT_KEY_OWNER;
       case 10: return UNSENDABLE;
+      case 11: return TARGET_REPLACED;
       default: return null;
     }
   }
