--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveSchedule.java
@@ -0,0 +1,62 @@
+package org.cuminlatch.core.move;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+
+/**
+ * Shares of the new version over the time of an ordered move.
+ *
+ * <p>The shares before the last step add up to less than the part of the calls that a bad version
+ * may get, as long as its badness shows by the step at which a target carries its usual load.
+ */
+final class MoveSchedule {
+
+  /** Part of the time to the deadline at which each step begins, and its share. */
+  private static final List<Step> STEPS =
+      List.of(
+          new Step(0, 0.04),
+          new Step(0.30, 0.12),
+          new Step(0.45, 0.3),
+          new Step(0.57, 0.6),
+          new Step(0.67, 1));
+
+  /** Part of the time to the deadline at which a move without badness is complete. */
+  private static final double COMPLETE_AT = 0.85;
+
+  private MoveSchedule() {}
+
+  static int step(Duration elapsed, Duration length) {
+    double part = part(elapsed, length);
+    int step = 0;
+    while (step + 1 < STEPS.size() && part >= STEPS.get(step + 1).from()) {
+      step++;
+    }
+    return step;
+  }
+
+  static double share(int step) {
+    return STEPS.get(step).share();
+  }
+
+  static int lastStep() {
+    return STEPS.size() - 1;
+  }
+
+  static boolean isComplete(Duration elapsed, Duration length) {
+    return part(elapsed, length) >= COMPLETE_AT;
+  }
+
+  /** Returns the plan that a judge of the move works with. */
+  static MovePlan plan(Instant start, Duration length) {
+    List<Double> shares = STEPS.stream().map(Step::share).toList();
+    Duration part = length.dividedBy(STEPS.size());
+    return new MovePlan(shares, start, part, part, Duration.ZERO, start.plus(length));
+  }
+
+  private static double part(Duration elapsed, Duration length) {
+    return length.isZero() ? 1 : (double) elapsed.toNanos() / length.toNanos();
+  }
+
+  private record Step(double from, double share) {}
+}
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceIndex.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceIndex.java
@@ -21,9 +21,7 @@
       if (member.takesCalls()) {
         ServiceVersion key = new ServiceVersion(member.service(), member.targetVersion());
         serving.computeIfAbsent(key, unused -> new ArrayList<>()).add(member);
-        servingByService
-            .computeIfAbsent(member.service(), unused -> new ArrayList<>())
-            .add(member);
+        servingByService.computeIfAbsent(member.service(), unused -> new ArrayList<>()).add(member);
       }
     }
     serving.values().forEach(list -> list.sort(Comparator.comparing(Member::instance)));
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
@@ -43,10 +43,9 @@
       Optional<VersionRule> rule,
       Context context,
       RandomGenerator random) {
-    List<Member> all = context.without(index.serving(service));
-    for (List<Member> side : sides(all, rule, random)) {
+    for (List<Member> side : sides(index.serving(service), rule, random)) {
       Optional<TargetChooser.Choice> choice =
-          chooser.choose(side, context.own(), context.now(), random);
+          chooser.choose(context.without(side), context.own(), context.now(), random);
       if (choice.isPresent()) {
         return choice.map(chosen -> new Placed(chosen.member(), chosen.reason()));
       }
@@ -67,9 +66,18 @@
     if (random.nextDouble() >= rule.get().share()) {
       return List.of(others);
     }
+    named = usualLoad(named, rule.get().share());
     return rule.get().fallback() == Fallback.TO_OTHERS ? List.of(named, others) : List.of(named);
   }
 
+  /**
+   * Returns as many targets as carry about their usual load with a share of the calls, so that what
+   * shows under load only shows early.
+   */
+  private static List<Member> usualLoad(List<Member> named, double share) {
+    return named.subList(0, (int) Math.ceil(named.size() * share));
+  }
+
   /**
    * Circumstances of a choice.
    *
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
@@ -19,7 +19,6 @@
 import org.cuminlatch.core.retry.RetryBudget;
 import org.cuminlatch.core.route.LinkBudget;
 import org.cuminlatch.core.route.RequestHead;
-import org.cuminlatch.core.route.RouteTable;
 import org.cuminlatch.core.route.ServicePlacement;
 import org.cuminlatch.core.route.TargetLoads;
 import org.cuminlatch.node.http.ExchangeHandler;
@@ -106,8 +105,7 @@
     String host = exchange.header("host").orElse("");
     int colon = host.lastIndexOf(':');
     String name = colon < 0 ? host : host.substring(0, colon);
-    return new RequestHead(
-        exchange.method(), name.toLowerCase(Locale.ROOT), path, Map.of());
+    return new RequestHead(exchange.method(), name.toLowerCase(Locale.ROOT), path, Map.of());
   }
 
   /** Returns the service of a call, by weight where several share the route. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -158,7 +158,8 @@
     avoided.add(target.instance());
     entry.loads().begin(target.instance(), attemptAt);
     if (placements > 1 || EventLog.samples(id)) {
-      entry.log()
+      entry
+          .log()
           .event("routed")
           .with("request", id)
           .with("route", route.name())
@@ -173,10 +174,8 @@
     }
     byte[] body = exchange.body();
     boolean whole = body.length <= BODY_FRAME_BYTES;
-    ByteString first =
-        whole ? UnsafeByteOperations.unsafeWrap(body) : ByteString.EMPTY;
-    link.begin(
-        attempt, CallFrames.of(attempt).setBegin(beginFrame(first, whole)).build(), this);
+    ByteString first = whole ? UnsafeByteOperations.unsafeWrap(body) : ByteString.EMPTY;
+    link.begin(attempt, CallFrames.of(attempt).setBegin(beginFrame(first, whole)).build(), this);
     if (!whole) {
       sendBody(body);
     }
@@ -255,7 +254,8 @@
             .map(header -> Map.entry(header.getName(), header.getValue()))
             .toList();
     if (failure || EventLog.samples(id)) {
-      entry.log()
+      entry
+          .log()
           .event("answered")
           .with("request", id)
           .with("route", route.name())
@@ -288,8 +288,7 @@
 
   private void grant(int bytes) {
     if (!ended) {
-      link.send(
-          CallFrames.of(attempt).setCredit(Credit.newBuilder().setBytes(bytes)).build());
+      link.send(CallFrames.of(attempt).setCredit(Credit.newBuilder().setBytes(bytes)).build());
     }
   }
 
@@ -298,7 +297,8 @@
     RefusalReason reason = refusal.getReason();
     lastReason = reason.name();
     link.forget(attempt);
-    boolean arrived = reason == RefusalReason.TARGET_SHED || reason == RefusalReason.TARGET_REPLACED;
+    boolean arrived =
+        reason == RefusalReason.TARGET_SHED || reason == RefusalReason.TARGET_REPLACED;
     endAttempt(
         switch (reason) {
           case TARGET_SHED -> AttemptEnd.FAILED;
@@ -326,7 +326,8 @@
     endAttempt(end);
     reached++;
     mayHaveRun = true;
-    entry.log()
+    entry
+        .log()
         .event("attempt-failed")
         .with("request", id)
         .with("route", route.name())
@@ -400,7 +401,8 @@
   }
 
   private void endEarly(String reason) {
-    entry.log()
+    entry
+        .log()
         .event("call-ended-early")
         .with("request", id)
         .with("route", route.name())
@@ -415,7 +417,8 @@
   private void giveUp() {
     if (mayHaveRun) {
       int status = left().isNegative() ? 504 : 502;
-      entry.log()
+      entry
+          .log()
           .event("failed")
           .with("request", id)
           .with("route", route.name())
@@ -425,8 +428,7 @@
           .with("tookMillis", since(startedAt).toMillis())
           .write();
       entry.metrics().failed(lastReason);
-      exchange.respond(
-          status, List.of(), (lastReason + "\n").getBytes(StandardCharsets.UTF_8));
+      exchange.respond(status, List.of(), (lastReason + "\n").getBytes(StandardCharsets.UTF_8));
     } else {
       String reason = entry.knowsTargetOf(service) ? lastReason : "no target of " + service;
       entry.refuse(exchange, id, reason, retrySeconds());
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EventLog.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EventLog.java
@@ -64,7 +64,11 @@
     if (now.getEpochSecond() != second) {
       if (dropped > 0) {
         EVENTS.warn(
-            "{\"event\":\"log-lines-dropped\",\"node\":\"" + node + "\",\"lines\":" + dropped + "}");
+            "{\"event\":\"log-lines-dropped\",\"node\":\""
+                + node
+                + "\",\"lines\":"
+                + dropped
+                + "}");
       }
       second = now.getEpochSecond();
       linesInSecond = 0;
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EvidenceCounts.java
@@ -0,0 +1,88 @@
+package org.cuminlatch.node.mesh;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cuminlatch.core.move.CallOutcome.Result;
+import org.cuminlatch.core.move.Counts;
+import org.cuminlatch.core.move.LatencyBuckets;
+import org.cuminlatch.wire.proto.call.EvidenceCount;
+
+/** Counts of the calls that the target beside the node has executed, by route. */
+final class EvidenceCounts {
+
+  private final Map<String, RouteCounts> routes = new HashMap<>();
+
+  /**
+   * Counts a call; a failure of a cold target counts like any other, its latency does not.
+   *
+   * @param warm whether the target is past its cold start
+   */
+  void add(String route, Result result, Duration took, boolean warm) {
+    if (result == Result.NOT_RUN) {
+      return;
+    }
+    RouteCounts counts = routes.computeIfAbsent(route, unused -> new RouteCounts());
+    counts.calls++;
+    if (result == Result.FAILURE) {
+      counts.failures++;
+    } else if (warm) {
+      counts.latencies[LatencyBuckets.indexOf(took)]++;
+    }
+  }
+
+  void clear() {
+    routes.clear();
+  }
+
+  List<EvidenceCount> frames() {
+    List<EvidenceCount> frames = new ArrayList<>();
+    routes.forEach(
+        (route, counts) ->
+            frames.add(
+                EvidenceCount.newBuilder()
+                    .setRoute(route)
+                    .setCalls(counts.calls)
+                    .setFailures(counts.failures)
+                    .addAllLatencies(counts.trimmed())
+                    .build()));
+    return frames;
+  }
+
+  static Map<String, Counts> decode(List<EvidenceCount> frames) {
+    Map<String, Counts> counts = new HashMap<>();
+    for (EvidenceCount frame : frames) {
+      counts.put(
+          frame.getRoute(),
+          new Counts(
+              frame.getCalls(),
+              frame.getFailures(),
+              frame.getColdCalls(),
+              frame.getColdFailures(),
+              frame.getLatenciesList()));
+    }
+    return counts;
+  }
+
+  /** Counts of one route. */
+  private static final class RouteCounts {
+
+    private final long[] latencies = new long[LatencyBuckets.COUNT];
+    private long calls;
+    private long failures;
+
+    List<Long> trimmed() {
+      int length = latencies.length;
+      while (length > 0 && latencies[length - 1] == 0) {
+        length--;
+      }
+      List<Long> trimmed = new ArrayList<>(length);
+      for (int i = 0; i < length; i++) {
+        trimmed.add(latencies[i]);
+      }
+      return trimmed;
+    }
+  }
+}
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/GateHeaders.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/GateHeaders.java
@@ -42,8 +42,7 @@
     for (Map.Entry<String, String> entry : exchange.headers()) {
       String name = entry.getKey().toLowerCase(Locale.ROOT);
       if (!OF_ONE_CONNECTION.contains(name) && !dropped.contains(name)) {
-        headers.add(
-            Header.newBuilder().setName(entry.getKey()).setValue(entry.getValue()).build());
+        headers.add(Header.newBuilder().setName(entry.getKey()).setValue(entry.getValue()).build());
       }
     }
     return headers;
@@ -75,10 +74,7 @@
   /** Returns whether an answer is to this attempt and not a late one to an earlier. */
   static boolean belongs(ClientResponse response, Begin begin, HeaderNames names) {
     boolean success = response.status() < 300;
-    return response
-        .header(names.requestId())
-        .map(begin.getRequestId()::equals)
-        .orElse(!success);
+    return response.header(names.requestId()).map(begin.getRequestId()::equals).orElse(!success);
   }
 
   private static Set<String> named(List<String> connectionHeaders) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -3,8 +3,12 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -25,6 +29,8 @@
 import org.cuminlatch.node.mesh.KeyedStore.Stream;
 import org.cuminlatch.wire.proto.call.Begin;
 import org.cuminlatch.wire.proto.call.CallFrame;
+import org.cuminlatch.wire.proto.call.MoveEvidence;
+import org.cuminlatch.wire.proto.call.MoveFact;
 import org.cuminlatch.wire.proto.call.TargetPhase;
 import org.cuminlatch.wire.proto.call.TargetStatus;
 
@@ -48,6 +54,8 @@
   /** Longest time for which a target's report waits for the store. */
   private static final Duration LONGEST_STORE_WAIT = Duration.ofMillis(600);
 
+  private static final Duration MOVE_TICK = Duration.ofMillis(250);
+
   private static final Duration REGISTER_RETRY = Duration.ofMillis(500);
 
   private final MeshSettings settings;
@@ -60,6 +68,12 @@
   private final TargetLife life = new TargetLife();
   private final Set<Address> nodes = new HashSet<>();
   private final CompletableFuture<Void> exitsRead = new CompletableFuture<>();
+  private final MoveControl moves;
+  private final Map<String, TargetStatus> peerStatuses = new HashMap<>();
+  private final EvidenceCounts evidence = new EvidenceCounts();
+  private volatile Instant coldUntil = Instant.MIN;
+  private volatile boolean movesActive;
+  private volatile List<MoveFact> facts = List.of();
   private final InstantSource clock;
   private SlotGate gate;
   private PeerLinks links;
@@ -86,6 +100,22 @@
     this.store = store;
     this.records = records;
     this.status = TargetStatus.getDefaultInstance();
+    this.moves =
+        new MoveControl(
+            settings.node(),
+            control,
+            clock,
+            store,
+            records,
+            log,
+            this::allStatuses,
+            rules -> view = view.withRules(rules));
+  }
+
+  private Map<String, TargetStatus> allStatuses() {
+    Map<String, TargetStatus> all = new HashMap<>(peerStatuses);
+    all.put(settings.node(), status);
+    return all;
   }
 
   void connect(SlotGate slotGate, PeerLinks peerLinks, LocalLink link) {
@@ -99,12 +129,15 @@
     control.execute(
         () -> {
           readExits();
+          moves.readStatements();
           follow(Stream.OPERATOR, CONFIGURATION_PAUSE, this::operatorRecord, () -> {}).start();
           register();
           StoreFollower followsNodes =
               follow(Stream.NODES, NODES_PAUSE, this::nodeRecord, this::nodesChanged);
           control.schedule(followsNodes::start, FIRST_LOOK.toMillis(), TimeUnit.MILLISECONDS);
         });
+    control.scheduleWithFixedDelay(
+        this::tickMoves, MOVE_TICK.toMillis(), MOVE_TICK.toMillis(), TimeUnit.MILLISECONDS);
     control.schedule(
         () -> exitsRead.complete(null), LONGEST_STORE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
   }
@@ -126,10 +159,7 @@
   }
 
   private StoreFollower follow(
-      Stream stream,
-      Duration pause,
-      java.util.function.Consumer<Item> taker,
-      Runnable afterPage) {
+      Stream stream, Duration pause, java.util.function.Consumer<Item> taker, Runnable afterPage) {
     StoreFollower.ItemListener listener =
         new StoreFollower.ItemListener() {
           @Override
@@ -145,6 +175,39 @@
     return new StoreFollower(control, store, stream, pause, random, log, listener);
   }
 
+  private void tickMoves() {
+    try {
+      if (movesActive || moves.isActive()) {
+        moves.tick();
+        facts = moves.facts();
+        movesActive = moves.isActive();
+        traffic.execute(this::shareEvidence);
+      }
+    } catch (RuntimeException error) {
+      log.event("task-failed").with("task", "moves").with("reason", String.valueOf(error)).write();
+    }
+  }
+
+  /** Tells all connected nodes, and the own control thread, what was counted here. */
+  private void shareEvidence() {
+    CallFrame frame = evidenceFrame();
+    gate.broadcast(frame);
+    control.execute(() -> moves.evidence(frame.getEvidence()));
+  }
+
+  private CallFrame evidenceFrame() {
+    TargetStatus own = status;
+    return CallFrame.newBuilder()
+        .setEvidence(
+            MoveEvidence.newBuilder()
+                .setInstance(own.getInstance().isEmpty() ? settings.node() : own.getInstance())
+                .setService(own.getService())
+                .setVersion(own.getVersion())
+                .addAllCounts(evidence.frames())
+                .addAllMoves(facts))
+        .build();
+  }
+
   private void operatorRecord(Item item) {
     Optional<OperatorRecords.Decoded> decoded = records.decode(item);
     if (decoded.isEmpty()) {
@@ -152,6 +215,7 @@
       return;
     }
     decoded.get().configuration().ifPresent(this::configuration);
+    decoded.get().order().ifPresent(moves::ordered);
   }
 
   private void configuration(Snapshot snapshot) {
@@ -192,8 +256,7 @@
         .whenComplete(
             (end, error) -> {
               if (error != null) {
-                control.schedule(
-                    this::register, REGISTER_RETRY.toMillis(), TimeUnit.MILLISECONDS);
+                control.schedule(this::register, REGISTER_RETRY.toMillis(), TimeUnit.MILLISECONDS);
               }
             });
   }
@@ -244,6 +307,7 @@
     }
     return switch (change) {
       case READY -> {
+        coldUntil = clock.instant().plus(report.coldLeft());
         publishTarget();
         yield onTraffic(
             () -> {
@@ -286,8 +350,7 @@
             .toByteArray();
     CompletableFuture<Long> written =
         store
-            .append(
-                Stream.TARGET_EXITS, settings.peers().toString(), value, OptionalLong.empty())
+            .append(Stream.TARGET_EXITS, settings.peers().toString(), value, OptionalLong.empty())
             .toCompletableFuture()
             .completeOnTimeout(-1L, LONGEST_STORE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
     CompletableFuture<Void> shut = onTraffic(gate::shut);
@@ -361,7 +424,20 @@
       }
 
       @Override
-      public void ended(Begin begin, Result result, Duration took, boolean cold) {}
+      public void ended(Begin begin, Result result, Duration took) {
+        boolean warm = !clock.instant().isBefore(coldUntil);
+        evidence.add(begin.getRoute(), result, took, warm);
+      }
+
+      @Override
+      public void targetReplaced() {
+        evidence.clear();
+      }
+
+      @Override
+      public Optional<CallFrame> knownMoves() {
+        return facts.isEmpty() ? Optional.empty() : Optional.of(evidenceFrame());
+      }
 
       @Override
       public TargetStatus status() {
@@ -373,10 +449,19 @@
   PeerLinks.StatusListener statusListener() {
     return new PeerLinks.StatusListener() {
       @Override
-      public void changed(TargetStatus peer) {}
+      public void changed(TargetStatus peer) {
+        control.execute(() -> peerStatuses.put(peer.getNode(), peer));
+      }
+
+      @Override
+      public void lost(TargetStatus peer) {
+        control.execute(() -> peerStatuses.remove(peer.getNode(), peer));
+      }
 
       @Override
-      public void evidence(CallFrame frame) {}
+      public void evidence(CallFrame frame) {
+        control.execute(() -> moves.evidence(frame.getEvidence()));
+      }
     };
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -57,9 +57,7 @@
   /** Returns all metrics as lines of name and value. */
   String text() {
     StringBuilder text = new StringBuilder();
-    registry
-        .getCounters()
-        .forEach((name, counter) -> line(text, name, counter.getCount()));
+    registry.getCounters().forEach((name, counter) -> line(text, name, counter.getCount()));
     registry
         .getGauges()
         .forEach((name, gauge) -> line(text, name, ((Number) gauge.getValue()).doubleValue()));
@@ -77,9 +75,7 @@
 
   private static String suffixed(String name, String suffix) {
     int labels = name.indexOf('{');
-    return labels < 0
-        ? name + suffix
-        : name.substring(0, labels) + suffix + name.substring(labels);
+    return labels < 0 ? name + suffix : name.substring(0, labels) + suffix + name.substring(labels);
   }
 
   private static void line(StringBuilder text, String name, double value) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -69,8 +69,7 @@
         new SlotGate(traffic, target, clock, settings.headers(), log, control.gateListener());
     CallTransport transport = CallTransport.on(trafficGroup);
     this.links = new PeerLinks(transport, random, log, control.statusListener());
-    this.entry =
-        new Entry(traffic, settings, clock, random, links, control::view, log, metrics);
+    this.entry = new Entry(traffic, settings, clock, random, links, control::view, log, metrics);
     control.connect(gate, links, new LocalLink(traffic, gate));
     this.callers = HttpServer.listen(trafficGroup, socket(settings.callers()), limits(), entry);
     transport.listen(socket(settings.peers()), gate);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -66,6 +66,9 @@
 
     void changed(TargetStatus status);
 
+    /** The connection to a node is lost, and with it what the node said. */
+    void lost(TargetStatus status);
+
     void evidence(CallFrame frame);
   }
 
@@ -83,7 +86,7 @@
     }
     for (Address known : List.copyOf(links.keySet())) {
       if (!addresses.contains(known)) {
-        links.remove(known).lost();
+        drop(links.remove(known));
       }
     }
     check();
@@ -195,6 +198,7 @@
   }
 
   private void drop(PeerLink link) {
+    link.status().ifPresent(listener::lost);
     link.lost();
     rebuild();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -100,7 +100,13 @@
     void reachabilityChanged();
 
     /** An attempt has ended at the target. */
-    void ended(Begin begin, Result result, Duration took, boolean cold);
+    void ended(Begin begin, Result result, Duration took);
+
+    /** Another target, or another start of it, is beside the node. */
+    void targetReplaced();
+
+    /** Returns what is told of moves to a node that connects. */
+    Optional<CallFrame> knownMoves();
 
     /** Returns what is told to a node that connects. */
     TargetStatus status();
@@ -120,6 +126,7 @@
       refuseWaiting(RefusalReason.TARGET_REPLACED);
       slots = new SlotQueue(described.slots());
       running = 0;
+      listener.targetReplaced();
     }
   }
 
@@ -163,6 +170,7 @@
   public void connected(CallChannel channel) {
     accepted.add(channel);
     channel.send(CallFrame.newBuilder().setStatus(listener.status()).build());
+    listener.knownMoves().ifPresent(channel::send);
   }
 
   @Override
@@ -183,8 +191,7 @@
       case BODY -> find(id).ifPresent(attempt -> body(attempt, frame));
       case CREDIT -> find(id).ifPresent(attempt -> grant(attempt, frame.getCredit().getBytes()));
       case CANCEL -> cancel(channel, id);
-      case PING ->
-          channel.send(CallFrame.newBuilder().setPong(Pong.getDefaultInstance()).build());
+      case PING -> channel.send(CallFrame.newBuilder().setPong(Pong.getDefaultInstance()).build());
       default -> channel.close();
     }
   }
@@ -292,8 +299,7 @@
       if (response.header(names.notRun()).isPresent() || response.status() == 421) {
         boolean replaced = response.status() == 421;
         release(attempt, replaced ? SlotEnd.OTHER : SlotEnd.OVERLOADED, Result.NOT_RUN);
-        refuse(
-            attempt, replaced ? RefusalReason.TARGET_REPLACED : RefusalReason.TARGET_SHED);
+        refuse(attempt, replaced ? RefusalReason.TARGET_REPLACED : RefusalReason.TARGET_SHED);
         if (replaced) {
           lose("another target answers at its address");
         }
@@ -355,7 +361,7 @@
       running--;
     }
     Duration took = Duration.between(attempt.dispatchedAt(), now);
-    listener.ended(attempt.begin(), result, took, false);
+    listener.ended(attempt.begin(), result, took);
   }
 
   private void timeOut(GateAttempt attempt) {
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
@@ -101,6 +101,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cuminlatch_call_TargetStatus_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cuminlatch_call_MoveFact_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cuminlatch_call_MoveFact_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_cuminlatch_call_MoveEvidence_descriptor;
   static final 
@@ -171,24 +176,32 @@
       "\013born_millis\030\006 \001(\003\022\017\n\007service\030\007 \001(\t\022\017\n\007v" +
       "ersion\030\010 \001(\t\022\r\n\005slots\030\t \001(\005\022\023\n\013cold_micr" +
       "os\030\n \001(\003\022\022\n\nnode_stops\030\013 \001(\010\022\026\n\016config_v" +
-      "ersion\030\014 \001(\003\"P\n\014MoveEvidence\022\020\n\010instance" +
-      "\030\001 \001(\t\022.\n\006counts\030\002 \003(\0132\036.cuminlatch.call" +
-      ".EvidenceCount\"}\n\rEvidenceCount\022\r\n\005route" +
-      "\030\001 \001(\t\022\r\n\005calls\030\002 \001(\003\022\020\n\010failures\030\003 \001(\003\022" +
-      "\022\n\ncold_calls\030\004 \001(\003\022\025\n\rcold_failures\030\005 \001" +
-      "(\003\022\021\n\tlatencies\030\006 \003(\003*\350\001\n\rRefusalReason\022" +
-      "\027\n\023REFUSAL_UNSPECIFIED\020\000\022\014\n\010DRAINING\020\001\022\016" +
-      "\n\nQUEUE_FULL\020\002\022\014\n\010DEADLINE\020\003\022\021\n\rWRONG_VE" +
-      "RSION\020\004\022\017\n\013NOT_SERVING\020\005\022\026\n\022TARGET_UNREA" +
-      "CHABLE\020\006\022\017\n\013TARGET_SHED\020\007\022\r\n\tWITHDRAWN\020\010" +
-      "\022\021\n\rNOT_KEY_OWNER\020\t\022\016\n\nUNSENDABLE\020\n\022\023\n\017T" +
-      "ARGET_REPLACED\020\013*\232\001\n\rFailureReason\022\027\n\023FA" +
-      "ILURE_UNSPECIFIED\020\000\022\021\n\rTARGET_BROKEN\020\001\022\022" +
-      "\n\016TARGET_TIMEOUT\020\002\022\025\n\021CONNECTION_SILENT\020" +
-      "\003\022\022\n\016ANSWER_CROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014K" +
-      "EY_IN_DOUBT\020\006*1\n\013TargetPhase\022\n\n\006ABSENT\020\000" +
-      "\022\t\n\005READY\020\001\022\013\n\007LEAVING\020\002B\"\n\036org.cuminlat" +
-      "ch.wire.proto.callP\001b\006proto3"
+      "ersion\030\014 \001(\003\"\216\001\n\010MoveFact\022\017\n\007service\030\001 \001" +
+      "(\t\022\r\n\005order\030\002 \001(\003\022)\n\005phase\030\003 \001(\0162\032.cumin" +
+      "latch.call.MovePhase\022\026\n\016elapsed_micros\030\004" +
+      " \001(\003\022\016\n\006stated\030\005 \001(\010\022\017\n\007version\030\006 \001(\t\"\234\001" +
+      "\n\014MoveEvidence\022\020\n\010instance\030\001 \001(\t\022\017\n\007serv" +
+      "ice\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\022.\n\006counts\030\002 \003" +
+      "(\0132\036.cuminlatch.call.EvidenceCount\022(\n\005mo" +
+      "ves\030\005 \003(\0132\031.cuminlatch.call.MoveFact\"}\n\r" +
+      "EvidenceCount\022\r\n\005route\030\001 \001(\t\022\r\n\005calls\030\002 " +
+      "\001(\003\022\020\n\010failures\030\003 \001(\003\022\022\n\ncold_calls\030\004 \001(" +
+      "\003\022\025\n\rcold_failures\030\005 \001(\003\022\021\n\tlatencies\030\006 " +
+      "\003(\003*\350\001\n\rRefusalReason\022\027\n\023REFUSAL_UNSPECI" +
+      "FIED\020\000\022\014\n\010DRAINING\020\001\022\016\n\nQUEUE_FULL\020\002\022\014\n\010" +
+      "DEADLINE\020\003\022\021\n\rWRONG_VERSION\020\004\022\017\n\013NOT_SER" +
+      "VING\020\005\022\026\n\022TARGET_UNREACHABLE\020\006\022\017\n\013TARGET" +
+      "_SHED\020\007\022\r\n\tWITHDRAWN\020\010\022\021\n\rNOT_KEY_OWNER\020" +
+      "\t\022\016\n\nUNSENDABLE\020\n\022\023\n\017TARGET_REPLACED\020\013*\232" +
+      "\001\n\rFailureReason\022\027\n\023FAILURE_UNSPECIFIED\020" +
+      "\000\022\021\n\rTARGET_BROKEN\020\001\022\022\n\016TARGET_TIMEOUT\020\002" +
+      "\022\025\n\021CONNECTION_SILENT\020\003\022\022\n\016ANSWER_CROSSE" +
+      "D\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014KEY_IN_DOUBT\020\006*1\n\013T" +
+      "argetPhase\022\n\n\006ABSENT\020\000\022\t\n\005READY\020\001\022\013\n\007LEA" +
+      "VING\020\002*[\n\tMovePhase\022\020\n\014MOVE_RUNNING\020\000\022\022\n" +
+      "\016MOVE_FOUND_BAD\020\001\022\024\n\020MOVE_ROLLED_BACK\020\002\022" +
+      "\022\n\016MOVE_COMPLETED\020\003B\"\n\036org.cuminlatch.wi" +
+      "re.proto.callP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -284,14 +297,20 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_TargetStatus_descriptor,
         new java.lang.String[] { "Node", "Region", "Zone", "Phase", "Instance", "BornMillis", "Service", "Version", "Slots", "ColdMicros", "NodeStops", "ConfigVersion", });
-    internal_static_cuminlatch_call_MoveEvidence_descriptor =
+    internal_static_cuminlatch_call_MoveFact_descriptor =
       getDescriptor().getMessageType(15);
+    internal_static_cuminlatch_call_MoveFact_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cuminlatch_call_MoveFact_descriptor,
+        new java.lang.String[] { "Service", "Order", "Phase", "ElapsedMicros", "Stated", "Version", });
+    internal_static_cuminlatch_call_MoveEvidence_descriptor =
+      getDescriptor().getMessageType(16);
     internal_static_cuminlatch_call_MoveEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_MoveEvidence_descriptor,
-        new java.lang.String[] { "Instance", "Counts", });
+        new java.lang.String[] { "Instance", "Service", "Version", "Counts", "Moves", });
     internal_static_cuminlatch_call_EvidenceCount_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_cuminlatch_call_EvidenceCount_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_EvidenceCount_descriptor,
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/MoveEvidence.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/MoveEvidence.java
@@ -33,7 +33,10 @@
   }
   private MoveEvidence() {
     instance_ = "";
+    service_ = "";
+    version_ = "";
     counts_ = java.util.Collections.emptyList();
+    moves_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -88,6 +91,84 @@
     }
   }
 
+  public static final int SERVICE_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object service_ = "";
+  /**
+   * <code>string service = 3;</code>
+   * @return The service.
+   */
+  @java.lang.Override
+  public java.lang.String getService() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      service_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string service = 3;</code>
+   * @return The bytes for service.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getServiceBytes() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      service_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int VERSION_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object version_ = "";
+  /**
+   * <code>string version = 4;</code>
+   * @return The version.
+   */
+  @java.lang.Override
+  public java.lang.String getVersion() {
+    java.lang.Object ref = version_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      version_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string version = 4;</code>
+   * @return The bytes for version.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getVersionBytes() {
+    java.lang.Object ref = version_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      version_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   public static final int COUNTS_FIELD_NUMBER = 2;
   @SuppressWarnings("serial")
   private java.util.List<org.cuminlatch.wire.proto.call.EvidenceCount> counts_;
@@ -129,6 +210,47 @@
     return counts_.get(index);
   }
 
+  public static final int MOVES_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cuminlatch.wire.proto.call.MoveFact> moves_;
+  /**
+   * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cuminlatch.wire.proto.call.MoveFact> getMovesList() {
+    return moves_;
+  }
+  /**
+   * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cuminlatch.wire.proto.call.MoveFactOrBuilder> 
+      getMovesOrBuilderList() {
+    return moves_;
+  }
+  /**
+   * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+   */
+  @java.lang.Override
+  public int getMovesCount() {
+    return moves_.size();
+  }
+  /**
+   * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.MoveFact getMoves(int index) {
+    return moves_.get(index);
+  }
+  /**
+   * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.MoveFactOrBuilder getMovesOrBuilder(
+      int index) {
+    return moves_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -149,6 +271,15 @@
     for (int i = 0; i < counts_.size(); i++) {
       output.writeMessage(2, counts_.get(i));
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, service_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, version_);
+    }
+    for (int i = 0; i < moves_.size(); i++) {
+      output.writeMessage(5, moves_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -165,6 +296,16 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(2, counts_.get(i));
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, service_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, version_);
+    }
+    for (int i = 0; i < moves_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, moves_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -182,8 +323,14 @@
 
     if (!getInstance()
         .equals(other.getInstance())) return false;
+    if (!getService()
+        .equals(other.getService())) return false;
+    if (!getVersion()
+        .equals(other.getVersion())) return false;
     if (!getCountsList()
         .equals(other.getCountsList())) return false;
+    if (!getMovesList()
+        .equals(other.getMovesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -197,10 +344,18 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
     hash = (53 * hash) + getInstance().hashCode();
+    hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+    hash = (53 * hash) + getService().hashCode();
+    hash = (37 * hash) + VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + getVersion().hashCode();
     if (getCountsCount() > 0) {
       hash = (37 * hash) + COUNTS_FIELD_NUMBER;
       hash = (53 * hash) + getCountsList().hashCode();
     }
+    if (getMovesCount() > 0) {
+      hash = (37 * hash) + MOVES_FIELD_NUMBER;
+      hash = (53 * hash) + getMovesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -337,13 +492,22 @@
       super.clear();
       bitField0_ = 0;
       instance_ = "";
+      service_ = "";
+      version_ = "";
       if (countsBuilder_ == null) {
         counts_ = java.util.Collections.emptyList();
       } else {
         counts_ = null;
         countsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000008);
+      if (movesBuilder_ == null) {
+        moves_ = java.util.Collections.emptyList();
+      } else {
+        moves_ = null;
+        movesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000010);
       return this;
     }
 
@@ -378,14 +542,23 @@
 
     private void buildPartialRepeatedFields(org.cuminlatch.wire.proto.call.MoveEvidence result) {
       if (countsBuilder_ == null) {
-        if (((bitField0_ & 0x00000002) != 0)) {
+        if (((bitField0_ & 0x00000008) != 0)) {
           counts_ = java.util.Collections.unmodifiableList(counts_);
-          bitField0_ = (bitField0_ & ~0x00000002);
+          bitField0_ = (bitField0_ & ~0x00000008);
         }
         result.counts_ = counts_;
       } else {
         result.counts_ = countsBuilder_.build();
       }
+      if (movesBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0)) {
+          moves_ = java.util.Collections.unmodifiableList(moves_);
+          bitField0_ = (bitField0_ & ~0x00000010);
+        }
+        result.moves_ = moves_;
+      } else {
+        result.moves_ = movesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.cuminlatch.wire.proto.call.MoveEvidence result) {
@@ -393,6 +566,12 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.instance_ = instance_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.service_ = service_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.version_ = version_;
+      }
     }
 
     @java.lang.Override
@@ -412,11 +591,21 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
+      if (!other.getService().isEmpty()) {
+        service_ = other.service_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      if (!other.getVersion().isEmpty()) {
+        version_ = other.version_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
       if (countsBuilder_ == null) {
         if (!other.counts_.isEmpty()) {
           if (counts_.isEmpty()) {
             counts_ = other.counts_;
-            bitField0_ = (bitField0_ & ~0x00000002);
+            bitField0_ = (bitField0_ & ~0x00000008);
           } else {
             ensureCountsIsMutable();
             counts_.addAll(other.counts_);
@@ -429,7 +618,7 @@
             countsBuilder_.dispose();
             countsBuilder_ = null;
             counts_ = other.counts_;
-            bitField0_ = (bitField0_ & ~0x00000002);
+            bitField0_ = (bitField0_ & ~0x00000008);
             countsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetCountsFieldBuilder() : null;
@@ -438,6 +627,32 @@
           }
         }
       }
+      if (movesBuilder_ == null) {
+        if (!other.moves_.isEmpty()) {
+          if (moves_.isEmpty()) {
+            moves_ = other.moves_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+          } else {
+            ensureMovesIsMutable();
+            moves_.addAll(other.moves_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.moves_.isEmpty()) {
+          if (movesBuilder_.isEmpty()) {
+            movesBuilder_.dispose();
+            movesBuilder_ = null;
+            moves_ = other.moves_;
+            bitField0_ = (bitField0_ & ~0x00000010);
+            movesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetMovesFieldBuilder() : null;
+          } else {
+            movesBuilder_.addAllMessages(other.moves_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -482,6 +697,29 @@
               }
               break;
             } // case 18
+            case 26: {
+              service_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 26
+            case 34: {
+              version_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 34
+            case 42: {
+              org.cuminlatch.wire.proto.call.MoveFact m =
+                  input.readMessage(
+                      org.cuminlatch.wire.proto.call.MoveFact.parser(),
+                      extensionRegistry);
+              if (movesBuilder_ == null) {
+                ensureMovesIsMutable();
+                moves_.add(m);
+              } else {
+                movesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -571,12 +809,156 @@
       return this;
     }
 
+    private java.lang.Object service_ = "";
+    /**
+     * <code>string service = 3;</code>
+     * @return The service.
+     */
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string service = 3;</code>
+     * @return The bytes for service.
+     */
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string service = 3;</code>
+     * @param value The service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setService(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      service_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string service = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearService() {
+      service_ = getDefaultInstance().getService();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string service = 3;</code>
+     * @param value The bytes for service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      service_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object version_ = "";
+    /**
+     * <code>string version = 4;</code>
+     * @return The version.
+     */
+    public java.lang.String getVersion() {
+      java.lang.Object ref = version_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        version_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string version = 4;</code>
+     * @return The bytes for version.
+     */
+    public com.google.protobuf.ByteString
+        getVersionBytes() {
+      java.lang.Object ref = version_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        version_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string version = 4;</code>
+     * @param value The version to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVersion(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      version_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string version = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearVersion() {
+      version_ = getDefaultInstance().getVersion();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string version = 4;</code>
+     * @param value The bytes for version to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVersionBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      version_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
     private java.util.List<org.cuminlatch.wire.proto.call.EvidenceCount> counts_ =
       java.util.Collections.emptyList();
     private void ensureCountsIsMutable() {
-      if (!((bitField0_ & 0x00000002) != 0)) {
+      if (!((bitField0_ & 0x00000008) != 0)) {
         counts_ = new java.util.ArrayList<org.cuminlatch.wire.proto.call.EvidenceCount>(counts_);
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000008;
        }
     }
 
@@ -726,7 +1108,7 @@
     public Builder clearCounts() {
       if (countsBuilder_ == null) {
         counts_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000002);
+        bitField0_ = (bitField0_ & ~0x00000008);
         onChanged();
       } else {
         countsBuilder_.clear();
@@ -803,7 +1185,7 @@
         countsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.cuminlatch.wire.proto.call.EvidenceCount, org.cuminlatch.wire.proto.call.EvidenceCount.Builder, org.cuminlatch.wire.proto.call.EvidenceCountOrBuilder>(
                 counts_,
-                ((bitField0_ & 0x00000002) != 0),
+                ((bitField0_ & 0x00000008) != 0),
                 getParentForChildren(),
                 isClean());
         counts_ = null;
@@ -811,6 +1193,246 @@
       return countsBuilder_;
     }
 
+    private java.util.List<org.cuminlatch.wire.proto.call.MoveFact> moves_ =
+      java.util.Collections.emptyList();
+    private void ensureMovesIsMutable() {
+      if (!((bitField0_ & 0x00000010) != 0)) {
+        moves_ = new java.util.ArrayList<org.cuminlatch.wire.proto.call.MoveFact>(moves_);
+        bitField0_ |= 0x00000010;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cuminlatch.wire.proto.call.MoveFact, org.cuminlatch.wire.proto.call.MoveFact.Builder, org.cuminlatch.wire.proto.call.MoveFactOrBuilder> movesBuilder_;
+
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public java.util.List<org.cuminlatch.wire.proto.call.MoveFact> getMovesList() {
+      if (movesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(moves_);
+      } else {
+        return movesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public int getMovesCount() {
+      if (movesBuilder_ == null) {
+        return moves_.size();
+      } else {
+        return movesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public org.cuminlatch.wire.proto.call.MoveFact getMoves(int index) {
+      if (movesBuilder_ == null) {
+        return moves_.get(index);
+      } else {
+        return movesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public Builder setMoves(
+        int index, org.cuminlatch.wire.proto.call.MoveFact value) {
+      if (movesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureMovesIsMutable();
+        moves_.set(index, value);
+        onChanged();
+      } else {
+        movesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public Builder setMoves(
+        int index, org.cuminlatch.wire.proto.call.MoveFact.Builder builderForValue) {
+      if (movesBuilder_ == null) {
+        ensureMovesIsMutable();
+        moves_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        movesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public Builder addMoves(org.cuminlatch.wire.proto.call.MoveFact value) {
+      if (movesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureMovesIsMutable();
+        moves_.add(value);
+        onChanged();
+      } else {
+        movesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public Builder addMoves(
+        int index, org.cuminlatch.wire.proto.call.MoveFact value) {
+      if (movesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureMovesIsMutable();
+        moves_.add(index, value);
+        onChanged();
+      } else {
+        movesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public Builder addMoves(
+        org.cuminlatch.wire.proto.call.MoveFact.Builder builderForValue) {
+      if (movesBuilder_ == null) {
+        ensureMovesIsMutable();
+        moves_.add(builderForValue.build());
+        onChanged();
+      } else {
+        movesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public Builder addMoves(
+        int index, org.cuminlatch.wire.proto.call.MoveFact.Builder builderForValue) {
+      if (movesBuilder_ == null) {
+        ensureMovesIsMutable();
+        moves_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        movesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public Builder addAllMoves(
+        java.lang.Iterable<? extends org.cuminlatch.wire.proto.call.MoveFact> values) {
+      if (movesBuilder_ == null) {
+        ensureMovesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, moves_);
+        onChanged();
+      } else {
+        movesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public Builder clearMoves() {
+      if (movesBuilder_ == null) {
+        moves_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+      } else {
+        movesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public Builder removeMoves(int index) {
+      if (movesBuilder_ == null) {
+        ensureMovesIsMutable();
+        moves_.remove(index);
+        onChanged();
+      } else {
+        movesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public org.cuminlatch.wire.proto.call.MoveFact.Builder getMovesBuilder(
+        int index) {
+      return internalGetMovesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public org.cuminlatch.wire.proto.call.MoveFactOrBuilder getMovesOrBuilder(
+        int index) {
+      if (movesBuilder_ == null) {
+        return moves_.get(index);  } else {
+        return movesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public java.util.List<? extends org.cuminlatch.wire.proto.call.MoveFactOrBuilder> 
+         getMovesOrBuilderList() {
+      if (movesBuilder_ != null) {
+        return movesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(moves_);
+      }
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public org.cuminlatch.wire.proto.call.MoveFact.Builder addMovesBuilder() {
+      return internalGetMovesFieldBuilder().addBuilder(
+          org.cuminlatch.wire.proto.call.MoveFact.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public org.cuminlatch.wire.proto.call.MoveFact.Builder addMovesBuilder(
+        int index) {
+      return internalGetMovesFieldBuilder().addBuilder(
+          index, org.cuminlatch.wire.proto.call.MoveFact.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+     */
+    public java.util.List<org.cuminlatch.wire.proto.call.MoveFact.Builder> 
+         getMovesBuilderList() {
+      return internalGetMovesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cuminlatch.wire.proto.call.MoveFact, org.cuminlatch.wire.proto.call.MoveFact.Builder, org.cuminlatch.wire.proto.call.MoveFactOrBuilder> 
+        internalGetMovesFieldBuilder() {
+      if (movesBuilder_ == null) {
+        movesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cuminlatch.wire.proto.call.MoveFact, org.cuminlatch.wire.proto.call.MoveFact.Builder, org.cuminlatch.wire.proto.call.MoveFactOrBuilder>(
+                moves_,
+                ((bitField0_ & 0x00000010) != 0),
+                getParentForChildren(),
+                isClean());
+        moves_ = null;
+      }
+      return movesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.MoveEvidence)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/MoveEvidenceOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/MoveEvidenceOrBuilder.java
@@ -22,6 +22,30 @@
   com.google.protobuf.ByteString
       getInstanceBytes();
 
+  /**
+   * <code>string service = 3;</code>
+   * @return The service.
+   */
+  java.lang.String getService();
+  /**
+   * <code>string service = 3;</code>
+   * @return The bytes for service.
+   */
+  com.google.protobuf.ByteString
+      getServiceBytes();
+
+  /**
+   * <code>string version = 4;</code>
+   * @return The version.
+   */
+  java.lang.String getVersion();
+  /**
+   * <code>string version = 4;</code>
+   * @return The bytes for version.
+   */
+  com.google.protobuf.ByteString
+      getVersionBytes();
+
   /**
    * <code>repeated .cuminlatch.call.EvidenceCount counts = 2;</code>
    */
@@ -45,4 +69,28 @@
    */
   org.cuminlatch.wire.proto.call.EvidenceCountOrBuilder getCountsOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+   */
+  java.util.List<org.cuminlatch.wire.proto.call.MoveFact> 
+      getMovesList();
+  /**
+   * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+   */
+  org.cuminlatch.wire.proto.call.MoveFact getMoves(int index);
+  /**
+   * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+   */
+  int getMovesCount();
+  /**
+   * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+   */
+  java.util.List<? extends org.cuminlatch.wire.proto.call.MoveFactOrBuilder> 
+      getMovesOrBuilderList();
+  /**
+   * <code>repeated .cuminlatch.call.MoveFact moves = 5;</code>
+   */
+  org.cuminlatch.wire.proto.call.MoveFactOrBuilder getMovesOrBuilder(
+      int index);
 }
