--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/SlotQueue.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/SlotQueue.java
@@ -150,11 +150,6 @@
     return decisions;
   }
 
-  /** Takes attempts again after {@link #drain}. */
-  public void resume() {
-    draining = false;
-  }
-
   /**
    * Returns the number of slots in use.
    *
@@ -182,18 +177,6 @@
     return limit.value();
   }
 
-  /**
-   * Returns how long an attempt that arrives now would wait for a slot.
-   *
-   * @return an estimate from the smoothed times of the work ahead, zero while a slot is free
-   */
-  public Duration expectedWait() {
-    if (queue.isEmpty() && held.size() < limit.value()) {
-      return Duration.ZERO;
-    }
-    return Duration.ofNanos((long) waitNanos(Instant.MAX));
-  }
-
   private void hold(SlotRequest request, Instant now) {
     held.put(request.attempt(), new Held(request.route(), now));
     shares.held(request.route());
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/GateAttempt.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/GateAttempt.java
@@ -8,7 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import org.cuminlatch.core.admission.SlotQueue;
+import org.cuminlatch.core.admission.GoalQueue;
 import org.cuminlatch.core.retry.AttemptId;
 import org.cuminlatch.node.http.ClientCall;
 import org.cuminlatch.node.http.ClientResponse;
@@ -33,7 +33,7 @@
   private final Instant deadline;
   private ByteString body;
   private Instant dispatchedAt;
-  private SlotQueue queue;
+  private GoalQueue queue;
   private ClientCall call;
   private Future<?> timer;
   private byte[] answer;
@@ -86,13 +86,13 @@
     return dispatchedAt;
   }
 
-  void dispatched(Instant now, SlotQueue holder) {
+  void dispatched(Instant now, GoalQueue holder) {
     dispatchedAt = now;
     queue = holder;
   }
 
   /** Returns the queue whose slot the attempt holds. */
-  SlotQueue queue() {
+  GoalQueue queue() {
     return queue;
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -12,11 +12,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.cuminlatch.core.admission.GoalQueue;
+import org.cuminlatch.core.admission.GoalRequest;
 import org.cuminlatch.core.admission.SlotDecision;
 import org.cuminlatch.core.admission.SlotDecision.Kind;
 import org.cuminlatch.core.admission.SlotEnd;
-import org.cuminlatch.core.admission.SlotQueue;
-import org.cuminlatch.core.admission.SlotRequest;
 import org.cuminlatch.core.move.CallOutcome.Result;
 import org.cuminlatch.core.retry.AttemptId;
 import org.cuminlatch.core.target.TargetReport;
@@ -69,7 +69,7 @@
   private final Map<AttemptId, GateAttempt> attempts = new HashMap<>();
   private final Set<CallChannel> accepted = new HashSet<>();
   private Optional<TargetReport> report = Optional.empty();
-  private SlotQueue slots = new SlotQueue(1);
+  private GoalQueue slots = new GoalQueue(1);
   private boolean open;
   private boolean absent;
   private int connectFailures;
@@ -124,7 +124,7 @@
     open = true;
     if (!same) {
       refuseWaiting(RefusalReason.TARGET_REPLACED);
-      slots = new SlotQueue(described.slots());
+      slots = new GoalQueue(described.slots());
       running = 0;
       listener.targetReplaced();
     }
@@ -222,8 +222,14 @@
       return;
     }
     Instant now = clock.instant();
-    SlotRequest request =
-        new SlotRequest(attempt.id(), attempt.begin().getRoute(), attempt.deadline());
+    Begin begin = attempt.begin();
+    GoalRequest request =
+        new GoalRequest(
+            attempt.id(),
+            begin.getRoute(),
+            begin.getPriority(),
+            attempt.arrivedAt().plusNanos(begin.getGoalMicros() * 1000),
+            attempt.deadline());
     decided(new SlotDecision(attempt.id(), slots.offer(request, now)));
   }
 
@@ -412,7 +418,6 @@
     for (SlotDecision decision : slots.drain()) {
       find(decision.attempt()).ifPresent(attempt -> refuse(attempt, reason));
     }
-    slots.resume();
   }
 
   private void refuse(GateAttempt attempt, RefusalReason reason) {
@@ -434,7 +439,7 @@
         .with("reason", reason.name())
         .with("running", running)
         .with("waiting", slots.queued())
-        .with("limit", slots.limit())
+        .with("limit", slots.slots())
         .write();
   }
 
@@ -452,7 +457,7 @@
     return Load.newBuilder()
         .setBusy(slots.busy())
         .setQueued(slots.queued())
-        .setLimit(slots.limit())
+        .setLimit(slots.slots())
         .build();
   }
 
