--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/retry/RetryBudget.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/retry/RetryBudget.java
@@ -17,7 +17,24 @@
   /** Most tokens that can be saved. */
   public static final double MAX_TOKENS = 20;
 
-  private double tokens = RESERVE;
+  private final double mostTokens;
+  private double tokens;
+
+  /** Creates a budget with the usual reserve. */
+  public RetryBudget() {
+    this(RESERVE, MAX_TOKENS);
+  }
+
+  /**
+   * Creates a budget.
+   *
+   * @param reserve tokens at the start
+   * @param mostTokens most tokens that can be saved
+   */
+  public RetryBudget(double reserve, double mostTokens) {
+    this.tokens = inRange(reserve, 0, mostTokens, "reserve");
+    this.mostTokens = mostTokens;
+  }
 
   /**
    * Adds what a call earns with its first attempt; a call that descends from a retry earns nothing.
@@ -31,7 +48,7 @@
   public synchronized void earn(CallTree tree, double share) {
     inRange(share, 0, 1, "share");
     if (!tree.retried()) {
-      tokens = Math.min(MAX_TOKENS, tokens + share);
+      tokens = Math.min(mostTokens, tokens + share);
     }
   }
 
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
@@ -4,6 +4,7 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -45,7 +46,7 @@
       RandomGenerator random) {
     for (List<Member> side : sides(index.serving(service), rule, random)) {
       Optional<TargetChooser.Choice> choice =
-          chooser.choose(context.without(side), context.own(), context.now(), random);
+          chooser.choose(context.candidates(side), context.own(), context.now(), random);
       if (choice.isPresent()) {
         return choice.map(chosen -> new Placed(chosen.member(), chosen.reason()));
       }
@@ -83,9 +84,10 @@
    *
    * @param own place of the deciding node
    * @param avoided instances that have been tried for the call
+   * @param nearest whether only the nearest place that has a target may serve, as for large answers
    * @param now present time
    */
-  public record Context(Locality own, Set<String> avoided, Instant now) {
+  public record Context(Locality own, Set<String> avoided, boolean nearest, Instant now) {
 
     /** Checks the fields. */
     public Context {
@@ -94,6 +96,20 @@
       notNull(now, "now");
     }
 
+    private List<Member> candidates(List<Member> members) {
+      return without(nearest ? atNearestPlace(members) : members);
+    }
+
+    private List<Member> atNearestPlace(List<Member> members) {
+      Optional<Locality.Distance> least =
+          members.stream()
+              .map(member -> own.distanceTo(member.locality()))
+              .min(Comparator.naturalOrder());
+      return members.stream()
+          .filter(member -> own.distanceTo(member.locality()) == least.orElseThrow())
+          .toList();
+    }
+
     private List<Member> without(List<Member> members) {
       if (avoided.isEmpty()) {
         return members;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
@@ -30,8 +30,21 @@
   /** Bytes a second that one node may move to the other region and back. */
   private static final long REGION_LINK_BYTES_PER_SECOND = 200_000;
 
-  /** Repeats that a node may send per first attempt. */
-  static final double RETRY_SHARE = 0.1;
+  /**
+   * Repeats that a node may send per first attempt: a third of what operators usually allow all
+   * nodes together, as the calls of a repeated execution count as repeats too.
+   */
+  static final double RETRY_SHARE = 0.06;
+
+  /** Repeats that a node may save up; small, as all nodes may spend theirs at the same time. */
+  private static final double MOST_SAVED_RETRIES = 4;
+
+  private static final double RETRY_RESERVE = 1;
+
+  /** Mean size of the answers of a route from which on they stay at the nearest place. */
+  private static final double LARGE_ANSWER_BYTES = 16_384;
+
+  private static final double SIZE_SMOOTHING = 0.1;
 
   private static final int MOST_ID_CHARS = 128;
   private static final double RETRY_WITHOUT_CONFIGURATION_SECONDS = 0.5;
@@ -48,6 +61,7 @@
   private final LinkBudget link;
   private final ServicePlacement placement;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final Map<String, Double> answerBytes = new HashMap<>();
   private final Set<EntryCall> calls = new HashSet<>();
 
   Entry(
@@ -155,15 +169,26 @@
   }
 
   RetryBudget budget(String service) {
-    return budgets.computeIfAbsent(service, unused -> new RetryBudget());
+    return budgets.computeIfAbsent(
+        service, unused -> new RetryBudget(RETRY_RESERVE, MOST_SAVED_RETRIES));
+  }
+
+  /** Takes the size of an answer of a route. */
+  void answerSize(String route, long bytes) {
+    answerBytes.merge(route, (double) bytes, (mean, size) -> mean + SIZE_SMOOTHING * (size - mean));
+  }
+
+  /** Returns whether the answers of a route are too large to be carried far without need. */
+  boolean answersAreLarge(String route) {
+    return answerBytes.getOrDefault(route, 0.0) >= LARGE_ANSWER_BYTES;
   }
 
-  Optional<ServicePlacement.Placed> place(String service, Set<String> avoided) {
+  Optional<ServicePlacement.Placed> place(String service, Set<String> avoided, boolean nearest) {
     return placement.place(
         links.index(),
         service,
         Optional.ofNullable(view.get().rules().get(service)),
-        new ServicePlacement.Context(settings.locality(), avoided, now()),
+        new ServicePlacement.Context(settings.locality(), avoided, nearest, now()),
         random);
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -134,7 +134,7 @@
       giveUp();
       return;
     }
-    Optional<Placed> placed = entry.place(service, avoided);
+    Optional<Placed> placed = entry.place(service, avoided, staysNear());
     if (placed.isEmpty()) {
       giveUp();
       return;
@@ -149,6 +149,11 @@
     begin(placed.get(), found.get());
   }
 
+  /** A first attempt with a large answer stays near; a repeat may go where it can. */
+  private boolean staysNear() {
+    return reached == 0 && entry.answersAreLarge(route.name());
+  }
+
   private void begin(Placed placed, TargetLink chosen) {
     placements++;
     target = placed.member();
@@ -246,6 +251,7 @@
       repeat();
       return;
     }
+    entry.answerSize(route.name(), answer.getContentLength());
     answering = true;
     timer.cancel(false);
     endAttempt(failure ? AttemptEnd.FAILED : AttemptEnd.SERVED);
@@ -353,7 +359,7 @@
         && attemptsUsed < route.limits().maxAttempts()
         && placements < MOST_PLACEMENTS
         && left().compareTo(LEAST_TIME_LEFT) >= 0
-        && entry.place(service, avoided).isPresent()
+        && entry.place(service, avoided, false).isPresent()
         && entry.budget(service).tryRetry();
   }
 
