--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -25,7 +25,7 @@
 import org.cuminlatch.wire.call.CallTransport;
 
 /** A node on an operator's platform: traffic on one event loop, control state on another. */
-public final class MeshNode {
+public final class MeshNode implements AutoCloseable {
 
   private static final Duration TARGET_CONNECT_TIMEOUT = Duration.ofMillis(400);
   private static final int MOST_ANSWER_BYTES = 16 << 20;
@@ -35,7 +35,11 @@
   /** Time after the request to stop in which callers still learn that the node is not ready. */
   private static final Duration LEAVE_NOTICE = Duration.ofMillis(2600);
 
+  private static final long CLOSE_MILLIS = 500;
+
   private final MeshSettings settings;
+  private final EventLoopGroup trafficGroup;
+  private final EventLoopGroup controlGroup;
   private final EventLoop traffic;
   private final EventLog log;
   private final MeshMetrics metrics = new MeshMetrics();
@@ -47,8 +51,8 @@
 
   private MeshNode(MeshSettings settings, Platform platform) {
     this.settings = settings;
-    final EventLoopGroup trafficGroup = group();
-    final EventLoopGroup controlGroup = group();
+    this.trafficGroup = group();
+    this.controlGroup = group();
     this.traffic = (EventLoop) trafficGroup.next();
     MonotonicClock clock = new MonotonicClock();
     RandomGenerator random = new SplittableRandom(System.nanoTime() ^ settings.node().hashCode());
@@ -222,6 +226,13 @@
     pause(SWEEP);
   }
 
+  /** Ends both event loops at once, cutting off what is under way. */
+  @Override
+  public void close() {
+    trafficGroup.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+    controlGroup.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   private boolean onTraffic(java.util.function.BooleanSupplier question) {
     CountDownLatch answered = new CountDownLatch(1);
     boolean[] answer = new boolean[1];
