--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetChooser.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetChooser.java
@@ -21,6 +21,9 @@
   static final double ZONE_SPILL = 1;
   static final double REGION_SPILL = 2;
 
+  /** Difference of pressure, in requests per slot, for which a call leaves its zone. */
+  static final double LEAVE_MARGIN = 0.25;
+
   private final TargetLoads loads;
   private final LinkBudget link;
 
@@ -37,6 +40,9 @@
       return Optional.of(new Choice(near.get(), Reason.SAME_ZONE));
     }
     Optional<Member> region = best(within(kept, own, Distance.SAME_REGION), now, random);
+    if (near.isPresent() && staysNear(near.get(), region.get(), now)) {
+      return Optional.of(new Choice(near.get(), Reason.SAME_ZONE));
+    }
     if (region.isPresent() && pressure(region.get(), now) < REGION_SPILL) {
       return Optional.of(new Choice(region.get(), reason(own, region.get())));
     }
@@ -47,6 +53,12 @@
     return region.map(member -> new Choice(member, reason(own, member)));
   }
 
+  /** Returns whether the load elsewhere in the region is not worth the way there. */
+  private boolean staysNear(Member near, Member region, Instant now) {
+    double pressure = pressure(near, now);
+    return pressure < REGION_SPILL && pressure(region, now) > pressure - LEAVE_MARGIN;
+  }
+
   private Optional<Member> far(
       List<Member> kept, Locality own, Instant now, RandomGenerator random) {
     List<Member> others =
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/event/package-info.java
@@ -0,0 +1,2 @@
+/** The log of decisions, one JSON line each. */
+package org.cuminlatch.node.event;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -140,7 +140,7 @@
 
   private void complete() {
     HttpResponse completed = head;
-    ClientResponse response =
+    final ClientResponse response =
         new ClientResponse(
             completed.status().code(), headersOf(completed), ByteBufUtil.getBytes(body));
     head = null;
@@ -151,7 +151,7 @@
     if (!request.belongs().test(response)) {
       return; // a late answer to an earlier request; the own one follows
     }
-    ClientListener ended = listener;
+    final ClientListener ended = listener;
     request = null;
     listener = null;
     keepOrClose(completed);
@@ -190,7 +190,7 @@
   }
 
   private void fail(String reason) {
-    ClientListener ended = listener;
+    final ClientListener ended = listener;
     request = null;
     listener = null;
     head = null;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpServer.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpServer.java
@@ -19,6 +19,7 @@
 import org.cuminlatch.core.error.CuminlatchException;
 import org.cuminlatch.core.error.ErrorCode;
 import org.cuminlatch.core.error.Step;
+import org.cuminlatch.node.event.EventLog;
 
 /** An HTTP/1.1 server on one event loop; framing that two readers could take apart is rejected. */
 public final class HttpServer {
@@ -28,11 +29,13 @@
   private final ExchangeHandler handler;
   private final Supplier<CallerLimits> limits;
   private final Set<ServerConnection> connections = new HashSet<>();
+  private final EventLog log;
   private Channel listener;
   private boolean leaving;
 
-  private HttpServer(Supplier<CallerLimits> limits, ExchangeHandler handler) {
+  private HttpServer(Supplier<CallerLimits> limits, EventLog log, ExchangeHandler handler) {
     this.limits = limits;
+    this.log = log;
     this.handler = handler;
   }
 
@@ -42,6 +45,7 @@
    * @param group event loop group of one thread
    * @param address address to listen on; port 0 takes any
    * @param limits limits for callers, asked for at each request
+   * @param log takes what is rejected here
    * @param handler takes the requests
    * @return the server
    * @throws CuminlatchException with {@code INVALID_SETTING} if the address can't be bound
@@ -50,8 +54,10 @@
       EventLoopGroup group,
       InetSocketAddress address,
       Supplier<CallerLimits> limits,
+      EventLog log,
       ExchangeHandler handler) {
-    HttpServer server = new HttpServer(notNull(limits, "limits"), notNull(handler, "handler"));
+    HttpServer server =
+        new HttpServer(notNull(limits, "limits"), notNull(log, "log"), notNull(handler, "handler"));
     ChannelFuture bound =
         new ServerBootstrap()
             .group(group)
@@ -130,6 +136,10 @@
     return limits.get();
   }
 
+  EventLog log() {
+    return log;
+  }
+
   ExchangeHandler handler() {
     return handler;
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -28,14 +28,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /** A caller's connection: reads requests to their ends and answers them in their order. */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
-  private static final Logger LOG = LogManager.getLogger(ServerConnection.class);
-
   /** Requests read ahead of the one that is being answered; reading pauses beyond it. */
   private static final int MOST_PIPELINED = 4;
 
@@ -159,7 +155,14 @@
     refusing = true;
     head = null;
     body = null;
-    LOG.info("request rejected before routing: status={} peer={}", status.code(), peer());
+    server
+        .log()
+        .event("rejected")
+        .with("request", "-")
+        .with("status", status.code())
+        .with("reason", "not a request that can be read")
+        .with("peer", peer())
+        .write();
     if (current != null) {
       return; // the answer under way ends first, the connection closes after it
     }
@@ -226,7 +229,12 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     if (!(cause instanceof IOException)) {
-      LOG.error("connection of a caller failed: peer={}", peer(), cause);
+      server
+          .log()
+          .event("connection-failed")
+          .with("peer", peer())
+          .with("reason", String.valueOf(cause))
+          .write();
     }
     channel.close();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
@@ -21,6 +21,7 @@
 import org.cuminlatch.core.route.RequestHead;
 import org.cuminlatch.core.route.ServicePlacement;
 import org.cuminlatch.core.route.TargetLoads;
+import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.http.ExchangeHandler;
 import org.cuminlatch.node.http.ServerExchange;
 
@@ -62,6 +63,7 @@
   private final ServicePlacement placement;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private final Map<String, Double> answerBytes = new HashMap<>();
+  private boolean closed;
   private final Set<EntryCall> calls = new HashSet<>();
 
   Entry(
@@ -97,6 +99,10 @@
       reject(exchange, id, 400, "target of the request is not a path");
       return;
     }
+    if (closed) {
+      refuse(exchange, id, "node stops", RETRY_WITHOUT_CONFIGURATION_SECONDS);
+      return;
+    }
     MeshView now = view.get();
     if (now.table().isEmpty()) {
       refuse(exchange, id, "no configuration yet", RETRY_WITHOUT_CONFIGURATION_SECONDS);
@@ -164,6 +170,11 @@
         (reason + "\n").getBytes(StandardCharsets.UTF_8));
   }
 
+  /** Refuses what comes from now on, as the node is about to stop. */
+  void close() {
+    closed = true;
+  }
+
   void ended(EntryCall call) {
     calls.remove(call);
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -22,6 +22,7 @@
 import org.cuminlatch.core.route.ReportedLoad;
 import org.cuminlatch.core.route.ServicePlacement.Placed;
 import org.cuminlatch.core.route.TargetLoads.AttemptEnd;
+import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.http.ServerExchange;
 import org.cuminlatch.wire.call.CallFrames;
 import org.cuminlatch.wire.proto.call.Answer;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/KeyedStore.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/KeyedStore.java
@@ -54,8 +54,8 @@
     STATEMENTS,
     /** Addresses of nodes. */
     NODES,
-    /** Targets that have said that they leave. */
-    TARGET_EXITS
+    /** What each node knows of the target beside it, for its own restart. */
+    OWN_TARGETS
   }
 
   /**
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -25,6 +25,7 @@
 import org.cuminlatch.core.target.TargetExit;
 import org.cuminlatch.core.target.TargetLife;
 import org.cuminlatch.core.target.TargetReport;
+import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Item;
 import org.cuminlatch.node.mesh.KeyedStore.Stream;
 import org.cuminlatch.wire.proto.call.Begin;
@@ -48,14 +49,13 @@
   /** Time in which new nodes gather before the next wait for one. */
   private static final Duration NODES_PAUSE = Duration.ofMillis(1000);
 
-  /** Time for other nodes to enter themselves before the first look at them. */
-  private static final Duration FIRST_LOOK = Duration.ofMillis(700);
-
   /** Longest time for which a target's report waits for the store. */
-  private static final Duration LONGEST_STORE_WAIT = Duration.ofMillis(600);
+  private static final Duration LONGEST_STORE_WAIT = Duration.ofMillis(800);
 
   private static final Duration MOVE_TICK = Duration.ofMillis(250);
 
+  private static final int OLD_EVIDENCE_TICKS = 2;
+
   private static final Duration REGISTER_RETRY = Duration.ofMillis(500);
 
   private final MeshSettings settings;
@@ -67,10 +67,13 @@
   private final OperatorRecords records;
   private final TargetLife life = new TargetLife();
   private final Set<Address> nodes = new HashSet<>();
-  private final CompletableFuture<Void> exitsRead = new CompletableFuture<>();
+  private final CompletableFuture<Void> ownTargetRead = new CompletableFuture<>();
   private final MoveControl moves;
   private final Map<String, TargetStatus> peerStatuses = new HashMap<>();
   private final EvidenceCounts evidence = new EvidenceCounts();
+  private TargetStatus storing;
+  private boolean registered;
+  private int evidenceTicks;
   private volatile Instant coldUntil = Instant.MIN;
   private volatile boolean movesActive;
   private volatile List<MoveFact> facts = List.of();
@@ -128,18 +131,15 @@
   void start() {
     control.execute(
         () -> {
-          readExits();
+          readOwnTarget();
           moves.readStatements();
           follow(Stream.OPERATOR, CONFIGURATION_PAUSE, this::operatorRecord, () -> {}).start();
-          register();
-          StoreFollower followsNodes =
-              follow(Stream.NODES, NODES_PAUSE, this::nodeRecord, this::nodesChanged);
-          control.schedule(followsNodes::start, FIRST_LOOK.toMillis(), TimeUnit.MILLISECONDS);
+          follow(Stream.NODES, NODES_PAUSE, this::nodeRecord, this::nodesChanged).start();
         });
     control.scheduleWithFixedDelay(
         this::tickMoves, MOVE_TICK.toMillis(), MOVE_TICK.toMillis(), TimeUnit.MILLISECONDS);
     control.schedule(
-        () -> exitsRead.complete(null), LONGEST_STORE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+        () -> ownTargetRead.complete(null), LONGEST_STORE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   MeshView view() {
@@ -181,13 +181,21 @@
         moves.tick();
         facts = moves.facts();
         movesActive = moves.isActive();
-        traffic.execute(this::shareEvidence);
+        evidenceTicks++;
+        if (evidenceTicks % ticksBetweenEvidence() == 0) {
+          traffic.execute(this::shareEvidence);
+        }
       }
     } catch (RuntimeException error) {
       log.event("task-failed").with("task", "moves").with("reason", String.valueOf(error)).write();
     }
   }
 
+  /** Returns more for the targets of old versions: their counts only serve for comparison. */
+  private int ticksBetweenEvidence() {
+    return moves.isNew(status.getService(), status.getVersion()) ? 1 : OLD_EVIDENCE_TICKS;
+  }
+
   /** Tells all connected nodes, and the own control thread, what was counted here. */
   private void shareEvidence() {
     CallFrame frame = evidenceFrame();
@@ -233,14 +241,20 @@
 
   private void nodeRecord(Item item) {
     Address address = Address.parse(item.key());
-    if (item.value().length == 0) {
+    if (address.equals(settings.peers())) {
+      registered = item.value().length > 0;
+    } else if (item.value().length == 0) {
       nodes.remove(address);
-    } else if (!address.equals(settings.peers())) {
+    } else {
       nodes.add(address);
     }
   }
 
   private void nodesChanged() {
+    if (!registered) {
+      registered = true;
+      register();
+    }
     Set<Address> known = Set.copyOf(nodes);
     traffic.execute(() -> links.nodes(known));
   }
@@ -261,27 +275,42 @@
             });
   }
 
-  private void readExits() {
+  private void readOwnTarget() {
     store
-        .newest(Stream.TARGET_EXITS)
+        .newest(Stream.OWN_TARGETS)
         .whenComplete(
             (page, error) -> {
               if (error == null) {
                 page.items().stream()
                     .filter(item -> item.key().equals(settings.peers().toString()))
-                    .forEach(this::restoreExit);
+                    .forEach(this::restoreTarget);
               }
-              exitsRead.complete(null);
+              ownTargetRead.complete(null);
             });
   }
 
-  private void restoreExit(Item item) {
+  /** Takes what this node stored of its target before it was started anew. */
+  private void restoreTarget(Item item) {
     try {
-      TargetStatus left = TargetStatus.parseFrom(item.value());
-      life.restore(new TargetExit(left.getInstance(), left.getBornMillis()));
+      TargetStatus stored = TargetStatus.parseFrom(item.value());
+      if (stored.getPhase() == TargetPhase.READY) {
+        take(
+            new TargetReport(
+                stored.getInstance(),
+                stored.getBornMillis(),
+                0,
+                stored.getService(),
+                stored.getVersion(),
+                stored.getSlots(),
+                true,
+                Duration.ZERO),
+            false);
+      } else {
+        life.restore(new TargetExit(stored.getInstance(), stored.getBornMillis()));
+      }
     } catch (InvalidProtocolBufferException | IllegalArgumentException unreadable) {
       log.event("record-unusable")
-          .with("stream", Stream.TARGET_EXITS.name())
+          .with("stream", Stream.OWN_TARGETS.name())
           .with("reason", String.valueOf(unreadable))
           .write();
     }
@@ -289,10 +318,10 @@
 
   @Override
   public CompletionStage<Void> report(TargetReport report) {
-    return exitsRead.thenComposeAsync(unused -> take(report), control);
+    return ownTargetRead.thenComposeAsync(unused -> take(report, true), control);
   }
 
-  private CompletionStage<Void> take(TargetReport report) {
+  private CompletionStage<Void> take(TargetReport report, boolean fresh) {
     TargetLife.Change change = life.report(report);
     if (change != TargetLife.Change.NONE) {
       log.event("target-report")
@@ -309,6 +338,9 @@
       case READY -> {
         coldUntil = clock.instant().plus(report.coldLeft());
         publishTarget();
+        if (fresh) {
+          storeTarget(status);
+        }
         yield onTraffic(
             () -> {
               gate.open(report);
@@ -323,7 +355,7 @@
 
   @Override
   public CompletionStage<Void> deregister(String instance, long bornMillis) {
-    return exitsRead.thenComposeAsync(
+    return ownTargetRead.thenComposeAsync(
         unused -> {
           TargetLife.Change change = life.deregister(instance, bornMillis);
           log.event("target-deregistered")
@@ -341,31 +373,53 @@
   /** Shuts the gate, and remembers it where a restart finds it, before it is acknowledged. */
   private CompletionStage<Void> leave(String instance, long bornMillis) {
     publishTarget();
-    byte[] value =
+    TargetStatus left =
         TargetStatus.newBuilder()
             .setInstance(instance)
             .setBornMillis(bornMillis)
             .setPhase(TargetPhase.LEAVING)
-            .build()
-            .toByteArray();
-    CompletableFuture<Long> written =
-        store
-            .append(Stream.TARGET_EXITS, settings.peers().toString(), value, OptionalLong.empty())
-            .toCompletableFuture()
-            .completeOnTimeout(-1L, LONGEST_STORE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+            .build();
+    CompletableFuture<Void> written =
+        storeTarget(left)
+            .completeOnTimeout(null, LONGEST_STORE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
     CompletableFuture<Void> shut = onTraffic(gate::shut);
-    return shut.thenCombine(
-        written.handle(
+    return shut.thenCombine(written, (done, stored) -> null);
+  }
+
+  /** Stores what a restart of this node has to know of its target; tries until it is stored. */
+  private CompletableFuture<Void> storeTarget(TargetStatus described) {
+    CompletableFuture<Void> stored = new CompletableFuture<>();
+    storing = described;
+    tryToStore(described, stored);
+    return stored;
+  }
+
+  private void tryToStore(TargetStatus described, CompletableFuture<Void> stored) {
+    if (storing != described) {
+      return; // something newer is being stored
+    }
+    store
+        .append(
+            Stream.OWN_TARGETS,
+            settings.peers().toString(),
+            described.toByteArray(),
+            OptionalLong.empty())
+        .whenComplete(
             (end, error) -> {
-              if (error != null || end < 0) {
-                log.event("exit-not-stored")
-                    .with("target", instance)
-                    .with("reason", error == null ? "timeout" : String.valueOf(error))
-                    .write();
+              if (error == null) {
+                stored.complete(null);
+                return;
               }
-              return end;
-            }),
-        (done, end) -> null);
+              log.event("target-not-stored")
+                  .with("target", described.getInstance())
+                  .with("phase", described.getPhase().name())
+                  .with("reason", String.valueOf(error))
+                  .write();
+              control.schedule(
+                  () -> tryToStore(described, stored),
+                  REGISTER_RETRY.toMillis(),
+                  TimeUnit.MILLISECONDS);
+            });
   }
 
   private CompletableFuture<Void> onTraffic(Runnable task) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -18,6 +18,7 @@
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.CallerLimits;
 import org.cuminlatch.core.membership.Address;
+import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.http.ExchangeHandler;
 import org.cuminlatch.node.http.HttpClient;
 import org.cuminlatch.node.http.HttpServer;
@@ -33,7 +34,7 @@
   private static final Duration LINK_CHECK = Duration.ofMillis(250);
 
   /** Time after the request to stop in which callers still learn that the node is not ready. */
-  private static final Duration LEAVE_NOTICE = Duration.ofMillis(2600);
+  private static final Duration LEAVE_NOTICE = Duration.ofMillis(2400);
 
   private static final long CLOSE_MILLIS = 500;
 
@@ -56,7 +57,7 @@
     this.traffic = (EventLoop) trafficGroup.next();
     MonotonicClock clock = new MonotonicClock();
     RandomGenerator random = new SplittableRandom(System.nanoTime() ^ settings.node().hashCode());
-    this.log = new EventLog(clock, settings.node());
+    this.log = EventLog.start(clock, settings.node());
     HttpClient target =
         new HttpClient(trafficGroup, settings.target(), TARGET_CONNECT_TIMEOUT, MOST_ANSWER_BYTES);
     this.control =
@@ -75,12 +76,13 @@
     this.links = new PeerLinks(transport, random, log, control.statusListener());
     this.entry = new Entry(traffic, settings, clock, random, links, control::view, log, metrics);
     control.connect(gate, links, new LocalLink(traffic, gate));
-    this.callers = HttpServer.listen(trafficGroup, socket(settings.callers()), limits(), entry);
+    this.callers =
+        HttpServer.listen(trafficGroup, socket(settings.callers()), limits(), log, entry);
     transport.listen(socket(settings.peers()), gate);
-    ExchangeHandler reports = platform.reports(control);
-    HttpServer.listen(controlGroup, socket(settings.control()), defaults(), reports);
-    HttpServer.listen(controlGroup, socket(settings.ready()), defaults(), this::ready);
-    HttpServer.listen(controlGroup, socket(settings.metrics()), defaults(), this::metrics);
+    ExchangeHandler reports = platform.reports(control, log);
+    HttpServer.listen(controlGroup, socket(settings.control()), defaults(), log, reports);
+    HttpServer.listen(controlGroup, socket(settings.ready()), defaults(), log, this::ready);
+    HttpServer.listen(controlGroup, socket(settings.metrics()), defaults(), log, this::metrics);
     addGauges();
     every(SWEEP, gate::sweep);
     every(LINK_CHECK, links::check);
@@ -110,9 +112,10 @@
      * Creates the handler of what the target says.
      *
      * @param reports takes what it says
+     * @param log takes what is rejected
      * @return the handler
      */
-    ExchangeHandler reports(TargetReports reports);
+    ExchangeHandler reports(TargetReports reports, EventLog log);
   }
 
   /**
@@ -204,16 +207,22 @@
     log.event("reloaded").with("outcome", outcome).write();
   }
 
-  /** Stops: tells peers and callers, ends what was taken on and returns when all of it is done. */
+  /**
+   * Stops: tells peers and callers, ends what was taken on and returns when all of it is done.
+   *
+   * <p>Callers are served until they have had time to learn that the node is not ready; what comes
+   * after that is refused, so that nothing is cut off at the end.
+   */
   public void stop() {
     log.event("stopping").with("periodMillis", settings.stopPeriod().toMillis()).write();
-    long start = System.nanoTime();
+    final long start = System.nanoTime();
     control.stopping();
     traffic.execute(callers::leave);
-    long noticeEnd = start + LEAVE_NOTICE.toNanos();
+    pause(LEAVE_NOTICE);
+    traffic.execute(entry::close);
     long end = start + settings.stopPeriod().toNanos();
     boolean idle = false;
-    while (System.nanoTime() < end && !(idle && System.nanoTime() >= noticeEnd)) {
+    while (System.nanoTime() < end && !idle) {
       pause(SWEEP);
       idle = onTraffic(() -> entry.isIdle() && gate.isIdle() && callers.unanswered() == 0);
     }
@@ -224,6 +233,7 @@
         });
     log.event("stopped").with("idle", String.valueOf(idle)).write();
     pause(SWEEP);
+    log.flush();
   }
 
   /** Ends both event loops at once, cutting off what is under way. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
@@ -22,6 +22,7 @@
 import org.cuminlatch.core.move.OrderedMove;
 import org.cuminlatch.core.route.VersionRule;
 import org.cuminlatch.core.route.VersionRule.Fallback;
+import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Page;
 import org.cuminlatch.node.mesh.KeyedStore.Stream;
 import org.cuminlatch.wire.proto.call.MoveEvidence;
@@ -100,6 +101,12 @@
         .anyMatch(followed -> followed.stated == null || followed.move.state() == State.RUNNING);
   }
 
+  /** Returns whether a version is the one that a running move brings in. */
+  boolean isNew(String service, String version) {
+    Followed followed = moves.get(service);
+    return followed != null && followed.move.order().version().equals(version);
+  }
+
   void ordered(MoveOrder order) {
     Followed known = moves.get(order.service());
     if (known != null && known.move.order().id() >= order.id()) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLink.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLink.java
@@ -114,7 +114,7 @@
 
   /** Drops the connection and tells everybody who waits for an answer. */
   void lost() {
-    CallChannel old = channel;
+    final CallChannel old = channel;
     channel = null;
     status = null;
     dialAtNanos = System.nanoTime();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -12,6 +12,7 @@
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.core.membership.Member;
 import org.cuminlatch.core.route.ServiceIndex;
+import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.wire.call.CallChannel;
 import org.cuminlatch.wire.call.CallFrameHandler;
 import org.cuminlatch.wire.call.CallFrames;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -20,6 +20,7 @@
 import org.cuminlatch.core.move.CallOutcome.Result;
 import org.cuminlatch.core.retry.AttemptId;
 import org.cuminlatch.core.target.TargetReport;
+import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.http.ClientListener;
 import org.cuminlatch.node.http.ClientRequest;
 import org.cuminlatch.node.http.ClientResponse;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -6,6 +6,7 @@
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.error.CuminlatchException;
 import org.cuminlatch.core.error.ErrorCode;
+import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Item;
 import org.cuminlatch.node.mesh.KeyedStore.Page;
 import org.cuminlatch.node.mesh.KeyedStore.Stream;
