--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
@@ -57,7 +57,7 @@
   private static List<List<Member>> sides(
       List<Member> all, Optional<VersionRule> rule, RandomGenerator random) {
     if (rule.isEmpty()) {
-      return List.of(all);
+      return List.of(ofEarliestVersion(all));
     }
     List<Member> named = new ArrayList<>();
     List<Member> others = new ArrayList<>();
@@ -71,6 +71,22 @@
     return rule.get().fallback() == Fallback.TO_OTHERS ? List.of(named, others) : List.of(named);
   }
 
+  /**
+   * Returns the targets of the version that was there first: while no move is known, a version that
+   * appears beside it gets nothing.
+   */
+  private static List<Member> ofEarliestVersion(List<Member> all) {
+    Optional<Member> first = all.stream().min(Comparator.comparingLong(Member::incarnation));
+    if (all.stream().allMatch(member -> sameVersion(member, first.get()))) {
+      return all;
+    }
+    return all.stream().filter(member -> sameVersion(member, first.get())).toList();
+  }
+
+  private static boolean sameVersion(Member one, Member other) {
+    return one.targetVersion().equals(other.targetVersion());
+  }
+
   /**
    * Returns as many targets as carry about their usual load with a share of the calls, so that what
    * shows under load only shows early.
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -78,6 +78,10 @@
   private Member target;
   private TargetLink link;
   private Instant attemptAt;
+
+  /** Whole answer with a failure of a target that was tried before, for want of a better one. */
+  private Answer failureAnswer;
+
   private boolean answering;
   private boolean ended;
 
@@ -249,6 +253,7 @@
       endAttempt(AttemptEnd.FAILED);
       reached++;
       mayHaveRun = true;
+      failureAnswer = answer.getLast() ? answer : null;
       repeat();
       return;
     }
@@ -256,10 +261,7 @@
     answering = true;
     timer.cancel(false);
     endAttempt(failure ? AttemptEnd.FAILED : AttemptEnd.SERVED);
-    List<Map.Entry<String, String>> headers =
-        answer.getHeadersList().stream()
-            .map(header -> Map.entry(header.getName(), header.getValue()))
-            .toList();
+    List<Map.Entry<String, String>> headers = headersOf(answer);
     if (failure || EventLog.samples(id)) {
       entry
           .log()
@@ -280,6 +282,12 @@
     }
   }
 
+  private static List<Map.Entry<String, String>> headersOf(Answer answer) {
+    return answer.getHeadersList().stream()
+        .map(header -> Map.entry(header.getName(), header.getValue()))
+        .toList();
+  }
+
   private void body(ByteString content, boolean last) {
     int bytes = content.size();
     if (bytes > 0) {
@@ -422,7 +430,12 @@
 
   /** Ends a call that no target has answered. */
   private void giveUp() {
-    if (mayHaveRun) {
+    if (failureAnswer != null) {
+      exchange.respond(
+          failureAnswer.getStatus(),
+          headersOf(failureAnswer),
+          failureAnswer.getBody().toByteArray());
+    } else if (mayHaveRun) {
       int status = left().isNegative() ? 504 : 502;
       entry
           .log()
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -1,10 +1,12 @@
 package org.cuminlatch.node.mesh;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.UnsafeByteOperations;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -30,6 +32,7 @@
 import org.cuminlatch.node.mesh.KeyedStore.Stream;
 import org.cuminlatch.wire.proto.call.Begin;
 import org.cuminlatch.wire.proto.call.CallFrame;
+import org.cuminlatch.wire.proto.call.ConfigRecord;
 import org.cuminlatch.wire.proto.call.MoveEvidence;
 import org.cuminlatch.wire.proto.call.MoveFact;
 import org.cuminlatch.wire.proto.call.TargetPhase;
@@ -54,6 +57,9 @@
 
   private static final Duration MOVE_TICK = Duration.ofMillis(250);
 
+  /** Time between two looks at whether others have a newer configuration. */
+  private static final Duration PULL_CHECK = Duration.ofMillis(900);
+
   private static final int OLD_EVIDENCE_TICKS = 2;
 
   private static final Duration REGISTER_RETRY = Duration.ofMillis(500);
@@ -72,6 +78,8 @@
   private final Map<String, TargetStatus> peerStatuses = new HashMap<>();
   private final EvidenceCounts evidence = new EvidenceCounts();
   private TargetStatus storing;
+  private volatile Item inForce;
+  private boolean behind;
   private boolean registered;
   private int evidenceTicks;
   private volatile Instant coldUntil = Instant.MIN;
@@ -136,6 +144,8 @@
           follow(Stream.OPERATOR, CONFIGURATION_PAUSE, this::operatorRecord, () -> {}).start();
           follow(Stream.NODES, NODES_PAUSE, this::nodeRecord, this::nodesChanged).start();
         });
+    control.scheduleWithFixedDelay(
+        this::pullIfBehind, PULL_CHECK.toMillis(), PULL_CHECK.toMillis(), TimeUnit.MILLISECONDS);
     control.scheduleWithFixedDelay(
         this::tickMoves, MOVE_TICK.toMillis(), MOVE_TICK.toMillis(), TimeUnit.MILLISECONDS);
     control.schedule(
@@ -222,14 +232,15 @@
       log.event("record-ignored").with("key", item.key()).with("offset", item.offset()).write();
       return;
     }
-    decoded.get().configuration().ifPresent(this::configuration);
+    decoded.get().configuration().ifPresent(snapshot -> configuration(snapshot, item));
     decoded.get().order().ifPresent(moves::ordered);
   }
 
-  private void configuration(Snapshot snapshot) {
+  private void configuration(Snapshot snapshot, Item item) {
     if (snapshot.version() <= view.version()) {
       return;
     }
+    inForce = item;
     RouteTable table = RouteTable.of(snapshot);
     view = view.withTable(table);
     log.event("configuration")
@@ -239,6 +250,30 @@
     publishTarget();
   }
 
+  /** Asks another node for a configuration that has not come from the store for some time. */
+  private void pullIfBehind() {
+    Optional<TargetStatus> newer =
+        peerStatuses.values().stream()
+            .filter(peer -> peer.getConfigVersion() > view.version())
+            .max(Comparator.comparing(this::isNear));
+    if (newer.isEmpty()) {
+      behind = false;
+    } else if (!behind) {
+      behind = true; // the store usually delivers it before the next look
+    } else {
+      log.event("configuration-pulled")
+          .with("peer", newer.get().getNode())
+          .with("version", newer.get().getConfigVersion())
+          .with("own", view.version())
+          .write();
+      traffic.execute(() -> links.pullConfiguration(newer.get().getNode()));
+    }
+  }
+
+  private boolean isNear(TargetStatus peer) {
+    return peer.getZone().equals(settings.locality().zone());
+  }
+
   private void nodeRecord(Item item) {
     Address address = Address.parse(item.key());
     if (address.equals(settings.peers())) {
@@ -488,6 +523,20 @@
         evidence.clear();
       }
 
+      @Override
+      public Optional<CallFrame> configuration() {
+        return Optional.ofNullable(inForce)
+            .map(
+                item ->
+                    CallFrame.newBuilder()
+                        .setConfigRecord(
+                            ConfigRecord.newBuilder()
+                                .setKey(item.key())
+                                .setValue(UnsafeByteOperations.unsafeWrap(item.value()))
+                                .setOffset(item.offset()))
+                        .build());
+      }
+
       @Override
       public Optional<CallFrame> knownMoves() {
         return facts.isEmpty() ? Optional.empty() : Optional.of(evidenceFrame());
@@ -512,6 +561,12 @@
         control.execute(() -> peerStatuses.remove(peer.getNode(), peer));
       }
 
+      @Override
+      public void configuration(ConfigRecord record) {
+        byte[] value = record.getValue().toByteArray();
+        control.execute(() -> operatorRecord(new Item(record.getKey(), value, record.getOffset())));
+      }
+
       @Override
       public void evidence(CallFrame frame) {
         control.execute(() -> moves.evidence(frame.getEvidence()));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
@@ -202,7 +202,12 @@
 
   private void fact(MoveFact fact, String source) {
     Followed followed = moves.get(fact.getService());
-    if (followed == null || followed.move.order().id() != fact.getOrder()) {
+    if (followed == null || followed.move.order().id() < fact.getOrder()) {
+      Duration length = Duration.ofNanos(fact.getLengthMicros() * 1000);
+      ordered(new MoveOrder(fact.getOrder(), fact.getService(), fact.getVersion(), length));
+      followed = moves.get(fact.getService());
+    }
+    if (followed.move.order().id() != fact.getOrder()) {
       return;
     }
     OrderedMove move = followed.move;
@@ -236,6 +241,7 @@
                     .setOrder(followed.move.order().id())
                     .setPhase(phase(followed.move))
                     .setElapsedMicros(followed.move.elapsed(now).toNanos() / 1000)
+                    .setLengthMicros(followed.move.order().length().toNanos() / 1000)
                     .setStated(followed.stated != null)
                     .build()));
     return facts;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -18,6 +18,8 @@
 import org.cuminlatch.wire.call.CallFrames;
 import org.cuminlatch.wire.call.CallTransport;
 import org.cuminlatch.wire.proto.call.CallFrame;
+import org.cuminlatch.wire.proto.call.ConfigPull;
+import org.cuminlatch.wire.proto.call.ConfigRecord;
 import org.cuminlatch.wire.proto.call.Ping;
 import org.cuminlatch.wire.proto.call.TargetPhase;
 import org.cuminlatch.wire.proto.call.TargetStatus;
@@ -71,6 +73,9 @@
     void lost(TargetStatus status);
 
     void evidence(CallFrame frame);
+
+    /** A node has sent the configuration that it was asked for. */
+    void configuration(ConfigRecord record);
   }
 
   /** Sets the target beside this node, empty while it takes no requests. */
@@ -80,6 +85,14 @@
     rebuild();
   }
 
+  /** Asks a node for the configuration that it has in force. */
+  void pullConfiguration(String node) {
+    CallFrame pull = CallFrame.newBuilder().setConfigPull(ConfigPull.getDefaultInstance()).build();
+    links.values().stream()
+        .filter(link -> link.status().filter(status -> status.getNode().equals(node)).isPresent())
+        .forEach(link -> link.send(pull));
+  }
+
   /** Sets the nodes that are known; connections to others are closed. */
   void nodes(Set<Address> addresses) {
     for (Address address : addresses) {
@@ -170,6 +183,7 @@
     switch (frame.getKindCase()) {
       case STATUS -> statusChanged(link, frame.getStatus());
       case EVIDENCE -> listener.evidence(frame);
+      case CONFIG_RECORD -> listener.configuration(frame.getConfigRecord());
       case PONG -> {}
       default -> link.received(frame, CallFrames.attempt(frame));
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -106,6 +106,9 @@
     /** Another target, or another start of it, is beside the node. */
     void targetReplaced();
 
+    /** Returns the record that holds the configuration in force. */
+    Optional<CallFrame> configuration();
+
     /** Returns what is told of moves to a node that connects. */
     Optional<CallFrame> knownMoves();
 
@@ -192,6 +195,7 @@
       case BODY -> find(id).ifPresent(attempt -> body(attempt, frame));
       case CREDIT -> find(id).ifPresent(attempt -> grant(attempt, frame.getCredit().getBytes()));
       case CANCEL -> cancel(channel, id);
+      case CONFIG_PULL -> listener.configuration().ifPresent(channel::send);
       case PING -> channel.send(CallFrame.newBuilder().setPong(Pong.getDefaultInstance()).build());
       default -> channel.close();
     }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrame.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrame.java
@@ -66,6 +66,8 @@
     REJOIN(13),
     STATUS(14),
     EVIDENCE(15),
+    CONFIG_PULL(16),
+    CONFIG_RECORD(17),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -96,6 +98,8 @@
         case 13: return REJOIN;
         case 14: return STATUS;
         case 15: return EVIDENCE;
+        case 16: return CONFIG_PULL;
+        case 17: return CONFIG_RECORD;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -536,6 +540,68 @@
     return org.cuminlatch.wire.proto.call.MoveEvidence.getDefaultInstance();
   }
 
+  public static final int CONFIG_PULL_FIELD_NUMBER = 16;
+  /**
+   * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+   * @return Whether the configPull field is set.
+   */
+  @java.lang.Override
+  public boolean hasConfigPull() {
+    return kindCase_ == 16;
+  }
+  /**
+   * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+   * @return The configPull.
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.ConfigPull getConfigPull() {
+    if (kindCase_ == 16) {
+       return (org.cuminlatch.wire.proto.call.ConfigPull) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.ConfigPull.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.ConfigPullOrBuilder getConfigPullOrBuilder() {
+    if (kindCase_ == 16) {
+       return (org.cuminlatch.wire.proto.call.ConfigPull) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.ConfigPull.getDefaultInstance();
+  }
+
+  public static final int CONFIG_RECORD_FIELD_NUMBER = 17;
+  /**
+   * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+   * @return Whether the configRecord field is set.
+   */
+  @java.lang.Override
+  public boolean hasConfigRecord() {
+    return kindCase_ == 17;
+  }
+  /**
+   * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+   * @return The configRecord.
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.ConfigRecord getConfigRecord() {
+    if (kindCase_ == 17) {
+       return (org.cuminlatch.wire.proto.call.ConfigRecord) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.ConfigRecord.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.ConfigRecordOrBuilder getConfigRecordOrBuilder() {
+    if (kindCase_ == 17) {
+       return (org.cuminlatch.wire.proto.call.ConfigRecord) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.ConfigRecord.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -595,6 +661,12 @@
     if (kindCase_ == 15) {
       output.writeMessage(15, (org.cuminlatch.wire.proto.call.MoveEvidence) kind_);
     }
+    if (kindCase_ == 16) {
+      output.writeMessage(16, (org.cuminlatch.wire.proto.call.ConfigPull) kind_);
+    }
+    if (kindCase_ == 17) {
+      output.writeMessage(17, (org.cuminlatch.wire.proto.call.ConfigRecord) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -664,6 +736,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(15, (org.cuminlatch.wire.proto.call.MoveEvidence) kind_);
     }
+    if (kindCase_ == 16) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(16, (org.cuminlatch.wire.proto.call.ConfigPull) kind_);
+    }
+    if (kindCase_ == 17) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(17, (org.cuminlatch.wire.proto.call.ConfigRecord) kind_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -737,6 +817,14 @@
         if (!getEvidence()
             .equals(other.getEvidence())) return false;
         break;
+      case 16:
+        if (!getConfigPull()
+            .equals(other.getConfigPull())) return false;
+        break;
+      case 17:
+        if (!getConfigRecord()
+            .equals(other.getConfigRecord())) return false;
+        break;
       case 0:
       default:
     }
@@ -810,6 +898,14 @@
         hash = (37 * hash) + EVIDENCE_FIELD_NUMBER;
         hash = (53 * hash) + getEvidence().hashCode();
         break;
+      case 16:
+        hash = (37 * hash) + CONFIG_PULL_FIELD_NUMBER;
+        hash = (53 * hash) + getConfigPull().hashCode();
+        break;
+      case 17:
+        hash = (37 * hash) + CONFIG_RECORD_FIELD_NUMBER;
+        hash = (53 * hash) + getConfigRecord().hashCode();
+        break;
       case 0:
       default:
     }
@@ -989,6 +1085,12 @@
       if (evidenceBuilder_ != null) {
         evidenceBuilder_.clear();
       }
+      if (configPullBuilder_ != null) {
+        configPullBuilder_.clear();
+      }
+      if (configRecordBuilder_ != null) {
+        configRecordBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -1088,6 +1190,14 @@
           evidenceBuilder_ != null) {
         result.kind_ = evidenceBuilder_.build();
       }
+      if (kindCase_ == 16 &&
+          configPullBuilder_ != null) {
+        result.kind_ = configPullBuilder_.build();
+      }
+      if (kindCase_ == 17 &&
+          configRecordBuilder_ != null) {
+        result.kind_ = configRecordBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1161,6 +1271,14 @@
           mergeEvidence(other.getEvidence());
           break;
         }
+        case CONFIG_PULL: {
+          mergeConfigPull(other.getConfigPull());
+          break;
+        }
+        case CONFIG_RECORD: {
+          mergeConfigRecord(other.getConfigRecord());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -1292,6 +1410,20 @@
               kindCase_ = 15;
               break;
             } // case 122
+            case 130: {
+              input.readMessage(
+                  internalGetConfigPullFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 16;
+              break;
+            } // case 130
+            case 138: {
+              input.readMessage(
+                  internalGetConfigRecordFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 17;
+              break;
+            } // case 138
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3234,6 +3366,290 @@
       return evidenceBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.ConfigPull, org.cuminlatch.wire.proto.call.ConfigPull.Builder, org.cuminlatch.wire.proto.call.ConfigPullOrBuilder> configPullBuilder_;
+    /**
+     * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+     * @return Whether the configPull field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfigPull() {
+      return kindCase_ == 16;
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+     * @return The configPull.
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.ConfigPull getConfigPull() {
+      if (configPullBuilder_ == null) {
+        if (kindCase_ == 16) {
+          return (org.cuminlatch.wire.proto.call.ConfigPull) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.ConfigPull.getDefaultInstance();
+      } else {
+        if (kindCase_ == 16) {
+          return configPullBuilder_.getMessage();
+        }
+        return org.cuminlatch.wire.proto.call.ConfigPull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+     */
+    public Builder setConfigPull(org.cuminlatch.wire.proto.call.ConfigPull value) {
+      if (configPullBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        configPullBuilder_.setMessage(value);
+      }
+      kindCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+     */
+    public Builder setConfigPull(
+        org.cuminlatch.wire.proto.call.ConfigPull.Builder builderForValue) {
+      if (configPullBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        configPullBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+     */
+    public Builder mergeConfigPull(org.cuminlatch.wire.proto.call.ConfigPull value) {
+      if (configPullBuilder_ == null) {
+        if (kindCase_ == 16 &&
+            kind_ != org.cuminlatch.wire.proto.call.ConfigPull.getDefaultInstance()) {
+          kind_ = org.cuminlatch.wire.proto.call.ConfigPull.newBuilder((org.cuminlatch.wire.proto.call.ConfigPull) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 16) {
+          configPullBuilder_.mergeFrom(value);
+        } else {
+          configPullBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+     */
+    public Builder clearConfigPull() {
+      if (configPullBuilder_ == null) {
+        if (kindCase_ == 16) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 16) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        configPullBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+     */
+    public org.cuminlatch.wire.proto.call.ConfigPull.Builder getConfigPullBuilder() {
+      return internalGetConfigPullFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.ConfigPullOrBuilder getConfigPullOrBuilder() {
+      if ((kindCase_ == 16) && (configPullBuilder_ != null)) {
+        return configPullBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 16) {
+          return (org.cuminlatch.wire.proto.call.ConfigPull) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.ConfigPull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.ConfigPull, org.cuminlatch.wire.proto.call.ConfigPull.Builder, org.cuminlatch.wire.proto.call.ConfigPullOrBuilder> 
+        internalGetConfigPullFieldBuilder() {
+      if (configPullBuilder_ == null) {
+        if (!(kindCase_ == 16)) {
+          kind_ = org.cuminlatch.wire.proto.call.ConfigPull.getDefaultInstance();
+        }
+        configPullBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cuminlatch.wire.proto.call.ConfigPull, org.cuminlatch.wire.proto.call.ConfigPull.Builder, org.cuminlatch.wire.proto.call.ConfigPullOrBuilder>(
+                (org.cuminlatch.wire.proto.call.ConfigPull) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 16;
+      onChanged();
+      return configPullBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.ConfigRecord, org.cuminlatch.wire.proto.call.ConfigRecord.Builder, org.cuminlatch.wire.proto.call.ConfigRecordOrBuilder> configRecordBuilder_;
+    /**
+     * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+     * @return Whether the configRecord field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfigRecord() {
+      return kindCase_ == 17;
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+     * @return The configRecord.
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.ConfigRecord getConfigRecord() {
+      if (configRecordBuilder_ == null) {
+        if (kindCase_ == 17) {
+          return (org.cuminlatch.wire.proto.call.ConfigRecord) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.ConfigRecord.getDefaultInstance();
+      } else {
+        if (kindCase_ == 17) {
+          return configRecordBuilder_.getMessage();
+        }
+        return org.cuminlatch.wire.proto.call.ConfigRecord.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+     */
+    public Builder setConfigRecord(org.cuminlatch.wire.proto.call.ConfigRecord value) {
+      if (configRecordBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        configRecordBuilder_.setMessage(value);
+      }
+      kindCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+     */
+    public Builder setConfigRecord(
+        org.cuminlatch.wire.proto.call.ConfigRecord.Builder builderForValue) {
+      if (configRecordBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        configRecordBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+     */
+    public Builder mergeConfigRecord(org.cuminlatch.wire.proto.call.ConfigRecord value) {
+      if (configRecordBuilder_ == null) {
+        if (kindCase_ == 17 &&
+            kind_ != org.cuminlatch.wire.proto.call.ConfigRecord.getDefaultInstance()) {
+          kind_ = org.cuminlatch.wire.proto.call.ConfigRecord.newBuilder((org.cuminlatch.wire.proto.call.ConfigRecord) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 17) {
+          configRecordBuilder_.mergeFrom(value);
+        } else {
+          configRecordBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+     */
+    public Builder clearConfigRecord() {
+      if (configRecordBuilder_ == null) {
+        if (kindCase_ == 17) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 17) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        configRecordBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+     */
+    public org.cuminlatch.wire.proto.call.ConfigRecord.Builder getConfigRecordBuilder() {
+      return internalGetConfigRecordFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.ConfigRecordOrBuilder getConfigRecordOrBuilder() {
+      if ((kindCase_ == 17) && (configRecordBuilder_ != null)) {
+        return configRecordBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 17) {
+          return (org.cuminlatch.wire.proto.call.ConfigRecord) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.ConfigRecord.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.ConfigRecord, org.cuminlatch.wire.proto.call.ConfigRecord.Builder, org.cuminlatch.wire.proto.call.ConfigRecordOrBuilder> 
+        internalGetConfigRecordFieldBuilder() {
+      if (configRecordBuilder_ == null) {
+        if (!(kindCase_ == 17)) {
+          kind_ = org.cuminlatch.wire.proto.call.ConfigRecord.getDefaultInstance();
+        }
+        configRecordBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cuminlatch.wire.proto.call.ConfigRecord, org.cuminlatch.wire.proto.call.ConfigRecord.Builder, org.cuminlatch.wire.proto.call.ConfigRecordOrBuilder>(
+                (org.cuminlatch.wire.proto.call.ConfigRecord) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 17;
+      onChanged();
+      return configRecordBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.CallFrame)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrameOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrameOrBuilder.java
@@ -217,5 +217,35 @@
    */
   org.cuminlatch.wire.proto.call.MoveEvidenceOrBuilder getEvidenceOrBuilder();
 
+  /**
+   * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+   * @return Whether the configPull field is set.
+   */
+  boolean hasConfigPull();
+  /**
+   * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+   * @return The configPull.
+   */
+  org.cuminlatch.wire.proto.call.ConfigPull getConfigPull();
+  /**
+   * <code>.cuminlatch.call.ConfigPull config_pull = 16;</code>
+   */
+  org.cuminlatch.wire.proto.call.ConfigPullOrBuilder getConfigPullOrBuilder();
+
+  /**
+   * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+   * @return Whether the configRecord field is set.
+   */
+  boolean hasConfigRecord();
+  /**
+   * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+   * @return The configRecord.
+   */
+  org.cuminlatch.wire.proto.call.ConfigRecord getConfigRecord();
+  /**
+   * <code>.cuminlatch.call.ConfigRecord config_record = 17;</code>
+   */
+  org.cuminlatch.wire.proto.call.ConfigRecordOrBuilder getConfigRecordOrBuilder();
+
   org.cuminlatch.wire.proto.call.CallFrame.KindCase getKindCase();
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/MoveFact.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/MoveFact.java
@@ -187,6 +187,21 @@
     }
   }
 
+  public static final int LENGTH_MICROS_FIELD_NUMBER = 7;
+  private long lengthMicros_ = 0L;
+  /**
+   * <pre>
+   * Time from the order to its deadline.
+   * </pre>
+   *
+   * <code>int64 length_micros = 7;</code>
+   * @return The lengthMicros.
+   */
+  @java.lang.Override
+  public long getLengthMicros() {
+    return lengthMicros_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -219,6 +234,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, version_);
     }
+    if (lengthMicros_ != 0L) {
+      output.writeInt64(7, lengthMicros_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -250,6 +268,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, version_);
     }
+    if (lengthMicros_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(7, lengthMicros_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -276,6 +298,8 @@
         != other.getStated()) return false;
     if (!getVersion()
         .equals(other.getVersion())) return false;
+    if (getLengthMicros()
+        != other.getLengthMicros()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -302,6 +326,9 @@
         getStated());
     hash = (37 * hash) + VERSION_FIELD_NUMBER;
     hash = (53 * hash) + getVersion().hashCode();
+    hash = (37 * hash) + LENGTH_MICROS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLengthMicros());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -443,6 +470,7 @@
       elapsedMicros_ = 0L;
       stated_ = false;
       version_ = "";
+      lengthMicros_ = 0L;
       return this;
     }
 
@@ -494,6 +522,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.version_ = version_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.lengthMicros_ = lengthMicros_;
+      }
     }
 
     @java.lang.Override
@@ -530,6 +561,9 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (other.getLengthMicros() != 0L) {
+        setLengthMicros(other.getLengthMicros());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -586,6 +620,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 56: {
+              lengthMicros_ = input.readInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -918,6 +957,50 @@
       return this;
     }
 
+    private long lengthMicros_ ;
+    /**
+     * <pre>
+     * Time from the order to its deadline.
+     * </pre>
+     *
+     * <code>int64 length_micros = 7;</code>
+     * @return The lengthMicros.
+     */
+    @java.lang.Override
+    public long getLengthMicros() {
+      return lengthMicros_;
+    }
+    /**
+     * <pre>
+     * Time from the order to its deadline.
+     * </pre>
+     *
+     * <code>int64 length_micros = 7;</code>
+     * @param value The lengthMicros to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLengthMicros(long value) {
+
+      lengthMicros_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time from the order to its deadline.
+     * </pre>
+     *
+     * <code>int64 length_micros = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLengthMicros() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      lengthMicros_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.MoveFact)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/MoveFactOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/MoveFactOrBuilder.java
@@ -70,4 +70,14 @@
    */
   com.google.protobuf.ByteString
       getVersionBytes();
+
+  /**
+   * <pre>
+   * Time from the order to its deadline.
+   * </pre>
+   *
+   * <code>int64 length_micros = 7;</code>
+   * @return The lengthMicros.
+   */
+  long getLengthMicros();
 }
