Send body parts of a local attempt to the gate, not back to its caller

Cause: the local link had one method for both directions, so that the parts of a request over 256 KB came back as parts of an answer when the own target was chosen. Ruled out: load, time limits, credit.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/LocalLink.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/LocalLink.java
@@ -8,11 +8,12 @@
 import org.cuminlatch.wire.call.CallFrames;
 import org.cuminlatch.wire.proto.call.CallFrame;
 
-/** The way to the gate in the same process; frames take a turn of the event loop each way. */
-final class LocalLink implements TargetLink, CallChannel {
+/** The way to the gate in the same process; what comes back takes a turn of the event loop. */
+final class LocalLink implements TargetLink {
 
   private final EventLoop loop;
   private final SlotGate gate;
+  private final CallChannel back = new BackChannel();
   private final Map<AttemptId, AttemptListener> listeners = new HashMap<>();
 
   LocalLink(EventLoop loop, SlotGate gate) {
@@ -23,16 +24,17 @@
   @Override
   public void begin(AttemptId attempt, CallFrame begin, AttemptListener listener) {
     listeners.put(attempt, listener);
-    gate.received(this, begin);
+    send(begin);
   }
 
-  /** Takes a frame of either end: the gate's answers go to listeners, all else to the gate. */
   @Override
   public void send(CallFrame frame) {
-    switch (frame.getKindCase()) {
-      case CANCEL, CREDIT -> gate.received(this, frame);
-      default -> loop.execute(() -> deliver(frame));
-    }
+    gate.received(back, frame);
+  }
+
+  @Override
+  public void forget(AttemptId attempt) {
+    listeners.remove(attempt);
   }
 
   private void deliver(CallFrame frame) {
@@ -42,23 +44,27 @@
     }
   }
 
-  @Override
-  public void forget(AttemptId attempt) {
-    listeners.remove(attempt);
-  }
+  /** Carries the gate's frames to those who wait for them. */
+  private final class BackChannel implements CallChannel {
 
-  @Override
-  public void close() {
-    // the process is one; there is nothing to close
-  }
+    @Override
+    public void send(CallFrame frame) {
+      loop.execute(() -> deliver(frame));
+    }
 
-  @Override
-  public boolean isOpen() {
-    return true;
-  }
+    @Override
+    public void close() {
+      // the process is one; there is nothing to close
+    }
 
-  @Override
-  public String peer() {
-    return "local";
+    @Override
+    public boolean isOpen() {
+      return true;
+    }
+
+    @Override
+    public String peer() {
+      return "local";
+    }
   }
 }
