--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
@@ -18,7 +18,15 @@
   private static final Duration REPORT_AGE = Duration.ofSeconds(2);
   private static final Duration LATENCY_HALF_LIFE = Duration.ofSeconds(5);
 
+  /** Part of the difference by which each attempt moves the known share of failures. */
+  private static final double FAILURE_SMOOTHING = 0.1;
+
+  private static final Duration FAILURE_HALF_LIFE = Duration.ofSeconds(5);
+
   private final Instant firstSeen;
+  private final LoadPolicy policy;
+  private double failureShare;
+  private Instant failureShareAt = Instant.MIN;
   private int outstanding;
   private int outstandingAtReport;
   private ReportedLoad report;
@@ -29,8 +37,9 @@
   private int ejections;
   private Instant ejectedUntil = Instant.MIN;
 
-  TargetLoad(Instant firstSeen) {
+  TargetLoad(Instant firstSeen, LoadPolicy policy) {
     this.firstSeen = firstSeen;
+    this.policy = policy;
   }
 
   synchronized void begin() {
@@ -54,10 +63,12 @@
         latencyAt.equals(Instant.MIN) ? millis : known + LATENCY_SMOOTHING * (millis - known);
     latencyAt = now;
     failuresInRow = 0;
+    countFailure(0, now);
     ejections = now.isBefore(ejectedUntil) ? ejections : Math.max(0, ejections - 1);
   }
 
   synchronized void failed(Instant now) {
+    countFailure(1, now);
     failuresInRow++;
     if (failuresInRow >= FAILURES_TO_EJECT && !now.isBefore(ejectedUntil)) {
       eject(now);
@@ -71,6 +82,23 @@
     }
   }
 
+  private void countFailure(double failure, Instant now) {
+    double known = failureShare(now);
+    failureShare = known + FAILURE_SMOOTHING * (failure - known);
+    failureShareAt = now;
+  }
+
+  private double failureShare(Instant now) {
+    return failureShareAt.equals(Instant.MIN)
+        ? 0
+        : failureShare * halving(failureShareAt, now, FAILURE_HALF_LIFE);
+  }
+
+  private static double halving(Instant since, Instant now, Duration halfLife) {
+    double age = Math.max(0, Duration.between(since, now).toNanos());
+    return Math.pow(0.5, age / halfLife.toNanos());
+  }
+
   private void eject(Instant now) {
     Duration doubled = FIRST_EJECTION.multipliedBy(1L << Math.min(ejections, 5));
     Duration length = doubled.compareTo(LONGEST_EJECTION) < 0 ? doubled : LONGEST_EJECTION;
@@ -83,16 +111,20 @@
     return now.isBefore(ejectedUntil) ? Optional.of(ejectedUntil) : Optional.empty();
   }
 
-  /** Returns the requests at the target per slot; 1 means that no slot is free. */
+  /**
+   * Returns the requests at the target per slot, more for one that fails; 1 means that no slot is
+   * free.
+   */
   synchronized double pressure(int slots, Instant now) {
-    return occupied(now) / Math.max(1, limit(slots, now));
+    return occupied(now) / Math.max(1, limit(slots, now))
+        + policy.failurePressure() * failureShare(now);
   }
 
   /** Returns the cost of one more request; the lower one is chosen. */
   synchronized double cost(int slots, Instant now) {
     double latency = Math.max(LATENCY_FLOOR_MILLIS, latencyAt(now));
     double loaded = (occupied(now) + 1) / Math.max(1, limit(slots, now));
-    return loaded * latency / weight(now);
+    return loaded * latency / weight(now) * (1 + policy.failureCost() * failureShare(now));
   }
 
   private double occupied(Instant now) {
@@ -115,12 +147,11 @@
     if (latencyAt.equals(Instant.MIN)) {
       return 0;
     }
-    double idle = Duration.between(latencyAt, now).toNanos();
-    return latencyMillis * Math.pow(0.5, Math.max(0, idle) / LATENCY_HALF_LIFE.toNanos());
+    return latencyMillis * halving(latencyAt, now, LATENCY_HALF_LIFE);
   }
 
   private double weight(Instant now) {
     double age = Duration.between(firstSeen, now).toNanos();
-    return Math.max(LEAST_WEIGHT, Math.min(1, age / SLOW_START.toNanos()));
+    return Math.max(LEAST_WEIGHT, Math.min(1, age / policy.slowStart().toNanos()));
   }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoads.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoads.java
@@ -15,6 +15,21 @@
 public final class TargetLoads {
 
   private final Map<String, TargetLoad> loads = new ConcurrentHashMap<>();
+  private final LoadPolicy policy;
+
+  /** Creates the knowledge of nothing, by which failures count by ejection only. */
+  public TargetLoads() {
+    this(LoadPolicy.EJECTION_ONLY);
+  }
+
+  /**
+   * Creates the knowledge of nothing.
+   *
+   * @param policy how it weighs
+   */
+  public TargetLoads(LoadPolicy policy) {
+    this.policy = notNull(policy, "policy");
+  }
 
   /**
    * Counts an attempt as outstanding.
@@ -70,7 +85,9 @@
 
   TargetLoad of(String instance, Instant now) {
     TargetLoad load = loads.get(instance);
-    return load != null ? load : loads.computeIfAbsent(instance, name -> new TargetLoad(now));
+    return load != null
+        ? load
+        : loads.computeIfAbsent(instance, name -> new TargetLoad(now, policy));
   }
 
   /** What the end of an attempt says about the target. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/event/EventLog.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/event/EventLog.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -22,7 +24,7 @@
 public final class EventLog {
 
   /** Lines a second that one process may write. */
-  private static final int LINES_PER_SECOND = 80;
+  private static final int LINES_PER_SECOND = 40;
 
   /** Lines that wait for the thread that writes them. */
   private static final int BUFFERED_LINES = 1024;
@@ -31,6 +33,10 @@
   private static final int SUCCESS_SAMPLE = 32;
 
   private static final Duration LOAD_DELAY = Duration.ofMillis(2500);
+
+  /** Time in which lines gather, to be written at once. */
+  private static final Duration GATHER = Duration.ofMillis(200);
+
   private static final Duration FLUSH_WAIT = Duration.ofMillis(400);
 
   private final InstantSource clock;
@@ -65,11 +71,16 @@
     try {
       TimeUnit.MILLISECONDS.sleep(LOAD_DELAY.toMillis());
       Logger events = LogManager.getLogger("events");
+      List<CharSequence> lines = new ArrayList<>();
       while (true) {
+        lines.add(buffer.take());
         writing = true;
-        events.info(buffer.take());
-        writing = !buffer.isEmpty();
+        buffer.drainTo(lines);
+        events.info(String.join("\n", lines));
+        lines.clear();
         reportDropped(events);
+        writing = false;
+        TimeUnit.MILLISECONDS.sleep(GATHER.toMillis());
       }
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
@@ -86,7 +97,7 @@
   /** Waits a moment for the lines that are buffered, before the process ends. */
   public void flush() {
     long end = System.nanoTime() + FLUSH_WAIT.toNanos();
-    while (!buffer.isEmpty() && writing && System.nanoTime() < end) {
+    while ((writing || !buffer.isEmpty()) && System.nanoTime() < end) {
       try {
         TimeUnit.MILLISECONDS.sleep(10);
       } catch (InterruptedException interrupted) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
@@ -18,6 +18,7 @@
 import org.cuminlatch.core.config.RoutePolicy;
 import org.cuminlatch.core.retry.RetryBudget;
 import org.cuminlatch.core.route.LinkBudget;
+import org.cuminlatch.core.route.LoadPolicy;
 import org.cuminlatch.core.route.RequestHead;
 import org.cuminlatch.core.route.ServicePlacement;
 import org.cuminlatch.core.route.TargetLoads;
@@ -58,7 +59,7 @@
   private final Supplier<MeshView> view;
   private final EventLog log;
   private final MeshMetrics metrics;
-  private final TargetLoads loads = new TargetLoads();
+  private final TargetLoads loads = new TargetLoads(LoadPolicy.GRADED);
   private final LinkBudget link;
   private final ServicePlacement placement;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -55,11 +55,14 @@
   /** Longest time for which a target's report waits for the store. */
   private static final Duration LONGEST_STORE_WAIT = Duration.ofMillis(800);
 
-  private static final Duration MOVE_TICK = Duration.ofMillis(250);
+  private static final Duration MOVE_TICK = Duration.ofMillis(400);
 
   /** Time between two looks at whether others have a newer configuration. */
   private static final Duration PULL_CHECK = Duration.ofMillis(900);
 
+  /** Time in which configuration versions gather before other nodes are told. */
+  private static final Duration VERSION_PAUSE = Duration.ofMillis(800);
+
   private static final int OLD_EVIDENCE_TICKS = 2;
 
   private static final Duration REGISTER_RETRY = Duration.ofMillis(500);
@@ -80,6 +83,7 @@
   private TargetStatus storing;
   private volatile Item inForce;
   private boolean behind;
+  private boolean versionToPublish;
   private boolean registered;
   private int evidenceTicks;
   private volatile Instant coldUntil = Instant.MIN;
@@ -247,7 +251,16 @@
         .with("version", snapshot.version())
         .with("routes", snapshot.routes().size())
         .write();
-    publishTarget();
+    if (!versionToPublish) {
+      versionToPublish = true;
+      control.schedule(
+          () -> {
+            versionToPublish = false;
+            publishTarget();
+          },
+          VERSION_PAUSE.toMillis(),
+          TimeUnit.MILLISECONDS);
+    }
   }
 
   /** Asks another node for a configuration that has not come from the store for some time. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -51,6 +51,7 @@
   private final EventLog log;
   private final StatusListener listener;
   private final Map<Address, PeerLink> links = new HashMap<>();
+  private final Map<CallChannel, PeerLink> linkByChannel = new HashMap<>();
   private final Map<String, TargetLink> linkByInstance = new HashMap<>();
   private Optional<Member> local = Optional.empty();
   private TargetLink localLink;
@@ -160,6 +161,7 @@
                 link.notOpened(redialDelay(link.failures()));
               } else if (links.get(link.address()) == link) {
                 link.opened(channel);
+                linkByChannel.put(channel, link);
               } else {
                 channel.close();
               }
@@ -190,7 +192,12 @@
   }
 
   private void statusChanged(PeerLink link, TargetStatus status) {
+    boolean same = link.status().filter(known -> sameTarget(known, status)).isPresent();
     link.status(status);
+    listener.changed(status);
+    if (same) {
+      return;
+    }
     log.event("peer-status")
         .with("peer", status.getNode())
         .with("target", status.getInstance())
@@ -200,12 +207,19 @@
         .with("stops", String.valueOf(status.getNodeStops()))
         .write();
     rebuild();
-    listener.changed(status);
+  }
+
+  private static boolean sameTarget(TargetStatus one, TargetStatus other) {
+    return one.toBuilder()
+        .clearConfigVersion()
+        .build()
+        .equals(other.toBuilder().clearConfigVersion().build());
   }
 
   @Override
   public void closed(CallChannel channel) {
     PeerLink link = linkOver(channel);
+    linkByChannel.remove(channel);
     if (link != null) {
       log.event("link-lost").with("peer", link.address().toString()).write();
       drop(link);
@@ -219,12 +233,8 @@
   }
 
   private PeerLink linkOver(CallChannel channel) {
-    for (PeerLink link : links.values()) {
-      if (link.isOver(channel)) {
-        return link;
-      }
-    }
-    return null;
+    PeerLink link = linkByChannel.get(channel);
+    return link != null && link.isOver(channel) ? link : null;
   }
 
   private void rebuild() {
