Refuse at once while the node itself is behind

The lag of the traffic loop now counts as time that a call has waited, and beyond a limit calls are refused by rank. Ruled out: the store (read within 0.1 s) and the links (all open 0.3 s after the start).

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.cuminlatch.core.admission.LagLimit;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.RoutePolicy;
 import org.cuminlatch.core.retry.RetryBudget;
@@ -57,6 +58,7 @@
   private final RandomGenerator random;
   private final PeerLinks links;
   private final Supplier<MeshView> view;
+  private final LoopLag lag;
   private final EventLog log;
   private final MeshMetrics metrics;
   private final TargetLoads loads = new TargetLoads(LoadPolicy.GRADED);
@@ -74,6 +76,7 @@
       RandomGenerator random,
       PeerLinks links,
       Supplier<MeshView> view,
+      LoopLag lag,
       EventLog log,
       MeshMetrics metrics) {
     this.loop = loop;
@@ -82,6 +85,7 @@
     this.random = random;
     this.links = links;
     this.view = view;
+    this.lag = lag;
     this.log = log;
     this.metrics = metrics;
     this.link = new LinkBudget(REGION_LINK_BYTES_PER_SECOND, clock.instant());
@@ -114,6 +118,11 @@
       reject(exchange, id, 404, "no route in configuration " + now.version());
       return;
     }
+    Optional<Duration> comeBack = LagLimit.refusal(route.get().policy().priority(), lag.value());
+    if (comeBack.isPresent()) {
+      refuse(exchange, id, "node is behind", comeBack.get().toMillis() / 1000.0);
+      return;
+    }
     EntryCall call = new EntryCall(this, exchange, id, route.get(), service(route.get()));
     calls.add(call);
     call.start();
@@ -212,6 +221,11 @@
     return clock.instant();
   }
 
+  /** Returns when a request that is read now has probably arrived. */
+  Instant arrival() {
+    return now().minus(lag.value().dividedBy(2));
+  }
+
   EventLoop loop() {
     return loop;
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -91,10 +91,10 @@
     this.id = id;
     this.route = route;
     this.service = service;
-    this.startedAt = entry.now();
+    this.startedAt = entry.arrival();
     this.idempotent = isIdempotent(exchange, route);
     this.deadline = startedAt.plus(timeAllowed(entry, exchange, route));
-    Duration most = Duration.between(startedAt, deadline).plus(DEADLINE_GRACE);
+    Duration most = Duration.between(entry.now(), deadline).plus(DEADLINE_GRACE);
     this.timer = entry.loop().schedule(this::outOfTime, most.toMillis(), TimeUnit.MILLISECONDS);
     exchange.onCallerLeft(this::callerLeft);
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -44,6 +44,7 @@
   private final EventLoop traffic;
   private final EventLog log;
   private final MeshMetrics metrics = new MeshMetrics();
+  private final LoopLag lag = new LoopLag(SWEEP);
   private final MeshControl control;
   private final Entry entry;
   private final SlotGate gate;
@@ -74,7 +75,8 @@
         new SlotGate(traffic, target, clock, settings.headers(), log, control.gateListener());
     CallTransport transport = CallTransport.on(trafficGroup);
     this.links = new PeerLinks(transport, random, log, control.statusListener());
-    this.entry = new Entry(traffic, settings, clock, random, links, control::view, log, metrics);
+    this.entry =
+        new Entry(traffic, settings, clock, random, links, control::view, lag, log, metrics);
     control.connect(gate, links, new LocalLink(traffic, gate));
     this.callers =
         HttpServer.listen(trafficGroup, socket(settings.callers()), limits(), log, entry);
@@ -84,7 +86,12 @@
     HttpServer.listen(controlGroup, socket(settings.ready()), defaults(), log, this::ready);
     HttpServer.listen(controlGroup, socket(settings.metrics()), defaults(), log, this::metrics);
     addGauges();
-    every(SWEEP, gate::sweep);
+    every(
+        SWEEP,
+        () -> {
+          lag.tick();
+          gate.sweep();
+        });
     every(LINK_CHECK, links::check);
     control.start();
   }
@@ -179,6 +186,7 @@
     gauge("gate_running", gate::running);
     gauge("gate_waiting", gate::waiting);
     gauge("links_open", links::openLinks);
+    gauge("loop_lag_seconds", () -> lag.value().toNanos() / 1e9);
     gauge("entry_oldest_call_seconds", () -> entry.oldestCall().toMillis() / 1000.0);
   }
 
