--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveSchedule.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveSchedule.java
@@ -7,8 +7,9 @@
 /**
  * Shares of the new version over the time of an ordered move.
  *
- * <p>The shares before the last step add up to less than the part of the calls that a bad version
- * may get, as long as its badness shows by the step at which a target carries its usual load.
+ * <p>A bad version gets less than the part of the calls that it may, as long as its badness shows
+ * by the step at which a target carries its usual load. The old version keeps a few calls for
+ * comparison until shortly before the end, when it must have none under way.
  */
 final class MoveSchedule {
 
@@ -19,10 +20,11 @@
           new Step(0.30, 0.12),
           new Step(0.45, 0.3),
           new Step(0.57, 0.6),
-          new Step(0.67, 1));
+          new Step(0.67, 0.95),
+          new Step(0.78, 1));
 
   /** Part of the time to the deadline at which a move without badness is complete. */
-  private static final double COMPLETE_AT = 0.85;
+  private static final double COMPLETE_AT = 0.86;
 
   private MoveSchedule() {}
 
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/OrderedMove.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/OrderedMove.java
@@ -27,7 +27,7 @@
   private static final double ERROR_RATE = 1e-3;
 
   /** Time for which a suspicion waits for what the other targets counted meanwhile. */
-  private static final Duration CONFIRMATION = Duration.ofMillis(750);
+  private static final Duration CONFIRMATION = Duration.ofMillis(1600);
 
   /** Time before a suspicion over which both sides are compared to confirm it. */
   private static final Duration COMPARED = Duration.ofMillis(2000);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
@@ -34,10 +34,10 @@
   private static final long REGION_LINK_BYTES_PER_SECOND = 200_000;
 
   /**
-   * Repeats that a node may send per first attempt: a third of what operators usually allow all
-   * nodes together, as the calls of a repeated execution count as repeats too.
+   * Repeats that a node may send per first attempt: half of what operators usually allow all nodes
+   * together, as the calls of a repeated execution count as repeats too.
    */
-  static final double RETRY_SHARE = 0.06;
+  static final double RETRY_SHARE = 0.1;
 
   /** Repeats that a node may save up; small, as all nodes may spend theirs at the same time. */
   private static final double MOST_SAVED_RETRIES = 4;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -512,7 +512,9 @@
     status = described;
     traffic.execute(
         () -> {
-          Optional<Member> member = PeerLinks.member(described, settings.peers());
+          // a node that stops goes on to use its own target for its own callers
+          TargetStatus own = described.toBuilder().setNodeStops(false).build();
+          Optional<Member> member = PeerLinks.member(own, settings.peers());
           links.local(member, localLink);
           gate.broadcast(CallFrame.newBuilder().setStatus(described).build());
         });
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -34,7 +34,7 @@
   private static final Duration LINK_CHECK = Duration.ofMillis(250);
 
   /** Time after the request to stop in which callers still learn that the node is not ready. */
-  private static final Duration LEAVE_NOTICE = Duration.ofMillis(2400);
+  private static final Duration LEAVE_NOTICE = Duration.ofMillis(3200);
 
   private static final long CLOSE_MILLIS = 500;
 
