Own target in a class of its own; a target that was lost once is not taken for one that left

Found in reading: a new start of a target that reported itself while the gate still held the one before for lost was stored as absent, and a restarted node took that for a target that leaves, for good. The test for it was not run against the old code.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -1,6 +1,5 @@
 package org.cuminlatch.node.mesh;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.UnsafeByteOperations;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
@@ -16,7 +15,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.Snapshot;
@@ -24,8 +22,6 @@
 import org.cuminlatch.core.membership.Member;
 import org.cuminlatch.core.move.CallOutcome.Result;
 import org.cuminlatch.core.route.RouteTable;
-import org.cuminlatch.core.target.TargetExit;
-import org.cuminlatch.core.target.TargetLife;
 import org.cuminlatch.core.target.TargetReport;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Item;
@@ -35,7 +31,6 @@
 import org.cuminlatch.wire.proto.call.ConfigRecord;
 import org.cuminlatch.wire.proto.call.MoveEvidence;
 import org.cuminlatch.wire.proto.call.MoveFact;
-import org.cuminlatch.wire.proto.call.TargetPhase;
 import org.cuminlatch.wire.proto.call.TargetStatus;
 
 /**
@@ -44,7 +39,7 @@
  * <p>State is changed on the control loop only; the traffic gets it as one immutable view, and what
  * concerns gate and links as tasks for its own loop.
  */
-final class MeshControl implements TargetReports {
+final class MeshControl {
 
   /** Time in which changes of the configuration gather before the next wait for one. */
   private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(400);
@@ -52,9 +47,6 @@
   /** Time in which new nodes gather before the next wait for one. */
   private static final Duration NODES_PAUSE = Duration.ofMillis(1000);
 
-  /** Longest time for which a target's report waits for the store. */
-  private static final Duration LONGEST_STORE_WAIT = Duration.ofMillis(800);
-
   private static final Duration MOVE_TICK = Duration.ofMillis(400);
 
   /** Time between two looks at whether others have a newer configuration. */
@@ -74,13 +66,11 @@
   private final EventLog log;
   private final KeyedStore store;
   private final OperatorRecords records;
-  private final TargetLife life = new TargetLife();
   private final Set<Address> nodes = new HashSet<>();
-  private final CompletableFuture<Void> ownTargetRead = new CompletableFuture<>();
+  private final OwnTarget target;
   private final MoveControl moves;
   private final Map<String, TargetStatus> peerStatuses = new HashMap<>();
   private final EvidenceCounts evidence = new EvidenceCounts();
-  private TargetStatus storing;
   private volatile Item inForce;
   private boolean behind;
   private boolean versionToPublish;
@@ -115,6 +105,7 @@
     this.store = store;
     this.records = records;
     this.status = TargetStatus.getDefaultInstance();
+    this.target = new OwnTarget(settings.peers().toString(), control, store, log, gateControl());
     this.moves =
         new MoveControl(
             settings.node(),
@@ -127,6 +118,37 @@
             rules -> view = view.withRules(rules));
   }
 
+  /** Returns who takes the reports of the target beside the node. */
+  TargetReports reports() {
+    return target;
+  }
+
+  private OwnTarget.GateControl gateControl() {
+    return new OwnTarget.GateControl() {
+      @Override
+      public CompletableFuture<Void> open(TargetReport report) {
+        coldUntil = clock.instant().plus(report.coldLeft());
+        publishTarget();
+        return onTraffic(
+            () -> {
+              gate.open(report);
+              gate.targetHeard();
+            });
+      }
+
+      @Override
+      public CompletableFuture<Void> heard() {
+        return onTraffic(gate::targetHeard);
+      }
+
+      @Override
+      public CompletableFuture<Void> shut() {
+        publishTarget();
+        return onTraffic(gate::shut);
+      }
+    };
+  }
+
   private Map<String, TargetStatus> allStatuses() {
     Map<String, TargetStatus> all = new HashMap<>(peerStatuses);
     all.put(settings.node(), status);
@@ -143,7 +165,7 @@
   void start() {
     control.execute(
         () -> {
-          readOwnTarget();
+          target.read();
           moves.readStatements();
           follow(Stream.OPERATOR, CONFIGURATION_PAUSE, this::operatorRecord, () -> {}).start();
           follow(Stream.NODES, NODES_PAUSE, this::nodeRecord, this::nodesChanged).start();
@@ -152,8 +174,6 @@
         this::pullIfBehind, PULL_CHECK.toMillis(), PULL_CHECK.toMillis(), TimeUnit.MILLISECONDS);
     control.scheduleWithFixedDelay(
         this::tickMoves, MOVE_TICK.toMillis(), MOVE_TICK.toMillis(), TimeUnit.MILLISECONDS);
-    control.schedule(
-        () -> ownTargetRead.complete(null), LONGEST_STORE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   MeshView view() {
@@ -323,153 +343,6 @@
             });
   }
 
-  private void readOwnTarget() {
-    store
-        .newest(Stream.OWN_TARGETS)
-        .whenComplete(
-            (page, error) -> {
-              if (error == null) {
-                page.items().stream()
-                    .filter(item -> item.key().equals(settings.peers().toString()))
-                    .forEach(this::restoreTarget);
-              }
-              ownTargetRead.complete(null);
-            });
-  }
-
-  /** Takes what this node stored of its target before it was started anew. */
-  private void restoreTarget(Item item) {
-    try {
-      TargetStatus stored = TargetStatus.parseFrom(item.value());
-      if (stored.getPhase() == TargetPhase.READY) {
-        take(
-            new TargetReport(
-                stored.getInstance(),
-                stored.getBornMillis(),
-                0,
-                stored.getService(),
-                stored.getVersion(),
-                stored.getSlots(),
-                true,
-                Duration.ZERO),
-            false);
-      } else {
-        life.restore(new TargetExit(stored.getInstance(), stored.getBornMillis()));
-      }
-    } catch (InvalidProtocolBufferException | IllegalArgumentException unreadable) {
-      log.event("record-unusable")
-          .with("stream", Stream.OWN_TARGETS.name())
-          .with("reason", String.valueOf(unreadable))
-          .write();
-    }
-  }
-
-  @Override
-  public CompletionStage<Void> report(TargetReport report) {
-    return ownTargetRead.thenComposeAsync(unused -> take(report, true), control);
-  }
-
-  private CompletionStage<Void> take(TargetReport report, boolean fresh) {
-    TargetLife.Change change = life.report(report);
-    if (change != TargetLife.Change.NONE) {
-      log.event("target-report")
-          .with("target", report.instance())
-          .with("born", report.bornMillis())
-          .with("sequence", report.sequence())
-          .with("ready", String.valueOf(report.ready()))
-          .with("version", report.version())
-          .with("slots", report.slots())
-          .with("change", change.name())
-          .write();
-    }
-    return switch (change) {
-      case READY -> {
-        coldUntil = clock.instant().plus(report.coldLeft());
-        publishTarget();
-        if (fresh) {
-          storeTarget(status);
-        }
-        yield onTraffic(
-            () -> {
-              gate.open(report);
-              gate.targetHeard();
-            });
-      }
-      case LEAVES -> leave(report.instance(), report.bornMillis());
-      case NONE -> onTraffic(gate::targetHeard);
-      default -> CompletableFuture.completedFuture(null);
-    };
-  }
-
-  @Override
-  public CompletionStage<Void> deregister(String instance, long bornMillis) {
-    return ownTargetRead.thenComposeAsync(
-        unused -> {
-          TargetLife.Change change = life.deregister(instance, bornMillis);
-          log.event("target-deregistered")
-              .with("target", instance)
-              .with("born", bornMillis)
-              .with("change", change.name())
-              .write();
-          return change == TargetLife.Change.LEAVES
-              ? leave(instance, bornMillis)
-              : CompletableFuture.completedFuture(null);
-        },
-        control);
-  }
-
-  /** Shuts the gate, and remembers it where a restart finds it, before it is acknowledged. */
-  private CompletionStage<Void> leave(String instance, long bornMillis) {
-    publishTarget();
-    TargetStatus left =
-        TargetStatus.newBuilder()
-            .setInstance(instance)
-            .setBornMillis(bornMillis)
-            .setPhase(TargetPhase.LEAVING)
-            .build();
-    CompletableFuture<Void> written =
-        storeTarget(left)
-            .completeOnTimeout(null, LONGEST_STORE_WAIT.toMillis(), TimeUnit.MILLISECONDS);
-    CompletableFuture<Void> shut = onTraffic(gate::shut);
-    return shut.thenCombine(written, (done, stored) -> null);
-  }
-
-  /** Stores what a restart of this node has to know of its target; tries until it is stored. */
-  private CompletableFuture<Void> storeTarget(TargetStatus described) {
-    CompletableFuture<Void> stored = new CompletableFuture<>();
-    storing = described;
-    tryToStore(described, stored);
-    return stored;
-  }
-
-  private void tryToStore(TargetStatus described, CompletableFuture<Void> stored) {
-    if (storing != described) {
-      return; // something newer is being stored
-    }
-    store
-        .append(
-            Stream.OWN_TARGETS,
-            settings.peers().toString(),
-            described.toByteArray(),
-            OptionalLong.empty())
-        .whenComplete(
-            (end, error) -> {
-              if (error == null) {
-                stored.complete(null);
-                return;
-              }
-              log.event("target-not-stored")
-                  .with("target", described.getInstance())
-                  .with("phase", described.getPhase().name())
-                  .with("reason", String.valueOf(error))
-                  .write();
-              control.schedule(
-                  () -> tryToStore(described, stored),
-                  REGISTER_RETRY.toMillis(),
-                  TimeUnit.MILLISECONDS);
-            });
-  }
-
   private CompletableFuture<Void> onTraffic(Runnable task) {
     return CompletableFuture.runAsync(task, traffic);
   }
@@ -482,25 +355,7 @@
             .setZone(settings.locality().zone())
             .setNodeStops(stopping)
             .setConfigVersion(view.version());
-    Optional<TargetReport> latest = life.latest();
-    if (latest.isEmpty()) {
-      return built.setPhase(TargetPhase.ABSENT).build();
-    }
-    TargetReport report = latest.get();
-    boolean reachable = !gate.isAbsent();
-    TargetPhase phase =
-        !life.takesRequests()
-            ? TargetPhase.LEAVING
-            : reachable ? TargetPhase.READY : TargetPhase.ABSENT;
-    return built
-        .setPhase(phase)
-        .setInstance(report.instance())
-        .setBornMillis(report.bornMillis())
-        .setService(report.service())
-        .setVersion(report.version())
-        .setSlots(report.slots())
-        .setColdMicros(report.coldLeft().toNanos() / 1000)
-        .build();
+    return target.describe(built, !gate.isAbsent()).build();
   }
 
   /** Tells the traffic and all connected nodes what the node says of its target. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -81,7 +81,7 @@
     this.callers =
         HttpServer.listen(trafficGroup, socket(settings.callers()), limits(), log, entry);
     transport.listen(socket(settings.peers()), gate);
-    ExchangeHandler reports = platform.reports(control, log);
+    ExchangeHandler reports = platform.reports(control.reports(), log);
     HttpServer.listen(controlGroup, socket(settings.control()), defaults(), log, reports);
     HttpServer.listen(controlGroup, socket(settings.ready()), defaults(), log, this::ready);
     HttpServer.listen(controlGroup, socket(settings.metrics()), defaults(), log, this::metrics);
@@ -247,8 +247,11 @@
   /** Ends both event loops at once, cutting off what is under way. */
   @Override
   public void close() {
-    trafficGroup.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
-    controlGroup.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+    for (EventLoopGroup group : List.of(trafficGroup, controlGroup)) {
+      group
+          .shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS)
+          .awaitUninterruptibly(2 * CLOSE_MILLIS);
+    }
   }
 
   private boolean onTraffic(java.util.function.BooleanSupplier question) {
