--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
@@ -26,13 +26,22 @@
  */
 public final class GoalQueue {
 
-  /** Attempts without hope for their goal that may wait, per slot. */
+  /** Attempts that will miss their goal and may wait all the same, per slot. */
   private static final double LATE_PER_SLOT = 0.5;
 
   /** Part of the time between goal and deadline that may be spent waiting for a lull. */
   private static final double LATE_PART = 0.4;
 
+  /** Time of a route of which nothing is known, while nothing is known of any other. */
+  private static final double FIRST_GUESS_NANOS = 100e6;
+
+  /** Attempts that may wait per slot, whatever the estimates say. */
+  private static final int MOST_QUEUED_PER_SLOT = 6;
+
+  private static final double USUAL_SMOOTHING = 0.05;
+
   private final int slots;
+  private double usualNanos = FIRST_GUESS_NANOS;
   private final ServiceTimes times = new ServiceTimes();
   private final Map<AttemptId, Held> held = new HashMap<>();
   private final List<GoalRequest> queue = new ArrayList<>();
@@ -63,6 +72,9 @@
       hold(request, now);
       return Kind.ADMITTED;
     }
+    if (queue.size() >= MOST_QUEUED_PER_SLOT * slots) {
+      return Kind.QUEUE_FULL;
+    }
     double wait = waitNanos(request);
     if (!meets(request.deadline(), request, wait, now)) {
       return Kind.DEADLINE;
@@ -75,14 +87,18 @@
   }
 
   private boolean meets(Instant limit, GoalRequest request, double waitNanos, Instant now) {
-    double needed = waitNanos + times.meanNanos(request.route());
+    double needed = waitNanos + expectedNanos(request.route());
     return Duration.between(now, limit).toNanos() >= needed;
   }
 
+  /** Returns whether an attempt that would miss its goal may wait for a lull. */
   private boolean mayWaitLate(GoalRequest request, double waitNanos, Instant now) {
-    long late = queue.stream().filter(waiting -> isLate(waiting, now)).count();
-    return late < Math.max(1, slots * LATE_PER_SLOT)
-        && meets(lateLimit(request), request, waitNanos, now);
+    double overshoot = LATE_PER_SLOT * expectedNanos(request.route());
+    boolean few =
+        isLate(request, now)
+            ? queue.size() < Math.max(1, slots * LATE_PER_SLOT)
+            : meets(request.goal().plusNanos((long) overshoot), request, waitNanos, now);
+    return few && meets(lateLimit(request), request, waitNanos, now);
   }
 
   private static Instant lateLimit(GoalRequest request) {
@@ -130,7 +146,7 @@
     for (GoalRequest request : queue) {
       if (meets(lateLimit(request), request, ahead / slots, now)) {
         kept.add(request);
-        ahead += times.meanNanos(request.route());
+        ahead += expectedNanos(request.route());
       } else {
         decisions.add(new SlotDecision(request.attempt(), Kind.DEADLINE));
       }
@@ -157,6 +173,7 @@
     Duration used = Duration.between(slot.since(), now);
     if (end == SlotEnd.ANSWERED) {
       times.observed(slot.route(), used);
+      usualNanos += USUAL_SMOOTHING * (used.toNanos() - usualNanos);
     }
     return Optional.of(used);
   }
@@ -221,7 +238,7 @@
     }
     double ahead = heldNanos();
     for (GoalRequest waiting : queue) {
-      ahead += times.meanNanos(waiting.route());
+      ahead += expectedNanos(waiting.route());
     }
     return Duration.ofNanos((long) (ahead / slots));
   }
@@ -230,11 +247,17 @@
     held.put(request.attempt(), new Held(request.route(), now));
   }
 
+  /** Returns the usual time of a route, or that of all routes while it is not known. */
+  private double expectedNanos(String route) {
+    double known = times.meanNanos(route);
+    return known > 0 ? known : usualNanos;
+  }
+
   private double waitNanos(GoalRequest request) {
     double ahead = heldNanos();
     for (GoalRequest waiting : queue) {
       if (waiting.priority() <= request.priority()) {
-        ahead += times.meanNanos(waiting.route());
+        ahead += expectedNanos(waiting.route());
       }
     }
     return ahead / slots;
@@ -244,7 +267,7 @@
   private double heldNanos() {
     double sum = 0;
     for (Held slot : held.values()) {
-      sum += times.meanNanos(slot.route());
+      sum += expectedNanos(slot.route());
     }
     return held.isEmpty() ? 0 : sum / held.size();
   }
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/GoalQueueTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/GoalQueueTests.java
@@ -70,6 +70,21 @@
     }
   }
 
+  @Nested
+  class BeforeAnyAnswer {
+
+    @Test
+    void refusesWhatWouldWaitBeyondItsGoalByFirstGuess() {
+      GoalQueue queue = new GoalQueue(6);
+      int queued = 0;
+      for (int i = 0; i < 200; i++) {
+        queued += queue.offer(request(1), now) == Kind.QUEUED ? 1 : 0;
+      }
+
+      assertThat(queued, lessThan(6 * 5));
+    }
+  }
+
   @Nested
   class WithoutFreeSlots {
 
