Give an attempt up only after 3 s of silence; hide a silent node earlier

Now such a node gets no more attempts, but those under way are awaited. Ruled out: the stop of the node where they entered, which was served until the end.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLink.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLink.java
@@ -19,6 +19,7 @@
   private CallChannel channel;
   private TargetStatus status;
   private boolean connecting;
+  private boolean suspect;
   private int failures;
   private long dialAtNanos = System.nanoTime();
   private long heardAtNanos;
@@ -57,7 +58,16 @@
     }
   }
 
+  void suspect() {
+    suspect = true;
+  }
+
+  boolean isSuspect() {
+    return suspect;
+  }
+
   void heard() {
+    suspect = false;
     heardAtNanos = System.nanoTime();
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -28,8 +28,9 @@
  * Connections to the gates of all other nodes; used on the traffic loop.
  *
  * <p>A target is offered for calls only while the connection to its node is open and the node says
- * over it that the target is ready. A connection on which nothing comes although it was probed is
- * given up and opened anew.
+ * over it that the target is ready. Over a connection on which nothing comes although it was probed
+ * no more attempts are sent; later it is given up and opened anew. Attempts under way are not given
+ * up before, as a node that is merely slow still answers them.
  */
 final class PeerLinks implements CallFrameHandler {
 
@@ -43,8 +44,11 @@
   /** Silence after which a connection without attempts is probed. */
   private static final Duration PROBE_IDLE = Duration.ofSeconds(2);
 
-  /** Silence after a probe with which a connection is given up. */
-  private static final Duration GIVE_UP = Duration.ofMillis(900);
+  /** Silence after a probe with which no more attempts are sent over a connection. */
+  private static final Duration SUSPECT = Duration.ofMillis(900);
+
+  /** Silence with which a connection is given up, with all attempts on it. */
+  private static final Duration GIVE_UP = Duration.ofSeconds(3);
 
   private final CallTransport transport;
   private final RandomGenerator random;
@@ -139,7 +143,13 @@
   private void probe(PeerLink link) {
     Duration limit = link.hasAttempts() ? PROBE_BUSY : PROBE_IDLE;
     long silent = link.silentNanos();
-    if (silent > limit.plus(GIVE_UP).toNanos() && link.nanosSincePing() < silent) {
+    boolean probed = link.nanosSincePing() < silent;
+    if (probed && silent > limit.plus(SUSPECT).toNanos() && !link.isSuspect()) {
+      log.event("link-suspect").with("peer", link.address().toString()).write();
+      link.suspect();
+      rebuild();
+    }
+    if (probed && silent > limit.plus(GIVE_UP).toNanos()) {
       log.event("link-silent")
           .with("peer", link.address().toString())
           .with("silentMillis", silent / 1_000_000)
@@ -181,7 +191,11 @@
     if (link == null) {
       return;
     }
+    boolean suspect = link.isSuspect();
     link.heard();
+    if (suspect) {
+      rebuild();
+    }
     switch (frame.getKindCase()) {
       case STATUS -> statusChanged(link, frame.getStatus());
       case EVIDENCE -> listener.evidence(frame);
@@ -242,7 +256,7 @@
     List<Member> members = new ArrayList<>();
     for (PeerLink link : links.values()) {
       Optional<Member> member = link.status().flatMap(status -> member(status, link.address()));
-      if (link.isOpen() && member.isPresent()) {
+      if (link.isOpen() && !link.isSuspect() && member.isPresent()) {
         members.add(member.get());
         linkByInstance.put(member.get().instance(), link);
       }
