--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
@@ -50,7 +50,7 @@
   private static final double SIZE_SMOOTHING = 0.1;
 
   private static final int MOST_ID_CHARS = 128;
-  private static final double RETRY_WITHOUT_CONFIGURATION_SECONDS = 0.5;
+  private static final double RETRY_SOON_SECONDS = 0.5;
 
   private final EventLoop loop;
   private final MeshSettings settings;
@@ -105,12 +105,12 @@
       return;
     }
     if (closed) {
-      refuse(exchange, id, "node stops", RETRY_WITHOUT_CONFIGURATION_SECONDS);
+      refuse(exchange, id, "node stops", RETRY_SOON_SECONDS);
       return;
     }
     MeshView now = view.get();
     if (now.table().isEmpty()) {
-      refuse(exchange, id, "no configuration yet", RETRY_WITHOUT_CONFIGURATION_SECONDS);
+      refuse(exchange, id, "no configuration yet", RETRY_SOON_SECONDS);
       return;
     }
     Optional<Route> route = now.table().get().match(headOf(exchange));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.UnsafeByteOperations;
 import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -16,6 +17,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.Snapshot;
 import org.cuminlatch.core.membership.Address;
@@ -193,7 +195,7 @@
   }
 
   private StoreFollower follow(
-      Stream stream, Duration pause, java.util.function.Consumer<Item> taker, Runnable afterPage) {
+      Stream stream, Duration pause, Consumer<Item> taker, Runnable afterPage) {
     StoreFollower.ItemListener listener =
         new StoreFollower.ItemListener() {
           @Override
@@ -333,7 +335,7 @@
         .append(
             Stream.NODES,
             settings.peers().toString(),
-            settings.node().getBytes(java.nio.charset.StandardCharsets.UTF_8),
+            settings.node().getBytes(StandardCharsets.UTF_8),
             OptionalLong.empty())
         .whenComplete(
             (end, error) -> {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -15,6 +15,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.CallerLimits;
 import org.cuminlatch.core.membership.Address;
@@ -154,7 +156,7 @@
     return new InetSocketAddress(address.host(), address.port());
   }
 
-  private java.util.function.Supplier<CallerLimits> limits() {
+  private Supplier<CallerLimits> limits() {
     return () ->
         control
             .view()
@@ -163,7 +165,7 @@
             .orElse(CallerLimits.DEFAULT);
   }
 
-  private static java.util.function.Supplier<CallerLimits> defaults() {
+  private static Supplier<CallerLimits> defaults() {
     return () -> CallerLimits.DEFAULT;
   }
 
@@ -254,7 +256,7 @@
     }
   }
 
-  private boolean onTraffic(java.util.function.BooleanSupplier question) {
+  private boolean onTraffic(BooleanSupplier question) {
     CountDownLatch answered = new CountDownLatch(1);
     boolean[] answer = new boolean[1];
     traffic.execute(
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshSettings.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshSettings.java
@@ -21,7 +21,6 @@
  * @param metrics address of the metrics
  * @param store address of the platform's store
  * @param stopPeriod time between the request to stop and the end of the process
- * @param exposure part of a service's calls that an unproven version may get
  * @param headers names of headers
  */
 public record MeshSettings(
@@ -36,7 +35,6 @@
     Address metrics,
     Address store,
     Duration stopPeriod,
-    double exposure,
     HeaderNames headers) {
 
   /** Checks the fields. */
