--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveComparison.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveComparison.java
@@ -10,12 +10,6 @@
   private static final double LATENCY_RATIO = 1.8;
   private static final long LEAST_TIMED = 5;
 
-  /** Calls to the old version without which there is nothing to compare with. */
-  private static final long LEAST_OLD_CALLS = 5;
-
-  /** Share of failures that is too much even without comparison. */
-  private static final double FAILURES_OF_BROKEN = 0.5;
-
   private MoveComparison() {}
 
   /** Returns whether the new version failed or was slow clearly more than the old one. */
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveSchedule.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveSchedule.java
@@ -41,10 +41,6 @@
     return STEPS.get(step).share();
   }
 
-  static int lastStep() {
-    return STEPS.size() - 1;
-  }
-
   static boolean isComplete(Duration elapsed, Duration length) {
     return part(elapsed, length) >= COMPLETE_AT;
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
@@ -33,7 +33,6 @@
   private final int maxBodyBytes;
   private final Deque<ClientConnection> idle = new ArrayDeque<>();
   private final Set<ClientConnection> all = new HashSet<>();
-  private long opened;
 
   /**
    * Creates a client without connections.
@@ -64,7 +63,6 @@
       return kept.send(request, listener);
     }
     PendingCall pending = new PendingCall(request, listener);
-    opened++;
     bootstrap()
         .handler(
             new ChannelInitializer<SocketChannel>() {
@@ -86,7 +84,6 @@
    * @param result takes whether it could be opened
    */
   public void probe(Consumer<Boolean> result) {
-    opened++;
     bootstrap()
         .handler(new ChannelInboundHandlerAdapter())
         .connect(server.host(), server.port())
@@ -146,15 +143,6 @@
     List.copyOf(all).forEach(ClientConnection::close);
   }
 
-  /**
-   * Returns the number of connections opened so far.
-   *
-   * @return attempts included that failed
-   */
-  public long openedConnections() {
-    return opened;
-  }
-
   /** A request whose connection is being opened. */
   private static final class PendingCall implements ClientCall {
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLink.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLink.java
@@ -1,5 +1,6 @@
 package org.cuminlatch.node.mesh;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -108,10 +109,10 @@
   }
 
   /** Notes that the connection could not be opened; the next try waits for the delay. */
-  void notOpened(long delayNanos) {
+  void notOpened(Duration delay) {
     connecting = false;
     failures++;
-    dialAtNanos = System.nanoTime() + delayNanos;
+    dialAtNanos = System.nanoTime() + delay.toNanos();
   }
 
   int failures() {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -119,12 +118,6 @@
     return Optional.ofNullable(linkByInstance.get(instance));
   }
 
-  Collection<TargetStatus> statuses() {
-    List<TargetStatus> statuses = new ArrayList<>();
-    links.values().forEach(link -> link.status().ifPresent(statuses::add));
-    return statuses;
-  }
-
   int openLinks() {
     return (int) links.values().stream().filter(PeerLink::isOpen).count();
   }
@@ -168,7 +161,8 @@
         .whenComplete(
             (channel, error) -> {
               if (error != null) {
-                link.notOpened(redialDelay(link.failures()));
+                link.notOpened(
+                    RetryDelay.after(link.failures(), FIRST_REDIAL, LONGEST_REDIAL, random));
               } else if (links.get(link.address()) == link) {
                 link.opened(channel);
                 linkByChannel.put(channel, link);
@@ -178,13 +172,6 @@
             });
   }
 
-  /** Full jitter over an exponential bound, so that a herd does not dial in step. */
-  private long redialDelay(int failures) {
-    long bound = FIRST_REDIAL.toNanos() << Math.min(failures, 6);
-    long capped = Math.min(bound, LONGEST_REDIAL.toNanos());
-    return capped / 2 + random.nextLong(capped / 2 + 1);
-  }
-
   @Override
   public void received(CallChannel channel, CallFrame frame) {
     PeerLink link = linkOver(channel);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -109,9 +109,7 @@
     if (truncated) {
       next = -1;
     }
-    long bound = FIRST_BACKOFF.toMillis() << Math.min(failures, 6);
-    long capped = Math.min(bound, LONGEST_BACKOFF.toMillis());
-    schedule(Duration.ofMillis(capped / 2 + random.nextLong(capped / 2 + 1)));
+    schedule(RetryDelay.after(failures, FIRST_BACKOFF, LONGEST_BACKOFF, random));
   }
 
   private void schedule(Duration delay) {
