Read the operators' records by two nodes of a region; ask others sooner

Ruled out: a store that is lost (no "store-lost" line before 32 s); a node that is behind by its own processor only (the nodes of one region were behind together, those of the other were not).

Change: two nodes of each region follow the stream; the others ask the one that says it has a newer version, after 0.25 s instead of 0.9 to 1.8 s (CatchUp, RegionReaders), and read the newest records every 10 s. A node that can't read says so and is passed over. Versions are told after 0.25 s instead of 0.8 s.

Also: a call with a large answer goes on to the next place when the near targets have refused it, and is refused only after that; answers, not only requests, count on the budget of the link between the regions.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
@@ -100,7 +100,8 @@
    *
    * @param own place of the deciding node
    * @param avoided instances that have been tried for the call
-   * @param nearest whether only the nearest place that has a target may serve, as for large answers
+   * @param nearest whether only the nearest place with a target that was not tried may serve, as
+   *     for large answers
    * @param now present time
    */
   public record Context(Locality own, Set<String> avoided, boolean nearest, Instant now) {
@@ -113,7 +114,8 @@
     }
 
     private List<Member> candidates(List<Member> members) {
-      return without(nearest ? atNearestPlace(members) : members);
+      List<Member> untried = without(members);
+      return nearest ? atNearestPlace(untried) : untried;
     }
 
     private List<Member> atNearestPlace(List<Member> members) {
--- /dev/null
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/spread/RegionReadersTests.java
@@ -0,0 +1,60 @@
+package org.cuminlatch.core.spread;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasSize;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("The readers of a region")
+class RegionReadersTests {
+
+  private static List<String> readersOf(List<String> nodes) {
+    return nodes.stream().filter(node -> RegionReaders.reads(node, without(node, nodes))).toList();
+  }
+
+  private static List<String> without(String node, List<String> nodes) {
+    List<String> others = new ArrayList<>(nodes);
+    others.remove(node);
+    return others;
+  }
+
+  @Nested
+  class WhileAllNodesKnowEachOther {
+
+    @Test
+    void areFewHoweverManyNodesThereAre() {
+      assertThat(readersOf(List.of("n5", "n2", "n9", "n1", "n7")), contains("n2", "n1"));
+    }
+
+    @Test
+    void areReplacedByTheNextOnes() {
+      assertThat(readersOf(List.of("n5", "n9", "n7")), contains("n5", "n7"));
+    }
+
+    @Test
+    void areAllWhereThereIsOne() {
+      assertThat(readersOf(List.of("n5")), contains("n5"));
+    }
+  }
+
+  @Nested
+  class WhileSomeNodesKnowFewOthers {
+
+    @Test
+    void areNeverLessThanOne() {
+      List<String> nodes = List.of("n1", "n2", "n3", "n4");
+      List<String> readers =
+          nodes.stream()
+              .filter(node -> RegionReaders.reads(node, node.equals("n4") ? List.of() : nodes))
+              .toList();
+
+      assertThat(readers, hasSize(greaterThanOrEqualTo(1)));
+    }
+  }
+}
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -258,6 +258,7 @@
       return;
     }
     entry.answerSize(route.name(), answer.getContentLength());
+    chargeLink(answer.getContentLength());
     answering = true;
     timer.cancel(false);
     endAttempt(failure ? AttemptEnd.FAILED : AttemptEnd.SERVED);
@@ -479,9 +480,14 @@
     Instant now = entry.now();
     entry.loads().end(target.instance(), end, Duration.between(attemptAt, now), now);
     attemptAt = null;
+    chargeLink(exchange.body().length);
+  }
+
+  /** Takes bytes from the budget of the link between the regions if they have crossed it. */
+  private void chargeLink(long bytes) {
     Distance distance = entry.settings().locality().distanceTo(target.locality());
     if (distance == Distance.OTHER_REGION) {
-      entry.link().spend(exchange.body().length, now);
+      entry.link().spend(Math.max(0, bytes), entry.now());
     }
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -17,13 +17,14 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import org.cuminlatch.core.config.CatchUp;
 import org.cuminlatch.core.config.Snapshot;
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.core.membership.Member;
 import org.cuminlatch.core.move.CallOutcome.Result;
 import org.cuminlatch.core.route.RouteTable;
+import org.cuminlatch.core.spread.RegionReaders;
 import org.cuminlatch.core.target.TargetReport;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Item;
@@ -52,10 +53,10 @@
   private static final Duration MOVE_TICK = Duration.ofMillis(400);
 
   /** Time between two looks at whether others have a newer configuration. */
-  private static final Duration PULL_CHECK = Duration.ofMillis(900);
+  private static final Duration PULL_CHECK = Duration.ofMillis(150);
 
   /** Time in which configuration versions gather before other nodes are told. */
-  private static final Duration VERSION_PAUSE = Duration.ofMillis(800);
+  private static final Duration VERSION_PAUSE = Duration.ofMillis(250);
 
   private static final int OLD_EVIDENCE_TICKS = 2;
 
@@ -74,8 +75,9 @@
   private final Map<String, TargetStatus> peerStatuses = new HashMap<>();
   private final EvidenceCounts evidence = new EvidenceCounts();
   private volatile Item inForce;
-  private boolean behind;
+  private final CatchUp catchUp = new CatchUp();
   private boolean versionToPublish;
+  private boolean storeLost;
   private boolean registered;
   private int evidenceTicks;
   private volatile Instant coldUntil = Instant.MIN;
@@ -169,8 +171,8 @@
         () -> {
           target.read();
           moves.readStatements();
-          follow(Stream.OPERATOR, CONFIGURATION_PAUSE, this::operatorRecord, () -> {}).start();
-          follow(Stream.NODES, NODES_PAUSE, this::nodeRecord, this::nodesChanged).start();
+          followOperator().start();
+          followNodes().start();
         });
     control.scheduleWithFixedDelay(
         this::pullIfBehind, PULL_CHECK.toMillis(), PULL_CHECK.toMillis(), TimeUnit.MILLISECONDS);
@@ -194,21 +196,63 @@
         });
   }
 
-  private StoreFollower follow(
-      Stream stream, Duration pause, Consumer<Item> taker, Runnable afterPage) {
+  private StoreFollower followOperator() {
     StoreFollower.ItemListener listener =
         new StoreFollower.ItemListener() {
           @Override
           public void item(Item item) {
-            taker.accept(item);
+            operatorRecord(item);
+          }
+
+          @Override
+          public void caughtUp() {}
+
+          @Override
+          public void storeChanged(boolean lost) {
+            storeLost = lost;
+            publishTarget();
+          }
+        };
+    return new StoreFollower(
+        control,
+        store,
+        Stream.OPERATOR,
+        CONFIGURATION_PAUSE,
+        random,
+        log,
+        this::readsForRegion,
+        listener);
+  }
+
+  private StoreFollower followNodes() {
+    StoreFollower.ItemListener listener =
+        new StoreFollower.ItemListener() {
+          @Override
+          public void item(Item item) {
+            nodeRecord(item);
           }
 
           @Override
           public void caughtUp() {
-            afterPage.run();
+            nodesChanged();
           }
+
+          @Override
+          public void storeChanged(boolean lost) {}
         };
-    return new StoreFollower(control, store, stream, pause, random, log, listener);
+    return new StoreFollower(
+        control, store, Stream.NODES, NODES_PAUSE, random, log, () -> true, listener);
+  }
+
+  /** Returns whether this node is one of those that read the operators' records for its region. */
+  private boolean readsForRegion() {
+    List<String> others =
+        peerStatuses.values().stream()
+            .filter(peer -> peer.getRegion().equals(settings.locality().region()))
+            .filter(peer -> !peer.getStoreLost() && !peer.getNodeStops())
+            .map(TargetStatus::getNode)
+            .toList();
+    return RegionReaders.reads(settings.node(), others);
   }
 
   private void tickMoves() {
@@ -285,23 +329,20 @@
     }
   }
 
-  /** Asks another node for a configuration that has not come from the store for some time. */
+  /** Asks another node for a configuration that the store has not delivered. */
   private void pullIfBehind() {
-    Optional<TargetStatus> newer =
+    long own = view.version();
+    Optional<TargetStatus> newest =
         peerStatuses.values().stream()
-            .filter(peer -> peer.getConfigVersion() > view.version())
-            .max(Comparator.comparing(this::isNear));
-    if (newer.isEmpty()) {
-      behind = false;
-    } else if (!behind) {
-      behind = true; // the store usually delivers it before the next look
-    } else {
+            .max(Comparator.comparing(TargetStatus::getConfigVersion).thenComparing(this::isNear));
+    if (newest.isPresent()
+        && catchUp.mayAsk(own, newest.get().getConfigVersion(), clock.instant())) {
       log.event("configuration-pulled")
-          .with("peer", newer.get().getNode())
-          .with("version", newer.get().getConfigVersion())
-          .with("own", view.version())
+          .with("peer", newest.get().getNode())
+          .with("version", newest.get().getConfigVersion())
+          .with("own", own)
           .write();
-      traffic.execute(() -> links.pullConfiguration(newer.get().getNode()));
+      traffic.execute(() -> links.pullConfiguration(newest.get().getNode()));
     }
   }
 
@@ -356,7 +397,8 @@
             .setRegion(settings.locality().region())
             .setZone(settings.locality().zone())
             .setNodeStops(stopping)
-            .setConfigVersion(view.version());
+            .setConfigVersion(view.version())
+            .setStoreLost(storeLost);
     return target.describe(built, !gate.isAbsent()).build();
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -211,10 +211,11 @@
   }
 
   private static boolean sameTarget(TargetStatus one, TargetStatus other) {
-    return one.toBuilder()
-        .clearConfigVersion()
-        .build()
-        .equals(other.toBuilder().clearConfigVersion().build());
+    return ofTarget(one).equals(ofTarget(other));
+  }
+
+  private static TargetStatus ofTarget(TargetStatus status) {
+    return status.toBuilder().clearConfigVersion().clearStoreLost().build();
   }
 
   @Override
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.error.CuminlatchException;
 import org.cuminlatch.core.error.ErrorCode;
@@ -11,10 +12,26 @@
 import org.cuminlatch.node.mesh.KeyedStore.Page;
 import org.cuminlatch.node.mesh.KeyedStore.Stream;
 
-/** Reads a stream from its newest records on and never stops; used on the control loop. */
+/**
+ * Reads a stream from its newest records on and never stops; used on the control loop.
+ *
+ * <p>A node without the duty to follow the stream learns of it from those that have it, and reads
+ * the newest records only now and then.
+ */
 final class StoreFollower {
 
-  private static final Duration WAIT = Duration.ofSeconds(25);
+  /** Time that the store holds a read without records; bounds how long a silent one is trusted. */
+  private static final Duration WAIT = Duration.ofSeconds(8);
+
+  /** Time between two looks at whether the duty has come to this node. */
+  private static final Duration DUTY_CHECK = Duration.ofMillis(250);
+
+  /** Time between two reads of a node without the duty. */
+  private static final Duration STAND_BY = Duration.ofSeconds(10);
+
+  /** Failures in a row from which on the store counts as lost. */
+  private static final int FAILURES_TO_LOST = 2;
+
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(150);
   private static final Duration LONGEST_BACKOFF = Duration.ofMillis(1600);
 
@@ -24,9 +41,11 @@
   private final Duration pause;
   private final RandomGenerator random;
   private final EventLog log;
+  private final BooleanSupplier duty;
   private final ItemListener listener;
   private long next = -1;
   private int failures;
+  private long readAtNanos;
 
   /** Takes records in their order; called on the control loop. */
   interface ItemListener {
@@ -35,12 +54,16 @@
 
     /** A page of records has been handed over. */
     void caughtUp();
+
+    /** The store can't be read any more, or can be read again. */
+    void storeChanged(boolean lost);
   }
 
   /**
    * Creates a follower.
    *
    * @param pause time between the arrival of records and the next wait, in which changes gather
+   * @param duty whether this node is one of those that follow the stream
    */
   StoreFollower(
       EventLoop loop,
@@ -49,6 +72,7 @@
       Duration pause,
       RandomGenerator random,
       EventLog log,
+      BooleanSupplier duty,
       ItemListener listener) {
     this.loop = loop;
     this.store = store;
@@ -56,14 +80,30 @@
     this.pause = pause;
     this.random = random;
     this.log = log;
+    this.duty = duty;
     this.listener = listener;
   }
 
   void start() {
+    boolean follows = duty.getAsBoolean();
+    if (!follows && next >= 0) {
+      standBy();
+      return;
+    }
     var reading = next < 0 ? store.newest(stream) : store.follow(stream, next, WAIT);
     reading.whenComplete((page, error) -> loop.execute(() -> ended(page, error)));
   }
 
+  /** Waits for the duty; what the stream held until then is not read record by record. */
+  private void standBy() {
+    if (duty.getAsBoolean() || System.nanoTime() - readAtNanos > STAND_BY.toNanos()) {
+      next = -1;
+      start();
+    } else {
+      loop.schedule(this::standBy, DUTY_CHECK.toMillis(), TimeUnit.MILLISECONDS);
+    }
+  }
+
   private void ended(Page page, Throwable error) {
     if (error != null) {
       failed(error);
@@ -72,8 +112,10 @@
     if (failures > 0) {
       log.event("store-regained").with("stream", stream.name()).with("failures", failures).write();
       failures = 0;
+      listener.storeChanged(false);
     }
     next = page.end();
+    readAtNanos = System.nanoTime();
     page.items().forEach(this::deliver);
     listener.caughtUp();
     if (page.items().isEmpty()) {
@@ -106,6 +148,9 @@
           .write();
     }
     failures++;
+    if (failures == FAILURES_TO_LOST) {
+      listener.storeChanged(true);
+    }
     if (truncated) {
       next = -1;
     }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatus.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatus.java
@@ -377,6 +377,21 @@
     return configVersion_;
   }
 
+  public static final int STORE_LOST_FIELD_NUMBER = 13;
+  private boolean storeLost_ = false;
+  /**
+   * <pre>
+   * Whether the node can't read the store at present.
+   * </pre>
+   *
+   * <code>bool store_lost = 13;</code>
+   * @return The storeLost.
+   */
+  @java.lang.Override
+  public boolean getStoreLost() {
+    return storeLost_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -427,6 +442,9 @@
     if (configVersion_ != 0L) {
       output.writeInt64(12, configVersion_);
     }
+    if (storeLost_ != false) {
+      output.writeBool(13, storeLost_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -478,6 +496,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(12, configVersion_);
     }
+    if (storeLost_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(13, storeLost_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -516,6 +538,8 @@
         != other.getNodeStops()) return false;
     if (getConfigVersion()
         != other.getConfigVersion()) return false;
+    if (getStoreLost()
+        != other.getStoreLost()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -555,6 +579,9 @@
     hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigVersion());
+    hash = (37 * hash) + STORE_LOST_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getStoreLost());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -702,6 +729,7 @@
       coldMicros_ = 0L;
       nodeStops_ = false;
       configVersion_ = 0L;
+      storeLost_ = false;
       return this;
     }
 
@@ -771,6 +799,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.configVersion_ = configVersion_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.storeLost_ = storeLost_;
+      }
     }
 
     @java.lang.Override
@@ -833,6 +864,9 @@
       if (other.getConfigVersion() != 0L) {
         setConfigVersion(other.getConfigVersion());
       }
+      if (other.getStoreLost() != false) {
+        setStoreLost(other.getStoreLost());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -919,6 +953,11 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 96
+            case 104: {
+              storeLost_ = input.readBool();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1627,6 +1666,50 @@
       return this;
     }
 
+    private boolean storeLost_ ;
+    /**
+     * <pre>
+     * Whether the node can't read the store at present.
+     * </pre>
+     *
+     * <code>bool store_lost = 13;</code>
+     * @return The storeLost.
+     */
+    @java.lang.Override
+    public boolean getStoreLost() {
+      return storeLost_;
+    }
+    /**
+     * <pre>
+     * Whether the node can't read the store at present.
+     * </pre>
+     *
+     * <code>bool store_lost = 13;</code>
+     * @param value The storeLost to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreLost(boolean value) {
+
+      storeLost_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the node can't read the store at present.
+     * </pre>
+     *
+     * <code>bool store_lost = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreLost() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      storeLost_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.TargetStatus)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatusOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatusOrBuilder.java
@@ -138,4 +138,14 @@
    * @return The configVersion.
    */
   long getConfigVersion();
+
+  /**
+   * <pre>
+   * Whether the node can't read the store at present.
+   * </pre>
+   *
+   * <code>bool store_lost = 13;</code>
+   * @return The storeLost.
+   */
+  boolean getStoreLost();
 }
