--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/event/EventLog.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/event/EventLog.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -23,9 +22,6 @@
  */
 public final class EventLog {
 
-  /** Lines a second that one process may write. */
-  private static final int LINES_PER_SECOND = 40;
-
   /** Lines that wait for the thread that writes them. */
   private static final int BUFFERED_LINES = 1024;
 
@@ -42,10 +38,8 @@
   private final InstantSource clock;
   private final String node;
   private final BlockingQueue<CharSequence> buffer = new ArrayBlockingQueue<>(BUFFERED_LINES);
-  private final AtomicLong dropped = new AtomicLong();
+  private final LogBudget budget = new LogBudget();
   private volatile boolean writing;
-  private long second;
-  private int linesInSecond;
 
   private EventLog(InstantSource clock, String node) {
     this.clock = clock;
@@ -88,9 +82,10 @@
   }
 
   private void reportDropped(Logger events) {
-    if (dropped.get() > 0 && buffer.size() < BUFFERED_LINES / 2) {
-      String line = "{\"event\":\"log-lines-dropped\",\"node\":\"" + node + "\",\"lines\":";
-      events.warn(line + dropped.getAndSet(0) + "}");
+    long lines = buffer.size() < BUFFERED_LINES / 2 ? budget.takeDropped() : 0;
+    if (lines > 0) {
+      events.warn(
+          "{\"event\":\"log-lines-dropped\",\"node\":\"" + node + "\",\"lines\":" + lines + "}");
     }
   }
 
@@ -118,27 +113,26 @@
   }
 
   /**
-   * Starts a line.
+   * Starts a line on what the process does or believes.
    *
    * @param event what happened
    * @return the line, to be ended with {@link Line#write}
    */
   public Line event(String event) {
     Instant now = clock.instant();
-    return new Line(event, now, mayWrite(now));
+    return new Line(event, now, budget.take(false, now));
   }
 
-  private synchronized boolean mayWrite(Instant now) {
-    if (now.getEpochSecond() != second) {
-      second = now.getEpochSecond();
-      linesInSecond = 0;
-    }
-    linesInSecond++;
-    if (linesInSecond <= LINES_PER_SECOND) {
-      return true;
-    }
-    dropped.incrementAndGet();
-    return false;
+  /**
+   * Starts a line on a request.
+   *
+   * @param event what happened to it
+   * @param requestId the request
+   * @return the line, to be ended with {@link Line#write}
+   */
+  public Line request(String event, String requestId) {
+    Instant now = clock.instant();
+    return new Line(event, now, budget.take(true, now)).with("request", requestId);
   }
 
   /** A line under construction; nothing is built beyond the budget. */
@@ -202,7 +196,7 @@
     /** Hands the line over if the budget and the buffer allow. */
     public void write() {
       if (text != null && !buffer.offer(text.append('}'))) {
-        dropped.incrementAndGet();
+        budget.drop();
       }
     }
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -157,8 +157,7 @@
     body = null;
     server
         .log()
-        .event("rejected")
-        .with("request", "-")
+        .request("rejected", "-")
         .with("status", status.code())
         .with("reason", "not a request that can be read")
         .with("peer", peer())
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/Entry.java
@@ -154,8 +154,7 @@
   }
 
   private void reject(ServerExchange exchange, String id, int status, String reason) {
-    log.event("rejected")
-        .with("request", id)
+    log.request("rejected", id)
         .with("status", status)
         .with("reason", reason)
         .with("path", exchange.target())
@@ -166,8 +165,7 @@
 
   /** Says that a request has not run and when to come back. */
   void refuse(ServerExchange exchange, String id, String reason, double retrySeconds) {
-    log.event("refused")
-        .with("request", id)
+    log.request("refused", id)
         .with("status", 503)
         .with("reason", reason)
         .with("retryAfter", retrySeconds)
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -170,8 +170,7 @@
     if (placements > 1 || EventLog.samples(id)) {
       entry
           .log()
-          .event("routed")
-          .with("request", id)
+          .request("routed", id)
           .with("route", route.name())
           .with("service", service)
           .with("target", target.instance())
@@ -266,8 +265,7 @@
     if (failure || EventLog.samples(id)) {
       entry
           .log()
-          .event("answered")
-          .with("request", id)
+          .request("answered", id)
           .with("route", route.name())
           .with("target", target.instance())
           .with("status", answer.getStatus())
@@ -344,8 +342,7 @@
     mayHaveRun = true;
     entry
         .log()
-        .event("attempt-failed")
-        .with("request", id)
+        .request("attempt-failed", id)
         .with("route", route.name())
         .with("target", target.instance())
         .with("reason", reason)
@@ -419,8 +416,7 @@
   private void endEarly(String reason) {
     entry
         .log()
-        .event("call-ended-early")
-        .with("request", id)
+        .request("call-ended-early", id)
         .with("route", route.name())
         .with("reason", reason)
         .with("tookMillis", since(startedAt).toMillis())
@@ -440,8 +436,7 @@
       int status = left().isNegative() ? 504 : 502;
       entry
           .log()
-          .event("failed")
-          .with("request", id)
+          .request("failed", id)
           .with("route", route.name())
           .with("status", status)
           .with("reason", lastReason)
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -327,8 +327,7 @@
 
     @Override
     public void failed(Failure failure) {
-      log.event("target-failed")
-          .with("request", attempt.begin().getRequestId())
+      log.request("target-failed", attempt.begin().getRequestId())
           .with("target", attempt.begin().getExpectedInstance())
           .with("sent", String.valueOf(failure.sent()))
           .with("reason", failure.reason())
@@ -437,8 +436,7 @@
                         .setLoad(load())
                         .setFreeInMicros(slots.expectedWait().toNanos() / 1000))
                 .build());
-    log.event("gate-refused")
-        .with("request", attempt.begin().getRequestId())
+    log.request("gate-refused", attempt.begin().getRequestId())
         .with("route", attempt.begin().getRoute())
         .with("target", attempt.begin().getExpectedInstance())
         .with("reason", reason.name())
