--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/Verb.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/Verb.java
@@ -16,6 +16,10 @@
   MEMBERS("members", "list the members of the mesh", MembersCommand::new),
   VERSIONS("versions", "say who has which configuration in force", VersionsCommand::new),
   EXPLAIN("explain", "say why a request would go where", ExplainCommand::new),
+  EXPLAIN_REQUEST(
+      "explain-request",
+      "say what happened to a request, from the lines of the nodes",
+      ExplainRequestCommand::new),
   REFUSALS("refusals", "list the records that were refused", RefusalsCommand::new),
   LOG_TAIL("log tail", "print the last records of the log", LogTailCommand::new);
 
