Let a call that was sent back leave its region for a free slot

The region is left only from a queue as long as the slots on; the gates refuse earlier, as soon as the goal would be missed, so that all four tries of a call stay in the short region.

Change: a call that a gate has sent back leaves its region as soon as the choice there has no free slot and the one elsewhere has. The budget of the link still holds.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
@@ -46,7 +46,12 @@
       RandomGenerator random) {
     for (List<Member> side : sides(index.serving(service), rule, random)) {
       Optional<TargetChooser.Choice> choice =
-          chooser.choose(context.candidates(side), context.own(), context.now(), random);
+          chooser.choose(
+              context.candidates(side),
+              context.own(),
+              context.regionSpill(),
+              context.now(),
+              random);
       if (choice.isPresent()) {
         return choice.map(chosen -> new Placed(chosen.member(), chosen.reason()));
       }
@@ -113,6 +118,11 @@
       notNull(now, "now");
     }
 
+    /** A call that was sent back once leaves its region as soon as no slot is free there. */
+    private double regionSpill() {
+      return avoided.isEmpty() ? TargetChooser.REGION_SPILL : TargetChooser.ZONE_SPILL;
+    }
+
     private List<Member> candidates(List<Member> members) {
       List<Member> untried = without(members);
       return nearest ? atNearestPlace(untried) : untried;
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetChooser.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetChooser.java
@@ -34,16 +34,26 @@
 
   Optional<Choice> choose(
       List<Member> candidates, Locality own, Instant now, RandomGenerator random) {
+    return choose(candidates, own, REGION_SPILL, now, random);
+  }
+
+  /** Chooses a target; the region is left from the given pressure on of the choice in it. */
+  Optional<Choice> choose(
+      List<Member> candidates,
+      Locality own,
+      double regionSpill,
+      Instant now,
+      RandomGenerator random) {
     List<Member> kept = OutlierEjection.keep(candidates, loads, now);
     Optional<Member> near = best(within(kept, own, Distance.SAME_ZONE), now, random);
     if (near.isPresent() && pressure(near.get(), now) < ZONE_SPILL) {
       return Optional.of(new Choice(near.get(), Reason.SAME_ZONE));
     }
     Optional<Member> region = best(within(kept, own, Distance.SAME_REGION), now, random);
-    if (near.isPresent() && staysNear(near.get(), region.get(), now)) {
+    if (near.isPresent() && staysNear(near.get(), region.get(), regionSpill, now)) {
       return Optional.of(new Choice(near.get(), Reason.SAME_ZONE));
     }
-    if (region.isPresent() && pressure(region.get(), now) < REGION_SPILL) {
+    if (region.isPresent() && pressure(region.get(), now) < regionSpill) {
       return Optional.of(new Choice(region.get(), reason(own, region.get())));
     }
     Optional<Member> far = link.allows(now) ? far(kept, own, now, random) : Optional.empty();
@@ -54,9 +64,9 @@
   }
 
   /** Returns whether the load elsewhere in the region is not worth the way there. */
-  private boolean staysNear(Member near, Member region, Instant now) {
+  private boolean staysNear(Member near, Member region, double regionSpill, Instant now) {
     double pressure = pressure(near, now);
-    return pressure < REGION_SPILL && pressure(region, now) > pressure - LEAVE_MARGIN;
+    return pressure < regionSpill && pressure(region, now) > pressure - LEAVE_MARGIN;
   }
 
   private Optional<Member> far(
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/route/ServicePlacementTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/route/ServicePlacementTests.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
 import java.time.Duration;
@@ -176,6 +177,47 @@
     }
   }
 
+  /** A region has lost targets: those left have a short queue, the other region has free slots. */
+  @Nested
+  class OfCallsInShortRegion {
+
+    private void fillHomeRegion() {
+      member("home-1", "v1", 1, HOME);
+      member("home-2", "v1", 1, HOME);
+      member("next-1", "v1", 1, NEXT);
+      member("far-1", "v1", 1, FAR);
+      for (String instance : List.of("home-1", "home-2", "next-1")) {
+        for (int i = 0; i < 8; i++) {
+          loads.begin(instance, now);
+        }
+      }
+    }
+
+    @Test
+    void waitInTheRegionAtFirst() {
+      fillHomeRegion();
+
+      assertThat(placeMany(Optional.empty()), everyItem(not(startsWith("far"))));
+    }
+
+    @Test
+    void goToTheFreeSlotOnceTheyWereSentBack() {
+      fillHomeRegion();
+
+      assertThat(place(Optional.empty(), false, "home-1"), is(Optional.of("far-1")));
+    }
+
+    @Test
+    void stayWhereTheOtherRegionIsFullToo() {
+      fillHomeRegion();
+      for (int i = 0; i < 8; i++) {
+        loads.begin("far-1", now);
+      }
+
+      assertThat(place(Optional.empty(), false, "home-1").get(), not(startsWith("far")));
+    }
+  }
+
   /** One target of two is five times as slow; random choice would give it half of the calls. */
   @Nested
   class AmongUnequalTargets {
