Leave out nodes without store in the turns to state a move's end

Cause: nodes take turns of 0.7 s by name to write the end of a move; one that the store turns away keeps its turn. Since nodes say when they have lost the store, the others can leave them out.

Change: turns count only nodes that can read the store and do not stop; either stream that a node follows tells whether it can.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -77,7 +78,7 @@
   private volatile Item inForce;
   private final CatchUp catchUp = new CatchUp();
   private boolean versionToPublish;
-  private boolean storeLost;
+  private final Set<Stream> lostStreams = EnumSet.noneOf(Stream.class);
   private boolean registered;
   private int evidenceTicks;
   private volatile Instant coldUntil = Instant.MIN;
@@ -209,8 +210,7 @@
 
           @Override
           public void storeChanged(boolean lost) {
-            storeLost = lost;
-            publishTarget();
+            MeshControl.this.storeChanged(Stream.OPERATOR, lost);
           }
         };
     return new StoreFollower(
@@ -238,12 +238,23 @@
           }
 
           @Override
-          public void storeChanged(boolean lost) {}
+          public void storeChanged(boolean lost) {
+            MeshControl.this.storeChanged(Stream.NODES, lost);
+          }
         };
     return new StoreFollower(
         control, store, Stream.NODES, NODES_PAUSE, random, log, () -> true, listener);
   }
 
+  private void storeChanged(Stream stream, boolean lost) {
+    if (lost) {
+      lostStreams.add(stream);
+    } else {
+      lostStreams.remove(stream);
+    }
+    publishTarget();
+  }
+
   /** Returns whether this node is one of those that read the operators' records for its region. */
   private boolean readsForRegion() {
     List<String> others =
@@ -398,7 +409,7 @@
             .setZone(settings.locality().zone())
             .setNodeStops(stopping)
             .setConfigVersion(view.version())
-            .setStoreLost(storeLost);
+            .setStoreLost(!lostStreams.isEmpty());
     return target.describe(built, !gate.isAbsent()).build();
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -34,9 +33,9 @@
 /**
  * Follows the ordered moves and states their ends in the store; used on the control loop.
  *
- * <p>Each node judges for itself. The nodes that know each other take turns to state an end, the
- * first by name at once, and each writes under the condition that nothing was stated since it read:
- * the first final statement stands.
+ * <p>Each node judges for itself. The nodes that know each other and can read the store take turns
+ * to state an end, the first by name at once, and each writes under the condition that nothing was
+ * stated since it read: the first final statement stands.
  */
 final class MoveControl {
 
@@ -328,9 +327,11 @@
   }
 
   private int turn() {
-    TreeSet<String> names = new TreeSet<>(statuses.get().keySet());
-    names.add(node);
-    return names.headSet(node).size();
+    return (int)
+        statuses.get().values().stream()
+            .filter(status -> !status.getStoreLost() && !status.getNodeStops())
+            .filter(status -> status.getNode().compareTo(node) < 0)
+            .count();
   }
 
   private CompletionStage<Optional<MoveStatement>> write(Followed followed, Page page) {
