Weigh how far the node beside a target is behind; bound large answers

Change: with each answer the gate tells how late its loop is; 100 ms count as one request per slot (TargetLoad). A call with a large answer leaves its zone from a pressure of 3, and its region only where the region has no target.

Tests: ServicePlacementTests.leaveTheZoneWhereTheNodeBesideItsOnlyTargetIsBehind and givesTheOneWhoseNodeIsBehindLessThanRandomChoiceWould fail with the weight of the lag set to nothing.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
@@ -16,6 +16,12 @@
 /** Chooses the target of a call among those that serve its service. */
 public final class ServicePlacement {
 
+  /**
+   * Pressure from which on a large answer is not fetched at the nearest place: a queue twice as
+   * long as the slots, or a node that is behind by the usual time of an answer.
+   */
+  private static final double LARGE_ANSWER_SPILL = 3;
+
   private final TargetChooser chooser;
 
   /**
@@ -45,6 +51,10 @@
       Context context,
       RandomGenerator random) {
     for (List<Member> side : sides(index.serving(service), rule, random)) {
+      Optional<TargetChooser.Choice> near = nearest(side, context, random);
+      if (near.isPresent()) {
+        return near.map(chosen -> new Placed(chosen.member(), chosen.reason()));
+      }
       Optional<TargetChooser.Choice> choice =
           chooser.choose(
               context.candidates(side),
@@ -59,6 +69,18 @@
     return Optional.empty();
   }
 
+  /** Returns a target at the nearest place for a large answer, empty if it is far too loaded. */
+  private Optional<TargetChooser.Choice> nearest(
+      List<Member> side, Context context, RandomGenerator random) {
+    if (!context.nearest()) {
+      return Optional.empty();
+    }
+    return chooser
+        .choose(
+            context.atNearestPlace(context.candidates(side)), context.own(), context.now(), random)
+        .filter(chosen -> chooser.pressure(chosen.member(), context.now()) < LARGE_ANSWER_SPILL);
+  }
+
   private static List<List<Member>> sides(
       List<Member> all, Optional<VersionRule> rule, RandomGenerator random) {
     if (rule.isEmpty()) {
@@ -105,8 +127,8 @@
    *
    * @param own place of the deciding node
    * @param avoided instances that have been tried for the call
-   * @param nearest whether only the nearest place with a target that was not tried may serve, as
-   *     for large answers
+   * @param nearest whether the nearest place with a target that was not tried is to serve unless it
+   *     is far too loaded, and another region only if the own one has none, as for large answers
    * @param now present time
    */
   public record Context(Locality own, Set<String> avoided, boolean nearest, Instant now) {
@@ -123,9 +145,16 @@
       return avoided.isEmpty() ? TargetChooser.REGION_SPILL : TargetChooser.ZONE_SPILL;
     }
 
+    /** Large answers don't take the link between regions from many small ones. */
     private List<Member> candidates(List<Member> members) {
-      List<Member> untried = without(members);
-      return nearest ? atNearestPlace(untried) : untried;
+      boolean ownRegionServes = members.stream().anyMatch(this::isInOwnRegion);
+      return nearest && ownRegionServes
+          ? without(members).stream().filter(this::isInOwnRegion).toList()
+          : without(members);
+    }
+
+    private boolean isInOwnRegion(Member member) {
+      return own.distanceTo(member.locality()) != Locality.Distance.OTHER_REGION;
     }
 
     private List<Member> atNearestPlace(List<Member> members) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetChooser.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetChooser.java
@@ -82,7 +82,7 @@
     return pressure(far, now) < ZONE_SPILL && pressure(far, now) < pressure(near, now);
   }
 
-  private double pressure(Member member, Instant now) {
+  double pressure(Member member, Instant now) {
     return loads.of(member.instance(), now).pressure(member.slots(), now);
   }
 
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
@@ -23,6 +23,9 @@
 
   private static final Duration FAILURE_HALF_LIFE = Duration.ofSeconds(5);
 
+  /** Lag of the node beside a target that weighs as much as one request for each of its slots. */
+  private static final double LAG_PER_SLOT_MILLIS = 100;
+
   private final Instant firstSeen;
   private final LoadPolicy policy;
   private double failureShare;
@@ -112,18 +115,20 @@
   }
 
   /**
-   * Returns the requests at the target per slot, more for one that fails; 1 means that no slot is
-   * free.
+   * Returns the requests at the target per slot, more for one that fails or whose node is behind; 1
+   * means that no slot is free.
    */
   synchronized double pressure(int slots, Instant now) {
     return occupied(now) / Math.max(1, limit(slots, now))
+        + lagMillis(now) / LAG_PER_SLOT_MILLIS
         + policy.failurePressure() * failureShare(now);
   }
 
   /** Returns the cost of one more request; the lower one is chosen. */
   synchronized double cost(int slots, Instant now) {
     double latency = Math.max(LATENCY_FLOOR_MILLIS, latencyAt(now));
-    double loaded = (occupied(now) + 1) / Math.max(1, limit(slots, now));
+    double loaded =
+        (occupied(now) + 1) / Math.max(1, limit(slots, now)) + lagMillis(now) / LAG_PER_SLOT_MILLIS;
     return loaded * latency / weight(now) * (1 + policy.failureCost() * failureShare(now));
   }
 
@@ -139,6 +144,10 @@
     return reportIsFresh(now) ? report.limit() : slots;
   }
 
+  private double lagMillis(Instant now) {
+    return reportIsFresh(now) ? report.lag().toNanos() / 1e6 : 0;
+  }
+
   private boolean reportIsFresh(Instant now) {
     return report != null && now.isBefore(reportedAt.plus(REPORT_AGE));
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -491,7 +491,11 @@
         .loads()
         .reported(
             target.instance(),
-            new ReportedLoad(load.getBusy(), load.getQueued(), load.getLimit()),
+            new ReportedLoad(
+                load.getBusy(),
+                load.getQueued(),
+                load.getLimit(),
+                Duration.ofNanos(load.getLagMicros() * 1000)),
             entry.now());
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -74,7 +74,7 @@
             platform.store(controlGroup, metrics),
             platform.records());
     this.gate =
-        new SlotGate(traffic, target, clock, settings.headers(), log, control.gateListener());
+        new SlotGate(traffic, target, clock, settings.headers(), lag, log, control.gateListener());
     CallTransport transport = CallTransport.on(trafficGroup);
     this.links = new PeerLinks(transport, random, log, control.statusListener());
     this.entry =
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -65,6 +65,7 @@
   private final HttpClient target;
   private final InstantSource clock;
   private final HeaderNames names;
+  private final LoopLag lag;
   private final EventLog log;
   private final GateListener listener;
   private final Map<AttemptId, GateAttempt> attempts = new HashMap<>();
@@ -83,12 +84,14 @@
       HttpClient target,
       InstantSource clock,
       HeaderNames names,
+      LoopLag lag,
       EventLog log,
       GateListener listener) {
     this.loop = loop;
     this.target = target;
     this.clock = clock;
     this.names = names;
+    this.lag = lag;
     this.log = log;
     this.listener = listener;
     this.lastAnswerAt = clock.instant();
@@ -461,6 +464,7 @@
         .setBusy(slots.busy())
         .setQueued(slots.queued())
         .setLimit(slots.slots())
+        .setLagMicros(lag.value().toNanos() / 1000)
         .build();
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Load.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Load.java
@@ -80,6 +80,21 @@
     return limit_;
   }
 
+  public static final int LAG_MICROS_FIELD_NUMBER = 4;
+  private long lagMicros_ = 0L;
+  /**
+   * <pre>
+   * How late the node beside the target comes to its work.
+   * </pre>
+   *
+   * <code>int64 lag_micros = 4;</code>
+   * @return The lagMicros.
+   */
+  @java.lang.Override
+  public long getLagMicros() {
+    return lagMicros_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -103,6 +118,9 @@
     if (limit_ != 0) {
       output.writeInt32(3, limit_);
     }
+    if (lagMicros_ != 0L) {
+      output.writeInt64(4, lagMicros_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -124,6 +142,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(3, limit_);
     }
+    if (lagMicros_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, lagMicros_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -145,6 +167,8 @@
         != other.getQueued()) return false;
     if (getLimit()
         != other.getLimit()) return false;
+    if (getLagMicros()
+        != other.getLagMicros()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -162,6 +186,9 @@
     hash = (53 * hash) + getQueued();
     hash = (37 * hash) + LIMIT_FIELD_NUMBER;
     hash = (53 * hash) + getLimit();
+    hash = (37 * hash) + LAG_MICROS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLagMicros());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -296,6 +323,7 @@
       busy_ = 0;
       queued_ = 0;
       limit_ = 0;
+      lagMicros_ = 0L;
       return this;
     }
 
@@ -338,6 +366,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.limit_ = limit_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.lagMicros_ = lagMicros_;
+      }
     }
 
     @java.lang.Override
@@ -361,6 +392,9 @@
       if (other.getLimit() != 0) {
         setLimit(other.getLimit());
       }
+      if (other.getLagMicros() != 0L) {
+        setLagMicros(other.getLagMicros());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -402,6 +436,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              lagMicros_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -527,6 +566,50 @@
       return this;
     }
 
+    private long lagMicros_ ;
+    /**
+     * <pre>
+     * How late the node beside the target comes to its work.
+     * </pre>
+     *
+     * <code>int64 lag_micros = 4;</code>
+     * @return The lagMicros.
+     */
+    @java.lang.Override
+    public long getLagMicros() {
+      return lagMicros_;
+    }
+    /**
+     * <pre>
+     * How late the node beside the target comes to its work.
+     * </pre>
+     *
+     * <code>int64 lag_micros = 4;</code>
+     * @param value The lagMicros to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLagMicros(long value) {
+
+      lagMicros_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How late the node beside the target comes to its work.
+     * </pre>
+     *
+     * <code>int64 lag_micros = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLagMicros() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      lagMicros_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.Load)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/LoadOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/LoadOrBuilder.java
@@ -31,4 +31,14 @@
    * @return The limit.
    */
   int getLimit();
+
+  /**
+   * <pre>
+   * How late the node beside the target comes to its work.
+   * </pre>
+   *
+   * <code>int64 lag_micros = 4;</code>
+   * @return The lagMicros.
+   */
+  long getLagMicros();
 }
