--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -139,8 +139,6 @@
   }
 
   private void failed(Throwable error) {
-    boolean truncated =
-        error instanceof CuminlatchException known && known.code() == ErrorCode.LOG_TRUNCATED;
     if (failures == 0) {
       log.event("store-lost")
           .with("stream", stream.name())
@@ -151,7 +149,7 @@
     if (failures == FAILURES_TO_LOST) {
       listener.storeChanged(true);
     }
-    if (truncated) {
+    if (error instanceof CuminlatchException known && known.code() == ErrorCode.LOG_TRUNCATED) {
       next = -1;
     }
     schedule(RetryDelay.after(failures, FIRST_BACKOFF, LONGEST_BACKOFF, random));
