--- a/cuminlatch-cli/src/test/java/org/cuminlatch/cli/ExplainRequestTests.java
+++ b/cuminlatch-cli/src/test/java/org/cuminlatch/cli/ExplainRequestTests.java
@@ -87,7 +87,7 @@
   }
 
   @Nested
-  class OfLinesThatACollectorHasChanged {
+  class OfCollectedLines {
 
     @Test
     void skipsWhatStandsBeforeThem() throws IOException {
