Say what a call waited for when its caller left, and when a node is behind

Change: the line has the target, the number of the attempt and its time; a node says when its traffic loop falls behind by what it refuses calls for, and when it has caught up; explain-request adds the lines of the nodes beside the targets.

Test: ExplainRequestTests.addsWhatTheNodeBesideTheTargetBelieved.

--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/RequestCourse.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/RequestCourse.java
@@ -31,6 +31,8 @@
   /** Events that tell why attempts end or targets are left out. */
   private static final Set<String> EXPLAINING =
       Set.of(
+          "node-behind",
+          "node-caught-up",
           "link-lost",
           "link-silent",
           "link-suspect",
@@ -84,7 +86,15 @@
     Instant first = own.stream().map(EventLine::time).min(Comparator.naturalOrder()).orElseThrow();
     Instant last = own.stream().map(EventLine::time).max(Comparator.naturalOrder()).orElseThrow();
     Set<String> nodes = new HashSet<>();
-    own.forEach(line -> nodes.add(line.node()));
+    Set<String> targets = new HashSet<>();
+    own.forEach(
+        line -> {
+          nodes.add(line.node());
+          targets.add(line.text("target"));
+        });
+    lines.stream()
+        .filter(line -> line.event().equals("peer-status") && targets.contains(line.text("target")))
+        .forEach(line -> nodes.add(line.text("peer")));
     return lines.stream()
         .filter(
             line ->
--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/Sentence.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/Sentence.java
@@ -37,7 +37,12 @@
               "failed",
               "ends it with {status}, it may have been executed: {reason}, after {attempts}"
                   + " attempts and {tookMillis} ms"),
-          Map.entry("call-ended-early", "ends it after {tookMillis} ms: {reason}"),
+          Map.entry(
+              "call-ended-early",
+              "ends it after {tookMillis} ms: {reason}; attempt {number} had been at target {target}"
+                  + " for {attemptMillis} ms"),
+          Map.entry("node-behind", "is behind with its own work, by {lagMillis} ms"),
+          Map.entry("node-caught-up", "has caught up with its own work"),
           Map.entry("rejected", "rejects it with {status}: {reason}"),
           Map.entry("link-lost", "loses its connection to the node at {peer}"),
           Map.entry("link-silent", "gives up the node at {peer}, silent for {silentMillis} ms"),
--- a/cuminlatch-cli/src/test/java/org/cuminlatch/cli/ExplainRequestTests.java
+++ b/cuminlatch-cli/src/test/java/org/cuminlatch/cli/ExplainRequestTests.java
@@ -75,6 +75,25 @@
       assertThat(tool.out(), not(containsString("10.0.0.4")));
     }
 
+    @Test
+    void addsWhatTheNodeBesideTheTargetBelieved() throws IOException {
+      String left =
+          "{\"time\":\"2026-12-04T08:00:02Z\",\"node\":\"n1\",\"event\":\"call-ended-early\","
+              + "\"request\":\"a1\",\"reason\":\"caller left\",\"target\":\"i-7\",\"number\":1,"
+              + "\"attemptMillis\":950,\"tookMillis\":960}";
+      String known =
+          "{\"time\":\"2026-12-04T07:50:00Z\",\"node\":\"n1\",\"event\":\"peer-status\","
+              + "\"peer\":\"n2\",\"target\":\"i-7\",\"phase\":\"READY\",\"stops\":\"false\"}";
+      String behind =
+          "{\"time\":\"2026-12-04T08:00:01Z\",\"node\":\"n2\",\"event\":\"node-behind\","
+              + "\"lagMillis\":430}";
+
+      tool.run("explain-request", "a1", file("n1", known, left), file("n2", behind));
+
+      assertThat(tool.out(), containsString("n2 is behind with its own work, by 430 ms"));
+      assertThat(tool.out(), containsString("had been at target i-7 for 950 ms"));
+    }
+
     @Test
     void printsJson() throws IOException {
       tool.run("explain-request", "--json", "a1", file("n1", REFUSED), file("n2", REFUSED_BY_GATE));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -400,8 +400,8 @@
 
   private void callerLeft() {
     if (!ended) {
-      cancelAttempt();
       endEarly("caller left");
+      cancelAttempt();
     }
   }
 
@@ -419,6 +419,9 @@
         .request("call-ended-early", id)
         .with("route", route.name())
         .with("reason", reason)
+        .with("target", target == null ? "-" : target.instance())
+        .with("number", placements)
+        .with("attemptMillis", attemptAt == null ? 0 : since(attemptAt).toMillis())
         .with("tookMillis", since(startedAt).toMillis())
         .write();
     entry.metrics().endedEarly();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -18,6 +18,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.cuminlatch.core.admission.LagLimit;
 import org.cuminlatch.core.config.CallerLimits;
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.node.event.EventLog;
@@ -40,6 +41,9 @@
 
   private static final long CLOSE_MILLIS = 500;
 
+  /** Rank of the calls that are refused first. */
+  private static final int LOWEST_RANK = Integer.MAX_VALUE;
+
   private final MeshSettings settings;
   private final EventLoopGroup trafficGroup;
   private final EventLoopGroup controlGroup;
@@ -52,6 +56,7 @@
   private final SlotGate gate;
   private final PeerLinks links;
   private final HttpServer callers;
+  private boolean behind;
 
   private MeshNode(MeshSettings settings, Platform platform) {
     this.settings = settings;
@@ -92,6 +97,7 @@
         SWEEP,
         () -> {
           lag.tick();
+          watchLag();
           gate.sweep();
         });
     every(LINK_CHECK, links::check);
@@ -183,6 +189,17 @@
         TimeUnit.MILLISECONDS);
   }
 
+  /** Says when the traffic loop falls behind so far that calls are refused, and when it is over. */
+  private void watchLag() {
+    boolean nowBehind = LagLimit.refusal(LOWEST_RANK, lag.value()).isPresent();
+    if (nowBehind != behind) {
+      behind = nowBehind;
+      log.event(behind ? "node-behind" : "node-caught-up")
+          .with("lagMillis", lag.value().toMillis())
+          .write();
+    }
+  }
+
   private void addGauges() {
     gauge("config_version", () -> control.view().version());
     gauge("gate_running", gate::running);
