Ask the store less often where little depends on it

Change: the stream of nodes is waited on for 25 s again (8 s is needed only where a silent connection would delay a configuration), and nodes that do not follow the operators' records read them every 30 s instead of 10 s.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -46,6 +46,12 @@
  */
 final class MeshControl {
 
+  /** Longest wait of the store for a change of the configuration. */
+  private static final Duration CONFIGURATION_WAIT = Duration.ofSeconds(8);
+
+  /** Longest wait of the store for a new node; the other nodes connect to it meanwhile. */
+  private static final Duration NODES_WAIT = Duration.ofSeconds(25);
+
   /** Time in which changes of the configuration gather before the next wait for one. */
   private static final Duration CONFIGURATION_PAUSE = Duration.ofMillis(400);
 
@@ -218,6 +224,7 @@
         control,
         store,
         Stream.OPERATOR,
+        CONFIGURATION_WAIT,
         CONFIGURATION_PAUSE,
         random,
         log,
@@ -244,7 +251,7 @@
           }
         };
     return new StoreFollower(
-        control, store, Stream.NODES, NODES_PAUSE, random, log, () -> true, listener);
+        control, store, Stream.NODES, NODES_WAIT, NODES_PAUSE, random, log, () -> true, listener);
   }
 
   private void storeChanged(Stream stream, boolean lost) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -20,14 +20,11 @@
  */
 final class StoreFollower {
 
-  /** Time that the store holds a read without records; bounds how long a silent one is trusted. */
-  private static final Duration WAIT = Duration.ofSeconds(8);
-
   /** Time between two looks at whether the duty has come to this node. */
   private static final Duration DUTY_CHECK = Duration.ofMillis(250);
 
   /** Time between two reads of a node without the duty. */
-  private static final Duration STAND_BY = Duration.ofSeconds(10);
+  private static final Duration STAND_BY = Duration.ofSeconds(30);
 
   /** Failures in a row from which on the store counts as lost. */
   private static final int FAILURES_TO_LOST = 2;
@@ -38,6 +35,7 @@
   private final EventLoop loop;
   private final KeyedStore store;
   private final Stream stream;
+  private final Duration wait;
   private final Duration pause;
   private final RandomGenerator random;
   private final EventLog log;
@@ -62,6 +60,8 @@
   /**
    * Creates a follower.
    *
+   * @param wait time that the store holds a read without records; bounds how long a connection that
+   *     has gone silent is trusted
    * @param pause time between the arrival of records and the next wait, in which changes gather
    * @param duty whether this node is one of those that follow the stream
    */
@@ -69,6 +69,7 @@
       EventLoop loop,
       KeyedStore store,
       Stream stream,
+      Duration wait,
       Duration pause,
       RandomGenerator random,
       EventLog log,
@@ -77,6 +78,7 @@
     this.loop = loop;
     this.store = store;
     this.stream = stream;
+    this.wait = wait;
     this.pause = pause;
     this.random = random;
     this.log = log;
@@ -90,7 +92,7 @@
       standBy();
       return;
     }
-    var reading = next < 0 ? store.newest(stream) : store.follow(stream, next, WAIT);
+    var reading = next < 0 ? store.newest(stream) : store.follow(stream, next, wait);
     reading.whenComplete((page, error) -> loop.execute(() -> ended(page, error)));
   }
 
