--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/Sentence.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/Sentence.java
@@ -39,8 +39,8 @@
                   + " attempts and {tookMillis} ms"),
           Map.entry(
               "call-ended-early",
-              "ends it after {tookMillis} ms: {reason}; attempt {number} had been at target {target}"
-                  + " for {attemptMillis} ms"),
+              "ends it after {tookMillis} ms: {reason}; attempt {number} had been at target"
+                  + " {target} for {attemptMillis} ms"),
           Map.entry("node-behind", "is behind with its own work, by {lagMillis} ms"),
           Map.entry("node-caught-up", "has caught up with its own work"),
           Map.entry("rejected", "rejects it with {status}: {reason}"),
