Bound the weight of a node's lag, so that calls stay near after a start

Cause: after all processes have ended at once every node is behind; with a lag of 200 ms and more each target seemed to have a queue longer than its slots, so that calls would leave the zone, and large answers too, for nodes that are just as far behind, at twice the work for each call.

Change: lag counts as one request per slot at most. A call with a large answer leaves its zone from a pressure of 2 (it was 3 to allow for the lag).

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
@@ -17,10 +17,10 @@
 public final class ServicePlacement {
 
   /**
-   * Pressure from which on a large answer is not fetched at the nearest place: a queue twice as
-   * long as the slots, or a node that is behind by the usual time of an answer.
+   * Pressure from which on a large answer is not fetched at the nearest place: a queue as long as
+   * the slots, or full slots beside a node that is behind.
    */
-  private static final double LARGE_ANSWER_SPILL = 3;
+  private static final double LARGE_ANSWER_SPILL = 2;
 
   private final TargetChooser chooser;
 
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
@@ -23,8 +23,11 @@
 
   private static final Duration FAILURE_HALF_LIFE = Duration.ofSeconds(5);
 
-  /** Lag of the node beside a target that weighs as much as one request for each of its slots. */
-  private static final double LAG_PER_SLOT_MILLIS = 100;
+  /**
+   * Lag of the node beside a target that weighs as much as one request for each of its slots. It
+   * weighs no more: where all nodes are behind, as after a start, calls had better stay near.
+   */
+  private static final double FULL_LAG_MILLIS = 100;
 
   private final Instant firstSeen;
   private final LoadPolicy policy;
@@ -120,15 +123,14 @@
    */
   synchronized double pressure(int slots, Instant now) {
     return occupied(now) / Math.max(1, limit(slots, now))
-        + lagMillis(now) / LAG_PER_SLOT_MILLIS
+        + lagPressure(now)
         + policy.failurePressure() * failureShare(now);
   }
 
   /** Returns the cost of one more request; the lower one is chosen. */
   synchronized double cost(int slots, Instant now) {
     double latency = Math.max(LATENCY_FLOOR_MILLIS, latencyAt(now));
-    double loaded =
-        (occupied(now) + 1) / Math.max(1, limit(slots, now)) + lagMillis(now) / LAG_PER_SLOT_MILLIS;
+    double loaded = (occupied(now) + 1) / Math.max(1, limit(slots, now)) + lagPressure(now);
     return loaded * latency / weight(now) * (1 + policy.failureCost() * failureShare(now));
   }
 
@@ -144,8 +146,8 @@
     return reportIsFresh(now) ? report.limit() : slots;
   }
 
-  private double lagMillis(Instant now) {
-    return reportIsFresh(now) ? report.lag().toNanos() / 1e6 : 0;
+  private double lagPressure(Instant now) {
+    return reportIsFresh(now) ? Math.min(1, report.lag().toNanos() / 1e6 / FULL_LAG_MILLIS) : 0;
   }
 
   private boolean reportIsFresh(Instant now) {
