--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/RequestCourse.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/RequestCourse.java
@@ -83,8 +83,9 @@
     if (own.isEmpty()) {
       return List.of();
     }
-    Instant first = own.stream().map(EventLine::time).min(Comparator.naturalOrder()).orElseThrow();
-    Instant last = own.stream().map(EventLine::time).max(Comparator.naturalOrder()).orElseThrow();
+    Comparator<Instant> earlier = Comparator.naturalOrder();
+    Instant from = own.stream().map(EventLine::time).min(earlier).orElseThrow().minus(MARGIN);
+    Instant to = own.stream().map(EventLine::time).max(earlier).orElseThrow().plus(MARGIN);
     Set<String> nodes = new HashSet<>();
     Set<String> targets = new HashSet<>();
     own.forEach(
@@ -100,8 +101,8 @@
             line ->
                 line.isAbout(request)
                     || explains(line, nodes)
-                        && !line.time().isBefore(first.minus(MARGIN))
-                        && !line.time().isAfter(last.plus(MARGIN)))
+                        && !line.time().isBefore(from)
+                        && !line.time().isAfter(to))
         .sorted(Comparator.comparing(EventLine::time))
         .map(line -> RequestStep.of(line, line.isAbout(request)))
         .toList();
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/LagLimit.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/LagLimit.java
@@ -26,6 +26,16 @@
 
   private LagLimit() {}
 
+  /**
+   * Returns whether some calls are refused.
+   *
+   * @param lag time that a call has probably waited for the node
+   * @return true if those of the lowest ranks are
+   */
+  public static boolean isBehind(Duration lag) {
+    return notNull(lag, "lag").compareTo(LOW_RANKS) > 0;
+  }
+
   /**
    * Decides on a call.
    *
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServicePlacement.java
@@ -51,17 +51,8 @@
       Context context,
       RandomGenerator random) {
     for (List<Member> side : sides(index.serving(service), rule, random)) {
-      Optional<TargetChooser.Choice> near = nearest(side, context, random);
-      if (near.isPresent()) {
-        return near.map(chosen -> new Placed(chosen.member(), chosen.reason()));
-      }
       Optional<TargetChooser.Choice> choice =
-          chooser.choose(
-              context.candidates(side),
-              context.own(),
-              context.regionSpill(),
-              context.now(),
-              random);
+          nearest(side, context, random).or(() -> anywhere(side, context, random));
       if (choice.isPresent()) {
         return choice.map(chosen -> new Placed(chosen.member(), chosen.reason()));
       }
@@ -81,6 +72,12 @@
         .filter(chosen -> chooser.pressure(chosen.member(), context.now()) < LARGE_ANSWER_SPILL);
   }
 
+  private Optional<TargetChooser.Choice> anywhere(
+      List<Member> side, Context context, RandomGenerator random) {
+    return chooser.choose(
+        context.candidates(side), context.own(), context.regionSpill(), context.now(), random);
+  }
+
   private static List<List<Member>> sides(
       List<Member> all, Optional<VersionRule> rule, RandomGenerator random) {
     if (rule.isEmpty()) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/target/TargetLife.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/target/TargetLife.java
@@ -116,8 +116,7 @@
   }
 
   private static boolean describesSame(TargetReport one, TargetReport other) {
-    return one.instance().equals(other.instance())
-        && one.bornMillis() == other.bornMillis()
+    return one.isOfSameStart(other)
         && one.version().equals(other.version())
         && one.slots() == other.slots()
         && one.ready() == other.ready();
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/target/TargetReport.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/target/TargetReport.java
@@ -39,4 +39,14 @@
     check(slots >= 1, "slots", "must be at least 1");
     notNull(coldLeft, "coldLeft");
   }
+
+  /**
+   * Returns whether another report is of the same start of the same target.
+   *
+   * @param other the other report
+   * @return true if name and start are equal
+   */
+  public boolean isOfSameStart(TargetReport other) {
+    return instance.equals(other.instance) && bornMillis == other.bornMillis;
+  }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
@@ -108,24 +108,6 @@
     }
   }
 
-  /**
-   * Returns whether the answer has been started.
-   *
-   * @return true once its head is written
-   */
-  public boolean isStarted() {
-    return started;
-  }
-
-  /**
-   * Returns whether nothing more can be answered.
-   *
-   * @return true once the answer is whole or the caller has left
-   */
-  public boolean isEnded() {
-    return ended;
-  }
-
   /**
    * Answers with a whole body.
    *
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -17,6 +17,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.CatchUp;
 import org.cuminlatch.core.config.Snapshot;
@@ -179,8 +180,8 @@
         () -> {
           target.read();
           moves.readStatements();
-          followOperator().start();
-          followNodes().start();
+          follow(operatorRecords(), this::operatorRecord, () -> {}).start();
+          follow(nodeAddresses(), this::nodeRecord, this::nodesChanged).start();
         });
     control.scheduleWithFixedDelay(
         this::pullIfBehind, PULL_CHECK.toMillis(), PULL_CHECK.toMillis(), TimeUnit.MILLISECONDS);
@@ -204,54 +205,35 @@
         });
   }
 
-  private StoreFollower followOperator() {
-    StoreFollower.ItemListener listener =
-        new StoreFollower.ItemListener() {
-          @Override
-          public void item(Item item) {
-            operatorRecord(item);
-          }
+  private StoreFollower.Following operatorRecords() {
+    return new StoreFollower.Following(
+        Stream.OPERATOR, CONFIGURATION_WAIT, CONFIGURATION_PAUSE, this::readsForZone);
+  }
 
-          @Override
-          public void caughtUp() {}
+  private StoreFollower.Following nodeAddresses() {
+    return new StoreFollower.Following(Stream.NODES, NODES_WAIT, NODES_PAUSE, () -> true);
+  }
 
-          @Override
-          public void storeChanged(boolean lost) {
-            MeshControl.this.storeChanged(Stream.OPERATOR, lost);
-          }
-        };
-    return new StoreFollower(
-        control,
-        store,
-        Stream.OPERATOR,
-        CONFIGURATION_WAIT,
-        CONFIGURATION_PAUSE,
-        random,
-        log,
-        this::readsForZone,
-        listener);
-  }
-
-  private StoreFollower followNodes() {
+  private StoreFollower follow(
+      StoreFollower.Following following, Consumer<Item> taker, Runnable afterPage) {
     StoreFollower.ItemListener listener =
         new StoreFollower.ItemListener() {
           @Override
           public void item(Item item) {
-            nodeRecord(item);
+            taker.accept(item);
           }
 
           @Override
           public void caughtUp() {
-            nodesChanged();
+            afterPage.run();
           }
 
           @Override
           public void storeChanged(boolean lost) {
-            MeshControl.this.storeChanged(Stream.NODES, lost);
+            MeshControl.this.storeChanged(following.stream(), lost);
           }
         };
-    return new StoreFollower(
-        control, store, Stream.NODES, NODES_WAIT, NODES_PAUSE, random, log, () -> true, listener);
+    return new StoreFollower(control, store, following, random, log, listener);
   }
 
   private void storeChanged(Stream stream, boolean lost) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -41,9 +41,6 @@
 
   private static final long CLOSE_MILLIS = 500;
 
-  /** Rank of the calls that are refused first. */
-  private static final int LOWEST_RANK = Integer.MAX_VALUE;
-
   private final MeshSettings settings;
   private final EventLoopGroup trafficGroup;
   private final EventLoopGroup controlGroup;
@@ -191,7 +188,7 @@
 
   /** Says when the traffic loop falls behind so far that calls are refused, and when it is over. */
   private void watchLag() {
-    boolean nowBehind = LagLimit.refusal(LOWEST_RANK, lag.value()).isPresent();
+    boolean nowBehind = LagLimit.isBehind(lag.value());
     if (nowBehind != behind) {
       behind = nowBehind;
       log.event(behind ? "node-behind" : "node-caught-up")
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
@@ -42,6 +42,9 @@
   /** Time by which each further node waits for the ones before it. */
   private static final Duration TURN = Duration.ofMillis(700);
 
+  /** Time between two tries to read what was stated before. */
+  private static final Duration READ_RETRY = Duration.ofMillis(700);
+
   private static final Duration BETWEEN_TRIES = Duration.ofMillis(300);
 
   /** Part of the old targets' slots that the new ones must have before a move is complete. */
@@ -136,7 +139,8 @@
               if (error == null) {
                 statementsRead(page);
               } else if (!statementsKnown) {
-                control.schedule(this::readStatements, TURN.toMillis(), TimeUnit.MILLISECONDS);
+                control.schedule(
+                    this::readStatements, READ_RETRY.toMillis(), TimeUnit.MILLISECONDS);
               }
             });
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/OwnTarget.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/OwnTarget.java
@@ -109,7 +109,7 @@
         unused -> {
           Optional<TargetReport> before = life.latest();
           CompletionStage<Void> taken = take(report);
-          if (life.takesRequests() && !before.map(known -> isSame(known, report)).orElse(false)) {
+          if (life.takesRequests() && !before.filter(report::isOfSameStart).isPresent()) {
             store(describe(TargetStatus.newBuilder(), true).build());
           }
           return taken;
@@ -117,10 +117,6 @@
         control);
   }
 
-  private static boolean isSame(TargetReport one, TargetReport other) {
-    return one.instance().equals(other.instance()) && one.bornMillis() == other.bornMillis();
-  }
-
   private CompletionStage<Void> take(TargetReport report) {
     TargetLife.Change change = life.report(report);
     if (change != TargetLife.Change.NONE) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/RecordFrames.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/RecordFrames.java
@@ -1,11 +1,14 @@
 package org.cuminlatch.node.mesh;
 
 import com.google.protobuf.ByteString;
-import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.util.Optional;
-import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
-import java.util.zip.Inflater;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
 import org.cuminlatch.node.mesh.KeyedStore.Item;
 import org.cuminlatch.wire.proto.call.CallFrame;
 import org.cuminlatch.wire.proto.call.ConfigRecord;
@@ -16,8 +19,6 @@
   /** Largest value that is taken from another node, above what a store holds in a record. */
   static final int MOST_VALUE_BYTES = 4 << 20;
 
-  private static final int CHUNK_BYTES = 16 * 1024;
-
   private RecordFrames() {}
 
   /** A record whose frame is made when a node first asks for it; used by one thread. */
@@ -39,44 +40,31 @@
   }
 
   static ConfigRecord of(Item item) {
+    ByteString.Output compressed = ByteString.newOutput();
     Deflater deflater = new Deflater(Deflater.BEST_SPEED);
-    try {
-      deflater.setInput(item.value());
-      deflater.finish();
-      ByteArrayOutputStream compressed = new ByteArrayOutputStream();
-      byte[] chunk = new byte[CHUNK_BYTES];
-      while (!deflater.finished()) {
-        compressed.write(chunk, 0, deflater.deflate(chunk));
-      }
-      return ConfigRecord.newBuilder()
-          .setKey(item.key())
-          .setValue(ByteString.copyFrom(compressed.toByteArray()))
-          .setOffset(item.offset())
-          .build();
+    try (OutputStream out = new DeflaterOutputStream(compressed, deflater)) {
+      out.write(item.value());
+    } catch (IOException impossible) {
+      throw new UncheckedIOException(impossible);
     } finally {
       deflater.end();
     }
+    return ConfigRecord.newBuilder()
+        .setKey(item.key())
+        .setValue(compressed.toByteString())
+        .setOffset(item.offset())
+        .build();
   }
 
   /** Returns the record, empty if it can't be decompressed or is too large. */
   static Optional<Item> item(ConfigRecord record) {
-    Inflater inflater = new Inflater();
-    try {
-      inflater.setInput(record.getValue().toByteArray());
-      ByteArrayOutputStream value = new ByteArrayOutputStream();
-      byte[] chunk = new byte[CHUNK_BYTES];
-      while (!inflater.finished()) {
-        int length = inflater.inflate(chunk);
-        if (length == 0 || value.size() + length > MOST_VALUE_BYTES) {
-          return Optional.empty();
-        }
-        value.write(chunk, 0, length);
-      }
-      return Optional.of(new Item(record.getKey(), value.toByteArray(), record.getOffset()));
-    } catch (DataFormatException unreadable) {
+    try (InputStream in = new InflaterInputStream(record.getValue().newInput())) {
+      byte[] value = in.readNBytes(MOST_VALUE_BYTES + 1);
+      return value.length > MOST_VALUE_BYTES
+          ? Optional.empty()
+          : Optional.of(new Item(record.getKey(), value, record.getOffset()));
+    } catch (IOException unreadable) {
       return Optional.empty();
-    } finally {
-      inflater.end();
     }
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -123,8 +123,7 @@
   void open(TargetReport described) {
     boolean same =
         report
-            .filter(known -> known.instance().equals(described.instance()))
-            .filter(known -> known.bornMillis() == described.bornMillis())
+            .filter(described::isOfSameStart)
             .filter(known -> known.slots() == described.slots())
             .isPresent();
     report = Optional.of(described);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -34,17 +34,24 @@
 
   private final EventLoop loop;
   private final KeyedStore store;
-  private final Stream stream;
-  private final Duration wait;
-  private final Duration pause;
+  private final Following following;
   private final RandomGenerator random;
   private final EventLog log;
-  private final BooleanSupplier duty;
   private final ItemListener listener;
   private long next = -1;
   private int failures;
   private long readAtNanos;
 
+  /**
+   * How a stream is followed.
+   *
+   * @param longestWait time that the store holds a read without records; bounds how long a
+   *     connection that has gone silent is trusted
+   * @param pause time between the arrival of records and the next wait, in which changes gather
+   * @param duty whether this node is one of those that follow the stream
+   */
+  record Following(Stream stream, Duration longestWait, Duration pause, BooleanSupplier duty) {}
+
   /** Takes records in their order; called on the control loop. */
   interface ItemListener {
 
@@ -57,48 +64,35 @@
     void storeChanged(boolean lost);
   }
 
-  /**
-   * Creates a follower.
-   *
-   * @param wait time that the store holds a read without records; bounds how long a connection that
-   *     has gone silent is trusted
-   * @param pause time between the arrival of records and the next wait, in which changes gather
-   * @param duty whether this node is one of those that follow the stream
-   */
   StoreFollower(
       EventLoop loop,
       KeyedStore store,
-      Stream stream,
-      Duration wait,
-      Duration pause,
+      Following following,
       RandomGenerator random,
       EventLog log,
-      BooleanSupplier duty,
       ItemListener listener) {
     this.loop = loop;
     this.store = store;
-    this.stream = stream;
-    this.wait = wait;
-    this.pause = pause;
+    this.following = following;
     this.random = random;
     this.log = log;
-    this.duty = duty;
     this.listener = listener;
   }
 
   void start() {
-    boolean follows = duty.getAsBoolean();
-    if (!follows && next >= 0) {
+    if (next >= 0 && !following.duty().getAsBoolean()) {
       standBy();
       return;
     }
-    var reading = next < 0 ? store.newest(stream) : store.follow(stream, next, wait);
+    Stream stream = following.stream();
+    var reading =
+        next < 0 ? store.newest(stream) : store.follow(stream, next, following.longestWait());
     reading.whenComplete((page, error) -> loop.execute(() -> ended(page, error)));
   }
 
   /** Waits for the duty; what the stream held until then is not read record by record. */
   private void standBy() {
-    if (duty.getAsBoolean() || System.nanoTime() - readAtNanos > STAND_BY.toNanos()) {
+    if (following.duty().getAsBoolean() || System.nanoTime() - readAtNanos > STAND_BY.toNanos()) {
       next = -1;
       start();
     } else {
@@ -112,7 +106,10 @@
       return;
     }
     if (failures > 0) {
-      log.event("store-regained").with("stream", stream.name()).with("failures", failures).write();
+      log.event("store-regained")
+          .with("stream", following.stream().name())
+          .with("failures", failures)
+          .write();
       failures = 0;
       listener.storeChanged(false);
     }
@@ -123,7 +120,7 @@
     if (page.items().isEmpty()) {
       start();
     } else {
-      schedule(pause);
+      schedule(following.pause());
     }
   }
 
@@ -132,7 +129,7 @@
       listener.item(item);
     } catch (RuntimeException unusable) {
       log.event("record-unusable")
-          .with("stream", stream.name())
+          .with("stream", following.stream().name())
           .with("key", item.key())
           .with("offset", item.offset())
           .with("reason", String.valueOf(unusable))
@@ -143,7 +140,7 @@
   private void failed(Throwable error) {
     if (failures == 0) {
       log.event("store-lost")
-          .with("stream", stream.name())
+          .with("stream", following.stream().name())
           .with("reason", String.valueOf(error))
           .write();
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/settings/NodeSettingsReader.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/settings/NodeSettingsReader.java
@@ -1,20 +1,13 @@
 package org.cuminlatch.node.settings;
 
-import static org.cuminlatch.core.error.ErrorCode.INVALID_SETTING;
-
-import java.io.IOException;
 import java.net.URI;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import org.cuminlatch.core.error.CuminlatchException;
-import org.cuminlatch.core.error.Step;
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.core.membership.Locality;
-import org.tomlj.Toml;
-import org.tomlj.TomlParseResult;
 
 /** Reads and checks the settings file of a node. */
 public final class NodeSettingsReader {
@@ -38,7 +31,7 @@
    *     unknown, missing, of the wrong type or out of range
    */
   public static NodeSettings read(Path file) {
-    return parse(contentOf(file));
+    return settings(TomlSection.read(file));
   }
 
   /**
@@ -49,11 +42,10 @@
    * @throws CuminlatchException with {@code INVALID_SETTING} as {@link #read}
    */
   public static NodeSettings parse(String toml) {
-    TomlParseResult parsed = Toml.parse(toml);
-    if (parsed.hasErrors()) {
-      throw invalid("the file is not TOML: " + parsed.errors().get(0));
-    }
-    TomlSection root = new TomlSection("", parsed);
+    return settings(TomlSection.parse(toml));
+  }
+
+  private static NodeSettings settings(TomlSection root) {
     NodeSettings settings = settingsOf(root);
     root.refuseUnknownKeys();
     return settings;
@@ -123,16 +115,4 @@
     }
     return uri;
   }
-
-  private static String contentOf(Path file) {
-    try {
-      return Files.readString(file);
-    } catch (IOException unreadable) {
-      throw invalid("settings file had " + file + "; it wants a readable TOML file");
-    }
-  }
-
-  private static CuminlatchException invalid(String message) {
-    return CuminlatchException.of(INVALID_SETTING, Step.SETTINGS, message);
-  }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/settings/TomlSection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/settings/TomlSection.java
@@ -2,6 +2,9 @@
 
 import static org.cuminlatch.core.error.ErrorCode.INVALID_SETTING;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -10,7 +13,9 @@
 import java.util.stream.IntStream;
 import org.cuminlatch.core.error.CuminlatchException;
 import org.cuminlatch.core.error.Step;
+import org.tomlj.Toml;
 import org.tomlj.TomlArray;
+import org.tomlj.TomlParseResult;
 import org.tomlj.TomlTable;
 
 /**
@@ -19,18 +24,48 @@
  * <p>Each failed check throws a {@link CuminlatchException} with {@code INVALID_SETTING} whose
  * message names the key, what it had and what it wants.
  */
-final class TomlSection {
+public final class TomlSection {
 
   private final String path;
   private final TomlTable table;
   private final Set<String> read = new HashSet<>();
 
-  TomlSection(String path, TomlTable table) {
+  private TomlSection(String path, TomlTable table) {
     this.path = path;
     this.table = table;
   }
 
-  TomlSection section(String key) {
+  /**
+   * Reads a file.
+   *
+   * @param file the TOML file
+   * @return its outermost table
+   * @throws CuminlatchException with {@code INVALID_SETTING} if it can't be read or is not TOML
+   */
+  public static TomlSection read(Path file) {
+    try {
+      return parse(Files.readString(file));
+    } catch (IOException unreadable) {
+      throw invalid("settings file had " + file + "; it wants a readable TOML file");
+    }
+  }
+
+  /** Returns the outermost table of a text. */
+  static TomlSection parse(String toml) {
+    TomlParseResult parsed = Toml.parse(toml);
+    if (parsed.hasErrors()) {
+      throw invalid("the file is not TOML: " + parsed.errors().get(0));
+    }
+    return new TomlSection("", parsed);
+  }
+
+  /**
+   * Returns a table within this one.
+   *
+   * @param key its key
+   * @return the table
+   */
+  public TomlSection section(String key) {
     Object value = required(key);
     if (value instanceof TomlTable inner) {
       return new TomlSection(pathOf(key), inner);
@@ -42,7 +77,13 @@
     return table.contains(List.of(key));
   }
 
-  String text(String key) {
+  /**
+   * Returns a text.
+   *
+   * @param key its key
+   * @return the text, not blank
+   */
+  public String text(String key) {
     return textOf(key, required(key));
   }
 
@@ -70,7 +111,16 @@
     return has(key) ? integer(key, low, high) : fallback;
   }
 
-  <T> T parsed(String key, Function<String, T> parser, String wanted) {
+  /**
+   * Returns a value that stands in a text.
+   *
+   * @param key its key
+   * @param parser reads it; throws {@link IllegalArgumentException} if it can't
+   * @param wanted what it reads, for the message
+   * @param <T> type of the value
+   * @return the value
+   */
+  public <T> T parsed(String key, Function<String, T> parser, String wanted) {
     return parse(key, text(key), parser, wanted);
   }
 
@@ -138,7 +188,10 @@
 
   private CuminlatchException invalid(String key, Object had, String wanted) {
     String shown = had instanceof TomlTable ? "a table" : String.valueOf(had);
-    String message = pathOf(key) + " had " + shown + "; it wants " + wanted;
+    return invalid(pathOf(key) + " had " + shown + "; it wants " + wanted);
+  }
+
+  private static CuminlatchException invalid(String message) {
     return CuminlatchException.of(INVALID_SETTING, Step.SETTINGS, message);
   }
 
