One piece for held slots, one for waits that double

- GoalQueue and SlotQueue each kept who holds a slot and since when, and released it in the same way: HeldSlots.
What they make of a release, and the order of their queues, differ and stay.

No behaviour changes. The tests of core, of the settings and of platform/ pass.

--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/Backoff.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/Backoff.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.random.RandomGenerator;
+import org.cuminlatch.core.retry.DoublingWait;
 
 /**
  * Exponential backoff with full jitter: a wait is drawn between nothing and a bound that doubles,
@@ -9,9 +10,8 @@
  */
 final class Backoff {
 
-  private static final Duration FIRST = Duration.ofMillis(200);
-  private static final Duration LONGEST = Duration.ofSeconds(5);
-  private static final int MAX_DOUBLINGS = 10;
+  private static final DoublingWait WAIT =
+      new DoublingWait(Duration.ofMillis(200), Duration.ofSeconds(5));
 
   private final RandomGenerator random;
   private final Pause pause;
@@ -30,8 +30,7 @@
     if (attempt == 0) {
       return;
     }
-    long doubled = FIRST.toMillis() << Math.min(attempt - 1, MAX_DOUBLINGS);
-    long bound = Math.min(LONGEST.toMillis(), doubled);
+    long bound = WAIT.longest(attempt - 1).toMillis();
     pause.sleep(Duration.ofMillis(random.nextLong(bound + 1)));
   }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
@@ -7,9 +7,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.cuminlatch.core.admission.SlotDecision.Kind;
 import org.cuminlatch.core.retry.AttemptId;
@@ -43,7 +41,7 @@
   private final int slots;
   private double usualNanos = FIRST_GUESS_NANOS;
   private final ServiceTimes times = new ServiceTimes();
-  private final Map<AttemptId, Held> held = new HashMap<>();
+  private final HeldSlots held = new HeldSlots();
   private final List<GoalRequest> queue = new ArrayList<>();
 
   /**
@@ -68,7 +66,7 @@
     if (!now.isBefore(request.deadline())) {
       return Kind.DEADLINE;
     }
-    if (queue.isEmpty() && held.size() < slots) {
+    if (queue.isEmpty() && held.count() < slots) {
       hold(request, now);
       return Kind.ADMITTED;
     }
@@ -127,7 +125,7 @@
         Comparator.comparing((GoalRequest request) -> isLate(request, now))
             .thenComparing(GoalRequest::priority)
             .thenComparing(GoalRequest::goal));
-    while (held.size() < slots && !queue.isEmpty()) {
+    while (held.count() < slots && !queue.isEmpty()) {
       GoalRequest next = queue.remove(0);
       if (now.isBefore(next.deadline())) {
         hold(next, now);
@@ -166,16 +164,16 @@
    * @return how long it held the slot, empty if it holds none
    */
   public Optional<Duration> release(AttemptId attempt, SlotEnd end, Instant now) {
-    Held slot = held.remove(attempt);
-    if (slot == null) {
-      return Optional.empty();
-    }
-    Duration used = Duration.between(slot.since(), now);
+    Optional<HeldSlots.Released> slot = held.release(attempt, now);
     if (end == SlotEnd.ANSWERED) {
-      times.observed(slot.route(), used);
-      usualNanos += USUAL_SMOOTHING * (used.toNanos() - usualNanos);
+      slot.ifPresent(this::answered);
     }
-    return Optional.of(used);
+    return slot.map(HeldSlots.Released::used);
+  }
+
+  private void answered(HeldSlots.Released slot) {
+    times.observed(slot.route(), slot.used());
+    usualNanos += USUAL_SMOOTHING * (slot.used().toNanos() - usualNanos);
   }
 
   /**
@@ -206,7 +204,7 @@
    * @return attempts that hold a slot
    */
   public int busy() {
-    return held.size();
+    return held.count();
   }
 
   /**
@@ -233,7 +231,7 @@
    * @return an estimate, zero while a slot is free
    */
   public Duration expectedWait() {
-    if (queue.isEmpty() && held.size() < slots) {
+    if (queue.isEmpty() && held.count() < slots) {
       return Duration.ZERO;
     }
     double ahead = heldNanos();
@@ -244,7 +242,7 @@
   }
 
   private void hold(GoalRequest request, Instant now) {
-    held.put(request.attempt(), new Held(request.route(), now));
+    held.hold(request.attempt(), request.route(), now);
   }
 
   /** Returns the usual time of a route, or that of all routes while it is not known. */
@@ -265,12 +263,6 @@
 
   /** Returns the mean time of what runs: the slots are freed at one per that time and slot. */
   private double heldNanos() {
-    double sum = 0;
-    for (Held slot : held.values()) {
-      sum += expectedNanos(slot.route());
-    }
-    return held.isEmpty() ? 0 : sum / held.size();
+    return held.count() == 0 ? 0 : held.sum(this::expectedNanos) / held.count();
   }
-
-  private record Held(String route, Instant since) {}
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/SlotQueue.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/SlotQueue.java
@@ -7,10 +7,8 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
 import org.cuminlatch.core.admission.SlotDecision.Kind;
@@ -36,7 +34,7 @@
   private final AdaptiveLimit limit;
   private final ServiceTimes times = new ServiceTimes();
   private final RouteShares shares = new RouteShares();
-  private final Map<AttemptId, Held> held = new HashMap<>();
+  private final HeldSlots held = new HeldSlots();
   private final TreeSet<Waiting> queue = new TreeSet<>(BY_DEADLINE);
   private long offered;
   private boolean draining;
@@ -67,7 +65,7 @@
     if (!canEnd(request, now, 0)) {
       return Kind.DEADLINE;
     }
-    if (queue.isEmpty() && held.size() < limit.value() && mayHoldMore(request.route(), now)) {
+    if (queue.isEmpty() && held.count() < limit.value() && mayHoldMore(request.route(), now)) {
       hold(request, now);
       return Kind.ADMITTED;
     }
@@ -90,7 +88,7 @@
   public List<SlotDecision> poll(Instant now) {
     List<SlotDecision> decisions = new ArrayList<>();
     refuseLate(now, decisions);
-    while (held.size() < limit.value()) {
+    while (held.count() < limit.value()) {
       Optional<Waiting> next = next(now);
       if (next.isEmpty()) {
         break;
@@ -111,19 +109,19 @@
    * @return how long it held the slot, empty if it holds none
    */
   public Optional<Duration> release(AttemptId attempt, SlotEnd end, Instant now) {
-    Held slot = held.remove(attempt);
-    if (slot == null) {
-      return Optional.empty();
-    }
+    Optional<HeldSlots.Released> slot = held.release(attempt, now);
+    slot.ifPresent(released -> released(released, end, now));
+    return slot.map(HeldSlots.Released::used);
+  }
+
+  private void released(HeldSlots.Released slot, SlotEnd end, Instant now) {
     shares.released(slot.route());
-    Duration used = Duration.between(slot.since(), now);
     if (end == SlotEnd.ANSWERED) {
-      times.observed(slot.route(), used);
+      times.observed(slot.route(), slot.used());
       limit.succeeded();
     } else if (end == SlotEnd.OVERLOADED) {
       limit.overloaded(now);
     }
-    return Optional.of(used);
   }
 
   /**
@@ -156,7 +154,7 @@
    * @return attempts that hold a slot
    */
   public int busy() {
-    return held.size();
+    return held.count();
   }
 
   /**
@@ -178,7 +176,7 @@
   }
 
   private void hold(SlotRequest request, Instant now) {
-    held.put(request.attempt(), new Held(request.route(), now));
+    held.hold(request.attempt(), request.route(), now);
     shares.held(request.route());
   }
 
@@ -225,13 +223,9 @@
       }
       ahead += times.meanNanos(waiting.request().route());
     }
-    for (Held slot : held.values()) {
-      ahead += times.meanNanos(slot.route()) / 2;
-    }
+    ahead += held.sum(times::meanNanos) / 2;
     return ahead / limit.value();
   }
 
   private record Waiting(SlotRequest request, long order) {}
-
-  private record Held(String route, Instant since) {}
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/SeedContacts.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/membership/SeedContacts.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.cuminlatch.core.retry.DoublingWait;
 
 /**
  * When to contact which seed: often, with full jitter, while no other member is known; now and then
@@ -17,7 +18,6 @@
 
   private static final Duration FIRST_WAIT = Duration.ofMillis(300);
   private static final Duration RECHECK = Duration.ofSeconds(60);
-  private static final int MAX_DOUBLINGS = 16;
 
   private final List<Address> seeds = new ArrayList<>();
   private final Address self;
@@ -63,10 +63,8 @@
   }
 
   private Duration nextWait() {
-    Duration longest = settings.joinBackoff().multipliedBy(1L << Math.min(attempts, MAX_DOUBLINGS));
-    attempts++;
-    Duration limit = settings.joinBackoffLimit();
-    return jittered(longest.compareTo(limit) < 0 ? longest : limit);
+    DoublingWait wait = new DoublingWait(settings.joinBackoff(), settings.joinBackoffLimit());
+    return jittered(wait.longest(attempts++));
   }
 
   private Duration jittered(Duration longest) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import org.cuminlatch.core.retry.DoublingWait;
 
 /** What one node has learned of one target; safe for use by many threads. */
 final class TargetLoad {
@@ -10,6 +11,7 @@
   static final int FAILURES_TO_EJECT = 5;
   static final Duration FIRST_EJECTION = Duration.ofSeconds(2);
   static final Duration LONGEST_EJECTION = Duration.ofSeconds(60);
+  private static final DoublingWait EJECTION = new DoublingWait(FIRST_EJECTION, LONGEST_EJECTION);
   static final Duration SLOW_START = Duration.ofSeconds(30);
 
   private static final double LEAST_WEIGHT = 0.1;
@@ -106,10 +108,8 @@
   }
 
   private void eject(Instant now) {
-    Duration doubled = FIRST_EJECTION.multipliedBy(1L << Math.min(ejections, 5));
-    Duration length = doubled.compareTo(LONGEST_EJECTION) < 0 ? doubled : LONGEST_EJECTION;
+    ejectedUntil = now.plus(EJECTION.longest(ejections));
     ejections++;
-    ejectedUntil = now.plus(length);
     failuresInRow = FAILURES_TO_EJECT - 1;
   }
 
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/Backoff.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/spread/Backoff.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.random.RandomGenerator;
+import org.cuminlatch.core.retry.DoublingWait;
 
 /**
  * Exponential backoff with full jitter.
@@ -11,17 +12,13 @@
  */
 final class Backoff {
 
-  private static final int MAX_DOUBLINGS = 16;
-
-  private final Duration base;
-  private final Duration limit;
+  private final DoublingWait wait;
   private final RandomGenerator random;
   private int failures;
   private Instant until = Instant.EPOCH;
 
   Backoff(Duration base, Duration limit, RandomGenerator random) {
-    this.base = base;
-    this.limit = limit;
+    this.wait = new DoublingWait(base, limit);
     this.random = random;
   }
 
@@ -30,9 +27,8 @@
   }
 
   void failed(Instant now) {
-    Duration longest = base.multipliedBy(1L << Math.min(failures, MAX_DOUBLINGS));
+    waitUpTo(wait.longest(failures), now);
     failures++;
-    waitUpTo(longest.compareTo(limit) < 0 ? longest : limit, now);
   }
 
   void succeeded() {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/settings/TomlSection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/settings/TomlSection.java
@@ -46,7 +46,7 @@
     try {
       return parse(Files.readString(file));
     } catch (IOException unreadable) {
-      throw invalid("settings file had " + file + "; it wants a readable TOML file");
+      throw invalidSetting("settings file had " + file + "; it wants a readable TOML file");
     }
   }
 
@@ -54,7 +54,7 @@
   static TomlSection parse(String toml) {
     TomlParseResult parsed = Toml.parse(toml);
     if (parsed.hasErrors()) {
-      throw invalid("the file is not TOML: " + parsed.errors().get(0));
+      throw invalidSetting("the file is not TOML: " + parsed.errors().get(0));
     }
     return new TomlSection("", parsed);
   }
@@ -121,7 +121,7 @@
    * @return the value
    */
   public <T> T parsed(String key, Function<String, T> parser, String wanted) {
-    return parse(key, text(key), parser, wanted);
+    return parsedText(key, text(key), parser, wanted);
   }
 
   <T> List<T> list(String key, Function<String, T> parser, String wanted) {
@@ -130,7 +130,7 @@
       throw invalid(key, value, "a list of " + wanted);
     }
     return IntStream.range(0, array.size())
-        .mapToObj(index -> parse(key, textOf(key, array.get(index)), parser, wanted))
+        .mapToObj(index -> parsedText(key, textOf(key, array.get(index)), parser, wanted))
         .toList();
   }
 
@@ -178,7 +178,7 @@
     throw invalid(key, value, "a text that is not blank");
   }
 
-  private <T> T parse(String key, String text, Function<String, T> parser, String wanted) {
+  private <T> T parsedText(String key, String text, Function<String, T> parser, String wanted) {
     try {
       return parser.apply(text);
     } catch (IllegalArgumentException malformed) {
@@ -188,10 +188,10 @@
 
   private CuminlatchException invalid(String key, Object had, String wanted) {
     String shown = had instanceof TomlTable ? "a table" : String.valueOf(had);
-    return invalid(pathOf(key) + " had " + shown + "; it wants " + wanted);
+    return invalidSetting(pathOf(key) + " had " + shown + "; it wants " + wanted);
   }
 
-  private static CuminlatchException invalid(String message) {
+  private static CuminlatchException invalidSetting(String message) {
     return CuminlatchException.of(INVALID_SETTING, Step.SETTINGS, message);
   }
 
