Leave out lines without time; give the count of dropped lines its time

Cause: explain-request took a line without time as written at the end of time: it failed on such a line of the request, and never showed the counts of dropped lines, which EventLog wrote by hand without a time.

Change: a line without time holds no event; the count is written as any line.

Test: ExplainRequestTests.leavesOutWhatHasNoTime fails on the commit before (DateTimeException). That the count has a time now is by reading.

--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/EventLine.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/EventLine.java
@@ -10,7 +10,7 @@
 /**
  * A line of a node's log.
  *
- * @param time when it was written, {@link Instant#MAX} if it does not say
+ * @param time when it was written
  * @param node who wrote it
  * @param event what happened
  * @param fields all of the line
@@ -19,7 +19,10 @@
 
   private static final ObjectMapper JSON = new ObjectMapper();
 
-  /** Reads a line; what collectors put before the JSON is skipped. Empty if it holds no event. */
+  /**
+   * Reads a line; what collectors put before the JSON is skipped. Empty if it holds no event with
+   * its time.
+   */
   static Optional<EventLine> read(String text) {
     int start = text.indexOf('{');
     if (start < 0) {
@@ -30,7 +33,7 @@
       if (!fields.path("event").isTextual()) {
         return Optional.empty();
       }
-      Instant time = fields.has("time") ? Instant.parse(fields.path("time").asText()) : Instant.MAX;
+      Instant time = Instant.parse(fields.path("time").asText());
       return Optional.of(
           new EventLine(
               time, fields.path("node").asText("-"), fields.path("event").asText(), fields));
--- a/cuminlatch-cli/src/test/java/org/cuminlatch/cli/ExplainRequestTests.java
+++ b/cuminlatch-cli/src/test/java/org/cuminlatch/cli/ExplainRequestTests.java
@@ -116,6 +116,15 @@
       assertThat(tool.out(), containsString("refuses it with 503"));
     }
 
+    @Test
+    void leavesOutWhatHasNoTime() throws IOException {
+      String timeless = REFUSED.replaceFirst("\"time\":\"[^\"]*\",", "");
+
+      assertThat(
+          tool.run("explain-request", "a1", file("n1", timeless, REFUSED)), is(ExitStatus.OK));
+      assertThat(tool.err(), containsString("1 lines hold no event"));
+    }
+
     @Test
     void countsWhatHoldsNoEvent() throws IOException {
       tool.run("explain-request", "a1", file("n1", "started up", "{\"x\":", REFUSED));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/event/EventLog.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/event/EventLog.java
@@ -84,8 +84,7 @@
   private void reportDropped(Logger events) {
     long lines = buffer.size() < BUFFERED_LINES / 2 ? budget.takeDropped() : 0;
     if (lines > 0) {
-      events.warn(
-          "{\"event\":\"log-lines-dropped\",\"node\":\"" + node + "\",\"lines\":" + lines + "}");
+      events.warn(new Line("log-lines-dropped", clock.instant(), true).with("lines", lines).text());
     }
   }
 
@@ -193,9 +192,13 @@
       return this;
     }
 
+    private CharSequence text() {
+      return text.append('}');
+    }
+
     /** Hands the line over if the budget and the buffer allow. */
     public void write() {
-      if (text != null && !buffer.offer(text.append('}'))) {
+      if (text != null && !buffer.offer(text())) {
         budget.drop();
       }
     }
