Record what becomes of attempts whose caller has left

The lines could not tell why: an entry node did not say how late it was when it found a caller gone, and the node beside the target said nothing on an attempt that was taken back.

The entry node's call-ended-early has the time that was left and the lag of the node; the gate writes attempt-withdrawn with whether and for how long the target had the attempt, and counts attempts_withdrawn{state}. explain-request knows the line. No decision changes.

--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/EventDescription.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/EventDescription.java
@@ -43,6 +43,10 @@
               "call-ended-early",
               "ends it early after {tookMillis} ms: {reason}; attempt {number} had been at target"
                   + " {target} for {attemptMillis} ms"),
+          Map.entry(
+              "attempt-withdrawn",
+              "withdraws its attempt from target {target} after {heldMillis} ms; sent to the"
+                  + " target: {dispatched}, for {ranMillis} ms"),
           Map.entry("node-behind", "falls behind: its traffic loop lags by {lagMillis} ms"),
           Map.entry("node-caught-up", "has caught up: its traffic loop no longer lags"),
           Map.entry("rejected", "rejects it with {status}: {reason}"),
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -429,6 +429,8 @@
         .with("number", placements)
         .with("attemptMillis", attemptStartedAt == null ? 0 : since(attemptStartedAt).toMillis())
         .with("tookMillis", since(startedAt).toMillis())
+        .with("leftMillis", timeLeft().toMillis())
+        .with("lagMillis", entry.lag().toMillis())
         .write();
     entry.metrics().countEndedEarly();
     finish();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -262,6 +262,10 @@
     return metrics;
   }
 
+  Duration lag() {
+    return lag.value();
+  }
+
   long configVersion() {
     return view.get().version();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -28,6 +28,11 @@
     registry.counter("calls_ended_early").inc();
   }
 
+  void countWithdrawn(boolean running) {
+    String state = running ? "running" : "waiting";
+    registry.counter("attempts_withdrawn{state=\"" + state + "\"}").inc();
+  }
+
   void countRepeated(String service) {
     registry.counter("attempts_repeated{service=\"" + service + "\"}").inc();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -83,7 +83,14 @@
             platform.recordCodec());
     this.gate =
         new SlotGate(
-            traffic, targetClient, clock, settings.headers(), lag, log, control.gateCallback());
+            traffic,
+            targetClient,
+            clock,
+            settings.headers(),
+            lag,
+            log,
+            metrics,
+            control.gateCallback());
     CallTransport transport = CallTransport.withGroup(trafficGroup);
     this.links = new PeerLinks(transport, random, log, control.peerListener());
     this.entry =
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -68,6 +68,7 @@
   private final HeaderNames names;
   private final LoopLag lag;
   private final EventLog log;
+  private final MeshMetrics metrics;
   private final GateCallback callback;
   private final Map<AttemptId, GateAttempt> attempts = new HashMap<>();
   private final Set<CallChannel> peerChannels = new HashSet<>();
@@ -87,6 +88,7 @@
       HeaderNames names,
       LoopLag lag,
       EventLog log,
+      MeshMetrics metrics,
       GateCallback callback) {
     this.loop = loop;
     this.target = target;
@@ -94,6 +96,7 @@
     this.names = names;
     this.lag = lag;
     this.log = log;
+    this.metrics = metrics;
     this.callback = callback;
     this.lastAnswerAt = clock.instant();
   }
@@ -402,15 +405,29 @@
 
   private void withdraw(GateAttempt attempt) {
     attempts.remove(attempt.id());
+    Instant now = clock.instant();
     if (!attempt.isDispatched()) {
       slots.withdraw(attempt.id());
-    } else if (attempt.queue().release(attempt.id(), SlotEnd.OTHER, clock.instant()).isPresent()) {
+      recordWithdrawal(attempt, Duration.ZERO, now);
+    } else if (attempt.queue().release(attempt.id(), SlotEnd.OTHER, now).isPresent()) {
       running -= attempt.queue() == slots ? 1 : 0;
       attempt.cancelCall();
+      recordWithdrawal(attempt, Duration.between(attempt.dispatchedAt(), now), now);
       admitWaiting();
     }
   }
 
+  private void recordWithdrawal(GateAttempt attempt, Duration ran, Instant now) {
+    metrics.countWithdrawn(attempt.isDispatched());
+    log.request("attempt-withdrawn", attempt.begin().getRequestId())
+        .with("target", attempt.begin().getExpectedInstance())
+        .with("dispatched", String.valueOf(attempt.isDispatched()))
+        .with("ranMillis", ran.toMillis())
+        .with("heldMillis", Duration.between(attempt.arrivedAt(), now).toMillis())
+        .with("lagMillis", lag.value().toMillis())
+        .write();
+  }
+
   private void addCredit(GateAttempt attempt, long bytes) {
     attempt.addCredit(bytes);
     if (attempt.isAnswerSent()) {
