Do not start requests whose callers have already left

Callers saw: nothing, they had left.

Cause: an entry node started a request the moment its last byte was read. When a caller gives up before its request has been read, the end of the stream stands behind the request in the same socket; it was read in the next round of the event loop only. Under load a round is long: the request had been sent to a target, and was withdrawn a round later. The work for those who had left made the rounds longer, so that more callers gave up.

Evidence: DepartedCallerTests blocks the event loop while a caller sends and closes.

The server reads a connection until nothing is left, and starts a request in a later task of the same round, if the connection is still open. Then the close has been seen, however late the round is. A request that is not started is counted (calls_abandoned) and logged (abandoned). If an unreadable request follows a good one, the good one is still answered first; CallOutcomeTests holds that now.

--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/EventDescription.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/EventDescription.java
@@ -43,6 +43,10 @@
               "call-ended-early",
               "ends it early after {tookMillis} ms: {reason}; attempt {number} had been at target"
                   + " {target} for {attemptMillis} ms"),
+          Map.entry(
+              "abandoned",
+              "does not handle it: its caller had left before it was read; the node lags by"
+                  + " {lagMillis} ms"),
           Map.entry(
               "attempt-withdrawn",
               "withdraws its attempt from target {target} after {heldMillis} ms; sent to the"
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ExchangeHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ExchangeHandler.java
@@ -10,4 +10,12 @@
    * @param exchange the request, to which the handler must respond, at once or later
    */
   void handle(ServerExchange exchange);
+
+  /**
+   * Called instead of {@link #handle} if the caller had closed the connection before its request
+   * could be handled.
+   *
+   * @param exchange the request, which can't be responded to
+   */
+  default void onAbandoned(ServerExchange exchange) {}
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpServer.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpServer.java
@@ -3,6 +3,7 @@
 import static org.cuminlatch.core.Preconditions.notNull;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -31,6 +32,9 @@
 
   private static final int ACCEPT_BACKLOG = 1024;
 
+  /** Maximum number of reads from one connection before the others get their turn. */
+  private static final int MAX_READS_PER_ROUND = 16;
+
   private final ExchangeHandler handler;
   private final Supplier<CallerLimits> limits;
   private final Set<ServerConnection> connections = new HashSet<>();
@@ -69,6 +73,12 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            // read until nothing is left, so that a close is seen together with what precedes it
+            .childOption(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator()
+                    .respectMaybeMoreData(false)
+                    .maxMessagesPerRead(MAX_READS_PER_ROUND))
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -137,19 +137,31 @@
       ServerExchange exchange = new ServerExchange(this, head, bodyBytes);
       head = null;
       body = null;
-      if (current == null) {
-        start(exchange);
-      } else {
-        pipelined.add(exchange);
-        channel.config().setAutoRead(pipelined.size() < MAX_PIPELINED_REQUESTS);
-      }
+      pipelined.add(exchange);
+      channel.config().setAutoRead(pipelined.size() < MAX_PIPELINED_REQUESTS);
+      scheduleNext();
     }
   }
 
-  private void start(ServerExchange exchange) {
-    current = exchange;
-    encoder.setBodyOmitted(exchange.method().equals(HttpMethod.HEAD.name()));
-    server.handler().handle(exchange);
+  /**
+   * Starts the next request in a later task of the event loop, when everything that the caller has
+   * sent has been read, so that a close that follows the request is seen first.
+   */
+  private void scheduleNext() {
+    if (current == null) {
+      channel.eventLoop().execute(this::startNext);
+    }
+  }
+
+  private void startNext() {
+    if (!channel.isActive()) {
+      pipelined.forEach(server.handler()::onAbandoned);
+      pipelined.clear();
+    } else if (current == null && !pipelined.isEmpty()) {
+      current = pipelined.poll();
+      encoder.setBodyOmitted(current.method().equals(HttpMethod.HEAD.name()));
+      server.handler().handle(current);
+    }
   }
 
   /** Rejects a request that could not be read and closes the connection after the response. */
@@ -165,8 +177,8 @@
         .with("reason", "request is malformed, over a limit or incomplete")
         .with("peer", peer())
         .write();
-    if (current != null) {
-      return; // the current response is completed first; the connection is closed after it
+    if (current != null || !pipelined.isEmpty()) {
+      return; // the next response is completed first; the connection is closed after it
     }
     writeRejection(status);
   }
@@ -187,11 +199,8 @@
       channel.close();
       return;
     }
-    ServerExchange next = pipelined.poll();
     channel.config().setAutoRead(true);
-    if (next != null) {
-      channel.eventLoop().execute(() -> start(next));
-    }
+    scheduleNext();
   }
 
   boolean keepsAlive(HttpRequest request) {
@@ -222,7 +231,7 @@
     if (idleTimer != null) {
       idleTimer.cancel(false);
     }
-    pipelined.clear();
+    startNext();
     if (current != null) {
       current.callerDisconnected();
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -132,6 +132,14 @@
     call.start();
   }
 
+  @Override
+  public void onAbandoned(ServerExchange exchange) {
+    metrics.countAbandoned();
+    log.request("abandoned", exchange.header(settings.headers().requestId()).orElse("-"))
+        .with("lagMillis", lag.value().toMillis())
+        .write();
+  }
+
   private static RequestHead requestHead(ServerExchange exchange) {
     String target = exchange.requestTarget();
     int query = target.indexOf('?');
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -24,6 +24,10 @@
     registry.counter("calls_failed{reason=\"" + reason + "\"}").inc();
   }
 
+  void countAbandoned() {
+    registry.counter("calls_abandoned").inc();
+  }
+
   void countEndedEarly() {
     registry.counter("calls_ended_early").inc();
   }
