Do not send attempts to a target that are cancelled in the same round

Targets worked for callers that had left also because of the node beside the target: an attempt and its cancellation, or the end of the entry node's connection, can stand in one read buffer when that node is late. The gate sent the attempt to the target while the first frame was decoded and took it back with the second.

Before, the target got the attempt (notRun was false) and the gate counted it as withdrawn from a running target, with the cancellation and with the lost connection.

The gate offers attempts to the queue of the target in a later task of the round in which they came, after all frames of that round, and only while the connection they came on is open. Accepted connections are read until nothing is left, so that their end is seen in the same round.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -71,6 +72,7 @@
   private final MeshMetrics metrics;
   private final GateCallback callback;
   private final Map<AttemptId, GateAttempt> attempts = new HashMap<>();
+  private final List<GateAttempt> arrived = new ArrayList<>();
   private final Set<CallChannel> peerChannels = new HashSet<>();
   private Optional<TargetReport> report = Optional.empty();
   private GoalQueue slots = new GoalQueue(1);
@@ -216,14 +218,35 @@
     GateAttempt attempt = new GateAttempt(id, begin, channel, clock.instant());
     attempts.put(id, attempt);
     if (begin.getBodyComplete()) {
-      offer(attempt);
+      scheduleOffer(attempt);
     }
   }
 
   private void appendBody(GateAttempt attempt, CallFrame frame) {
     attempt.appendBody(frame.getBody().getContent());
     if (frame.getBody().getLast()) {
-      offer(attempt);
+      scheduleOffer(attempt);
+    }
+  }
+
+  /**
+   * Offers an attempt in a later task of the event loop, when all frames that have arrived so far
+   * have been read, so that a cancellation that follows the attempt is seen first.
+   */
+  private void scheduleOffer(GateAttempt attempt) {
+    if (arrived.isEmpty()) {
+      loop.execute(this::offerArrived);
+    }
+    arrived.add(attempt);
+  }
+
+  private void offerArrived() {
+    List<GateAttempt> batch = List.copyOf(arrived);
+    arrived.clear();
+    for (GateAttempt attempt : batch) {
+      if (attempts.get(attempt.id()) == attempt && attempt.origin().isOpen()) {
+        offer(attempt);
+      }
     }
   }
 
--- /dev/null
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -0,0 +1,242 @@
+package org.cuminlatch.node.mesh;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.cuminlatch.core.config.CallerLimits;
+import org.cuminlatch.core.membership.Address;
+import org.cuminlatch.core.move.CallOutcome.Result;
+import org.cuminlatch.core.retry.AttemptId;
+import org.cuminlatch.core.target.TargetReport;
+import org.cuminlatch.node.event.EventLog;
+import org.cuminlatch.node.http.ExchangeHandler;
+import org.cuminlatch.node.http.HttpClient;
+import org.cuminlatch.node.http.HttpServer;
+import org.cuminlatch.node.http.ServerExchange;
+import org.cuminlatch.wire.call.CallChannel;
+import org.cuminlatch.wire.call.CallFrames;
+import org.cuminlatch.wire.proto.call.Begin;
+import org.cuminlatch.wire.proto.call.CallFrame;
+import org.cuminlatch.wire.proto.call.Cancel;
+import org.cuminlatch.wire.proto.call.Header;
+import org.cuminlatch.wire.proto.call.TargetStatus;
+
+/** Runs a gate with a target on the loopback interface and records the frames that it sends. */
+final class GateFixture implements AutoCloseable {
+
+  static final HeaderNames HEADERS =
+      new HeaderNames("id", "deadline", "expect", "origin", "not-run", "instance");
+
+  private static final int WAIT_SECONDS = 20;
+  private static final String INSTANCE = "i-1";
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = (EventLoop) group.next();
+  private final List<String> received = new CopyOnWriteArrayList<>();
+  private final List<CallFrame> frames = new CopyOnWriteArrayList<>();
+  private final CallChannel channel = new RecordingChannel();
+  private final MeshMetrics metrics = new MeshMetrics();
+  private final SlotGate gate;
+  private volatile ExchangeHandler target = GateFixture::answer;
+  private boolean open = true;
+
+  GateFixture(int slots) throws InterruptedException {
+    EventLog log = EventLog.start(InstantSource.system(), "node");
+    HttpServer server =
+        HttpServer.listen(
+            group,
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+            () -> CallerLimits.DEFAULT,
+            log,
+            this::receive);
+    Address address = new Address("127.0.0.1", server.address().getPort());
+    gate =
+        new SlotGate(
+            loop,
+            new HttpClient(group, address, Duration.ofSeconds(1), 1 << 20),
+            new MonotonicClock(),
+            HEADERS,
+            new LoopLag(Duration.ofMillis(50)),
+            log,
+            metrics,
+            new NoCallback());
+    onLoop(
+        () ->
+            gate.open(
+                new TargetReport(INSTANCE, 1000, 1, "bookings", "v1", slots, true, Duration.ZERO)));
+  }
+
+  private void receive(ServerExchange exchange) {
+    received.add(exchange.header(HEADERS.requestId()).orElseThrow());
+    target.handle(exchange);
+  }
+
+  /** Answers a request of the gate with 200. */
+  static void answer(ServerExchange exchange) {
+    answer(exchange, 200, Map.of());
+  }
+
+  static void answer(ServerExchange exchange, int status, Map<String, String> headers) {
+    List<Map.Entry<String, String>> all = new ArrayList<>(headers.entrySet());
+    all.add(Map.entry(HEADERS.requestId(), exchange.header(HEADERS.requestId()).orElseThrow()));
+    exchange.respond(status, all, new byte[0]);
+  }
+
+  void setTarget(ExchangeHandler handler) {
+    target = handler;
+  }
+
+  /** Returns the ids of the requests that reached the target. */
+  List<String> received() {
+    return received;
+  }
+
+  /** Returns how many attempts were withdrawn after they had been sent to the target. */
+  long withdrawnFromTarget() {
+    return metrics.registry().counter("attempts_withdrawn{state=\"running\"}").getCount();
+  }
+
+  static AttemptId attempt(int number) {
+    return new AttemptId(1, number);
+  }
+
+  /** Offers an attempt to the gate; must be called on the loop. */
+  void begin(int number) {
+    gate.onFrame(
+        channel,
+        CallFrames.of(attempt(number))
+            .setBegin(
+                Begin.newBuilder()
+                    .setRoute("r-1")
+                    .setMethod("GET")
+                    .setPath("/")
+                    .addHeaders(Header.newBuilder().setName("Host").setValue("shop.example"))
+                    .addHeaders(
+                        Header.newBuilder()
+                            .setName(HEADERS.requestId())
+                            .setValue(Integer.toString(number)))
+                    .setDeadlineMicros(TimeUnit.SECONDS.toMicros(5))
+                    .setGoalMicros(TimeUnit.SECONDS.toMicros(5))
+                    .setIdempotent(true)
+                    .setBodyComplete(true)
+                    .setCredit(1 << 20)
+                    .setRequestId(Integer.toString(number))
+                    .setExpectedInstance(INSTANCE))
+            .build());
+  }
+
+  /** Cancels an attempt; must be called on the loop. */
+  void cancel(int number) {
+    gate.onFrame(
+        channel, CallFrames.of(attempt(number)).setCancel(Cancel.getDefaultInstance()).build());
+  }
+
+  /**
+   * Replaces the connection on which all attempts have come; the gate is notified in a later task,
+   * as with a real connection. Must be called on the loop.
+   */
+  void replaceConnection() {
+    open = false;
+    loop.execute(
+        () -> {
+          gate.onClosed(channel);
+          open = true;
+        });
+  }
+
+  void onLoop(Runnable task) throws InterruptedException {
+    loop.submit(task).sync();
+  }
+
+  /** Waits for the first frame of a kind that the gate sent for an attempt. */
+  CallFrame awaitFrame(int number, CallFrame.KindCase kind) {
+    await(() -> find(number, kind).isPresent());
+    return find(number, kind).orElseThrow();
+  }
+
+  Optional<CallFrame> find(int number, CallFrame.KindCase kind) {
+    return frames.stream()
+        .filter(frame -> CallFrames.attempt(frame).equals(attempt(number)))
+        .filter(frame -> frame.getKindCase() == kind)
+        .findFirst();
+  }
+
+  static void await(BooleanSupplier condition) {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("condition did not hold within " + WAIT_SECONDS + " s");
+      }
+      Thread.onSpinWait();
+    }
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  /** Stands for the connection to the entry node. */
+  private final class RecordingChannel implements CallChannel {
+
+    @Override
+    public void send(CallFrame frame) {
+      frames.add(frame);
+    }
+
+    @Override
+    public void close() {
+      // there is no connection to close
+    }
+
+    @Override
+    public boolean isOpen() {
+      return open;
+    }
+
+    @Override
+    public String peer() {
+      return "entry";
+    }
+  }
+
+  private static final class NoCallback implements SlotGate.GateCallback {
+
+    @Override
+    public void onReachabilityChange() {}
+
+    @Override
+    public void onExecutionEnd(Begin begin, Result result, Duration took) {}
+
+    @Override
+    public void onTargetReplaced() {}
+
+    @Override
+    public Optional<CallFrame> configurationFrame() {
+      return Optional.empty();
+    }
+
+    @Override
+    public Optional<CallFrame> moveEvidenceFrame() {
+      return Optional.empty();
+    }
+
+    @Override
+    public TargetStatus targetStatus() {
+      return TargetStatus.getDefaultInstance();
+    }
+  }
+}
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallTransport.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallTransport.java
@@ -5,6 +5,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -44,6 +45,9 @@
    */
   public static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
 
+  /** Maximum number of reads from one connection before the others get their turn. */
+  private static final int MAX_READS_PER_ROUND = 16;
+
   private static final int LENGTH_BYTES = 4;
   private static final Duration SHUTDOWN_QUIET_PERIOD = Duration.ZERO;
   private static final Duration SHUTDOWN_TIMEOUT = Duration.ofSeconds(2);
@@ -93,6 +97,12 @@
             .group(group)
             .channel(NioServerSocketChannel.class)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            // read until nothing is left, so that a close is seen together with what precedes it
+            .childOption(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator()
+                    .respectMaybeMoreData(false)
+                    .maxMessagesPerRead(MAX_READS_PER_ROUND))
             .childHandler(initializer(handler, true));
     ChannelFuture binding = bootstrap.bind(address).awaitUninterruptibly();
     if (!binding.isSuccess()) {
