Notice a caller that leaves behind requests it has sent ahead

A caller that sent requests ahead of their answers and left was not noticed, and its first request was worked on to the end: the server paused reading a connection when four requests waited behind the current one, and a close is seen only by reading.

Evidence: DepartedCallerTests.isReportedIfManyRequestsFollowItOnItsConnection sends eight requests, the first of which is never answered, and closes. Before, the handler of the first was not told within 20 s.

Reading pauses at 64 requests or 256 KiB of bodies read ahead. Beyond that a close is still not seen: what a caller sends has to be kept in order to get behind it, and that needs a bound. At most the current request and, once its answer can't be written, none of the next is worked on in vain then.

Result: the test passes.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -32,13 +32,17 @@
 /** A caller's connection: reads complete requests and has them handled one after the other. */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
-  /** Maximum number of requests read ahead of the current one; reading pauses at this number. */
-  private static final int MAX_PIPELINED_REQUESTS = 4;
+  /** Number of requests read ahead of the current one at which reading pauses. */
+  private static final int MAX_PIPELINED_REQUESTS = 64;
+
+  /** Size of the bodies read ahead at which reading pauses. */
+  private static final int MAX_PIPELINED_BYTES = 256 * 1024;
 
   private final HttpServer server;
   private final Channel channel;
   private final HeadAwareResponseEncoder encoder;
   private final Deque<ServerExchange> pipelined = new ArrayDeque<>();
+  private int pipelinedBytes;
   private HttpRequest head;
   private ByteBuf body;
   private ServerExchange current;
@@ -138,11 +142,19 @@
       head = null;
       body = null;
       pipelined.add(exchange);
-      channel.config().setAutoRead(pipelined.size() < MAX_PIPELINED_REQUESTS);
+      pipelinedBytes += bodyBytes.length;
+      pauseOrResumeReading();
       scheduleNext();
     }
   }
 
+  /** Pauses reading if too much has been read ahead; a close is not seen during the pause. */
+  private void pauseOrResumeReading() {
+    boolean withinLimits =
+        pipelined.size() < MAX_PIPELINED_REQUESTS && pipelinedBytes < MAX_PIPELINED_BYTES;
+    channel.config().setAutoRead(withinLimits || pipelined.size() <= 1);
+  }
+
   /**
    * Starts the next request in a later task of the event loop, when everything that the caller has
    * sent has been read, so that a close that follows the request is seen first.
@@ -159,6 +171,8 @@
       pipelined.clear();
     } else if (current == null && !pipelined.isEmpty()) {
       current = pipelined.poll();
+      pipelinedBytes -= current.body().length;
+      pauseOrResumeReading();
       encoder.setBodyOmitted(current.method().equals(HttpMethod.HEAD.name()));
       server.handler().handle(current);
     }
@@ -199,7 +213,6 @@
       channel.close();
       return;
     }
-    channel.config().setAutoRead(true);
     scheduleNext();
   }
 
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/DepartedCallerTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/DepartedCallerTests.java
@@ -35,6 +35,7 @@
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final List<String> handled = new CopyOnWriteArrayList<>();
+  private final List<String> departed = new CopyOnWriteArrayList<>();
   private final List<String> abandoned = new CopyOnWriteArrayList<>();
   private HttpServer server;
 
@@ -54,13 +55,17 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 
+  /** Answers all requests except those to paths that begin with {@code /pending}. */
   private final class RecordingHandler implements ExchangeHandler {
 
     @Override
     public void handle(ServerExchange exchange) {
       String path = exchange.requestTarget();
       handled.add(path);
-      exchange.respond(200, List.of(), path.getBytes(StandardCharsets.UTF_8));
+      exchange.onCallerDisconnected(() -> departed.add(path));
+      if (!path.startsWith("/pending")) {
+        exchange.respond(200, List.of(), path.getBytes(StandardCharsets.UTF_8));
+      }
     }
 
     @Override
@@ -121,6 +126,14 @@
     }
   }
 
+  private static void await(List<String> list, String expected) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+    while (!list.contains(expected) && System.nanoTime() < end) {
+      Thread.sleep(5);
+    }
+    assertThat(list.contains(expected), is(true));
+  }
+
   @Nested
   class BeforeItWasRead {
 
@@ -165,4 +178,20 @@
       assertThat(handled, contains("/next"));
     }
   }
+
+  @Nested
+  class WhileItIsHandled {
+
+    @Test
+    void isReportedIfManyRequestsFollowItOnItsConnection() throws Exception {
+      try (Socket caller = connect()) {
+        send(caller, "/pending", "/2", "/3", "/4", "/5", "/6", "/7", "/8");
+        await(handled, "/pending");
+      }
+
+      await(departed, "/pending");
+      awaitAnswer("/next");
+      assertThat(handled, contains("/pending", "/next"));
+    }
+  }
 }
