Record the request limit that a target names and what it is sent

Targets on systems like ours got far more requests than the limit that they had named. Neither lines nor metrics told the limit of a target, how much it was sent, or how much of that were retries, so the hypotheses could not be told apart.

A value that is no number is logged and changes nothing. What is sent does not change yet.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.cuminlatch.node.http.ClientResponse;
 import org.cuminlatch.node.http.ServerExchange;
@@ -78,6 +80,23 @@
     return response.header(names.requestId()).map(begin.getRequestId()::equals).orElse(!success);
   }
 
+  /**
+   * Returns the rate limit that an answer names.
+   *
+   * @throws IllegalArgumentException if the value is not a number of requests
+   */
+  static OptionalDouble requestLimit(ClientResponse response, HeaderNames names) {
+    Optional<String> text = response.header(names.requestLimit());
+    if (text.isEmpty()) {
+      return OptionalDouble.empty();
+    }
+    double perSecond = Double.parseDouble(text.get().trim());
+    if (!(perSecond >= 0) || Double.isInfinite(perSecond)) {
+      throw new IllegalArgumentException("not a rate: " + text.get());
+    }
+    return OptionalDouble.of(perSecond);
+  }
+
   private static Set<String> listedNames(List<String> connectionHeaders) {
     Set<String> names = new HashSet<>();
     for (String value : connectionHeaders) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/HeaderNames.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/HeaderNames.java
@@ -11,6 +11,7 @@
  * @param originService service of the node at which the request entered the mesh
  * @param notRun present if the target has not executed the request
  * @param instance target that answered
+ * @param requestLimit requests per second that the target accepts from all nodes together
  */
 public record HeaderNames(
     String requestId,
@@ -18,7 +19,8 @@
     String expectedInstance,
     String originService,
     String notRun,
-    String instance) {
+    String instance,
+    String requestLimit) {
 
   /** Checks the fields. */
   public HeaderNames {
@@ -28,5 +30,6 @@
     notBlank(originService, "originService");
     notBlank(notRun, "notRun");
     notBlank(instance, "instance");
+    notBlank(requestLimit, "requestLimit");
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -32,6 +32,10 @@
     registry.counter("calls_ended_early").inc();
   }
 
+  void countDispatched(boolean retried) {
+    registry.counter("attempts_dispatched{retried=\"" + retried + "\"}").inc();
+  }
+
   void countWithdrawn(boolean running) {
     String state = running ? "running" : "waiting";
     registry.counter("attempts_withdrawn{state=\"" + state + "\"}").inc();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cuminlatch.core.admission.GoalQueue;
@@ -76,6 +77,7 @@
   private final Set<CallChannel> peerChannels = new HashSet<>();
   private Optional<TargetReport> report = Optional.empty();
   private GoalQueue slots = new GoalQueue(1);
+  private OptionalDouble limit = OptionalDouble.empty();
   private boolean open;
   private boolean absent;
   private int connectFailures;
@@ -137,6 +139,7 @@
     if (!same) {
       refuseWaiting(RefusalReason.TARGET_REPLACED);
       slots = new GoalQueue(newReport.slots());
+      limit = OptionalDouble.empty();
       running = 0;
       callback.onTargetReplaced();
     }
@@ -304,6 +307,7 @@
   private void dispatch(GateAttempt attempt) {
     Instant now = clock.instant();
     attempt.markDispatched(now, slots);
+    metrics.countDispatched(attempt.begin().getRetried());
     running++;
     if (running == 1) {
       lastAnswerAt = now;
@@ -339,6 +343,9 @@
     public void onResponse(ClientResponse response) {
       lastAnswerAt = clock.instant();
       connectFailures = 0;
+      if (response.status() != 421 && attempt.queue() == slots) {
+        recordLimit(response);
+      }
       if (response.header(names.notRun()).isPresent() || response.status() == 421) {
         boolean replaced = response.status() == 421;
         release(attempt, replaced ? SlotEnd.OTHER : SlotEnd.OVERLOADED, Result.NOT_RUN);
@@ -376,6 +383,28 @@
     }
   }
 
+  private void recordLimit(ClientResponse response) {
+    OptionalDouble named;
+    try {
+      named = ForwardedHeaders.requestLimit(response, names);
+    } catch (IllegalArgumentException unreadable) {
+      log.event("target-limit-unreadable").with("reason", unreadable.getMessage()).write();
+      return;
+    }
+    if (!named.equals(limit)) {
+      limit = named;
+      log.event("target-limit")
+          .with("target", report.map(TargetReport::instance).orElse("-"))
+          .with("perSecond", named.orElse(-1))
+          .write();
+    }
+  }
+
+  /** Returns the rate limit that the target has named, in requests per second. */
+  OptionalDouble limitPerSecond() {
+    return limit;
+  }
+
   private void onConnectFailed() {
     connectFailures++;
     if (connectFailures >= CONNECT_FAILURES_UNTIL_ABSENT) {
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -37,7 +37,7 @@
 final class GateFixture implements AutoCloseable {
 
   static final HeaderNames HEADERS =
-      new HeaderNames("id", "deadline", "expect", "origin", "not-run", "instance");
+      new HeaderNames("id", "deadline", "expect", "origin", "not-run", "instance", "limit");
 
   private static final int WAIT_SECONDS = 20;
   private static final String INSTANCE = "i-1";
@@ -104,6 +104,10 @@
     return received;
   }
 
+  SlotGate gate() {
+    return gate;
+  }
+
   /** Returns how many attempts were withdrawn after they had been sent to the target. */
   long withdrawnFromTarget() {
     return metrics.registry().counter("attempts_withdrawn{state=\"running\"}").getCount();
