Free all addresses when a node is closed or cannot start

TargetReportTests.isAcceptedIfTheTargetHadBeenLost failed once beside other work (load average 12): the node could not be started again within 20 s, as one of its addresses was in use. Nobody else listened there; it was the closed node itself.

Cause, found with a thread dump and the list of listening sockets: the event loops had ended, but the listeners of the control loop were open. Netty closes the channels of a loop in the round after the request to shut down. With a quiet period of 0, a loop that is running tasks at that moment ends without another round, and its channels stay open until the process ends. Besides, a node that could not bind one of its addresses kept the others, so that no later attempt could succeed.

A quiet period of 1 ms makes the loop run that round; the other transports have it, too. A start that fails shuts down its event loops.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -47,6 +47,9 @@
 
   private static final long CLOSE_TIMEOUT_MILLIS = 500;
 
+  /** With a period of 0, an event loop that is running tasks can end with its channels open. */
+  private static final long CLOSE_QUIET_PERIOD_MILLIS = 1;
+
   private final MeshSettings settings;
   private final EventLoopGroup trafficGroup;
   private final EventLoopGroup controlGroup;
@@ -61,10 +64,14 @@
   private final HttpServer callers;
   private boolean behind;
 
-  private MeshNode(MeshSettings settings, Platform platform) {
+  private MeshNode(
+      MeshSettings settings,
+      Platform platform,
+      EventLoopGroup trafficGroup,
+      EventLoopGroup controlGroup) {
     this.settings = settings;
-    this.trafficGroup = newGroup();
-    this.controlGroup = newGroup();
+    this.trafficGroup = trafficGroup;
+    this.controlGroup = controlGroup;
     this.traffic = (EventLoop) trafficGroup.next();
     MonotonicClock clock = new MonotonicClock();
     RandomGenerator random = new SplittableRandom(System.nanoTime() ^ settings.node().hashCode());
@@ -158,7 +165,7 @@
    *     address can't be bound
    */
   public static MeshNode start(MeshSettings settings, Platform platform) {
-    MeshNode node = new MeshNode(notNull(settings, "settings"), notNull(platform, "platform"));
+    MeshNode node = open(notNull(settings, "settings"), notNull(platform, "platform"));
     node.log
         .event("started")
         .with("callers", settings.callers().toString())
@@ -169,6 +176,17 @@
     return node;
   }
 
+  private static MeshNode open(MeshSettings settings, Platform platform) {
+    EventLoopGroup trafficGroup = newGroup();
+    EventLoopGroup controlGroup = newGroup();
+    try {
+      return new MeshNode(settings, platform, trafficGroup, controlGroup);
+    } catch (RuntimeException notStarted) {
+      shutDown(trafficGroup, controlGroup);
+      throw notStarted;
+    }
+  }
+
   private static EventLoopGroup newGroup() {
     return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   }
@@ -283,9 +301,17 @@
   /** Shuts down both event loops at once; calls in progress are cut off. */
   @Override
   public void close() {
-    for (EventLoopGroup group : List.of(trafficGroup, controlGroup)) {
+    shutDown(trafficGroup, controlGroup);
+  }
+
+  /**
+   * Stops event loops, which closes all their connections and frees the addresses they listen on.
+   */
+  private static void shutDown(EventLoopGroup... groups) {
+    for (EventLoopGroup group : groups) {
       group
-          .shutdownGracefully(0, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+          .shutdownGracefully(
+              CLOSE_QUIET_PERIOD_MILLIS, CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
           .awaitUninterruptibly(2 * CLOSE_TIMEOUT_MILLIS);
     }
   }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallTransport.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallTransport.java
@@ -49,7 +49,10 @@
   private static final int MAX_READS_PER_ROUND = 16;
 
   private static final int LENGTH_BYTES = 4;
-  private static final Duration SHUTDOWN_QUIET_PERIOD = Duration.ZERO;
+
+  /** With a period of 0, an event loop that is running tasks can end with its channels open. */
+  private static final Duration SHUTDOWN_QUIET_PERIOD = Duration.ofMillis(1);
+
   private static final Duration SHUTDOWN_TIMEOUT = Duration.ofSeconds(2);
 
   private final EventLoopGroup group;
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/control/ControlTransport.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/control/ControlTransport.java
@@ -47,6 +47,11 @@
   private static final int RECEIVE_BUFFER_BYTES = 2_048;
   private static final int BIND_ATTEMPTS = 20;
 
+  /** With a period of 0, an event loop that is running tasks can end with its channels open. */
+  private static final long SHUTDOWN_QUIET_PERIOD_MILLIS = 1;
+
+  private static final long SHUTDOWN_TIMEOUT_MILLIS = 1000;
+
   private final ControlFrameCodec codec;
   private final Executor executor;
   private final MessageListener listener;
@@ -230,7 +235,8 @@
       server.close().awaitUninterruptibly();
       datagrams.close().awaitUninterruptibly();
     }
-    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    group.shutdownGracefully(
+        SHUTDOWN_QUIET_PERIOD_MILLIS, SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private static byte[] bytesOf(ByteBuf buffer) {
