Send a target no more requests than the limit that it names

Targets that name a request limit in their answers (LIMIT) got up to twice as many: 759 requests in 4 s where one and a half times the limit and 5 more are 549.

Cause: nothing read the limit. A gate bounded how many requests are at its target at a time, but not how many a second, and told the entry nodes all slots of the target as its capacity, so that they went on choosing it. Retries were not the reason (4 of 8,800 choices).

The gate is the only way to its target, so it keeps the limit for all nodes: RequestRateLimit is a token bucket in front of the slots. GoalQueue grants a slot with a permit only, counts the wait for permits in its estimates, and so refuses at once who would wait too long. The load that gates report has the slots that the permitted rate uses. The limit ends with an answer that does not name it to a request sent later than the last answer that did. Until its first answer a target gets four requests at a time, as an earlier process of the node may have known a limit.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
@@ -20,7 +20,10 @@
  * meet their goal go first, ordered by priority and then by goal. An attempt that would miss its
  * goal because of the attempts ahead of it is refused on arrival, except for a few that may wait
  * for load to drop. A waiting attempt that falls so far back that it can't be answered in time is
- * refused by the next {@link #poll}. Not thread-safe.
+ * refused by the next {@link #poll}.
+ *
+ * <p>If the target names a {@link RequestRateLimit}, a slot is granted only with a permit of it,
+ * and waiting times include the wait for permits. Not thread-safe.
  */
 public final class GoalQueue {
 
@@ -42,6 +45,7 @@
   private static final double OVERALL_MEAN_SMOOTHING = 0.05;
 
   private final int slots;
+  private final RequestRateLimit rateLimit;
   private double overallMeanNanos = INITIAL_SERVICE_TIME_NANOS;
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final HeldSlots heldSlots = new HeldSlots();
@@ -51,10 +55,12 @@
    * Creates an empty queue.
    *
    * @param slots number of requests that the target executes concurrently; at least 1
+   * @param rateLimit rate at which the target accepts requests
    */
-  public GoalQueue(int slots) {
+  public GoalQueue(int slots, RequestRateLimit rateLimit) {
     check(slots >= 1, "slots", "must be at least 1");
     this.slots = slots;
+    this.rateLimit = notNull(rateLimit, "rateLimit");
   }
 
   /**
@@ -70,14 +76,14 @@
     if (!now.isBefore(request.deadline())) {
       return Kind.DEADLINE;
     }
-    if (queue.isEmpty() && heldSlots.count() < slots) {
+    if (queue.isEmpty() && tryTakeSlot(now)) {
       hold(request, now);
       return Kind.ADMITTED;
     }
     if (queue.size() >= MAX_QUEUED_PER_SLOT * slots) {
       return Kind.QUEUE_FULL;
     }
-    double wait = waitNanos(request);
+    double wait = waitNanos(request, now);
     if (!canAnswerBy(request.deadline(), request, wait, now)) {
       return Kind.DEADLINE;
     }
@@ -88,6 +94,11 @@
     return Kind.QUEUED;
   }
 
+  /** Returns whether a slot is free and the target accepts a request now; takes a permit if so. */
+  private boolean tryTakeSlot(Instant now) {
+    return heldSlots.count() < concurrency() && rateLimit.tryAcquire(now);
+  }
+
   private boolean canAnswerBy(Instant time, GoalRequest request, double waitNanos, Instant now) {
     double needed = waitNanos + expectedNanos(request.route());
     return Duration.between(now, time).toNanos() >= needed;
@@ -130,24 +141,34 @@
         Comparator.comparing((GoalRequest request) -> missesGoal(request, now))
             .thenComparing(GoalRequest::priority)
             .thenComparing(GoalRequest::goal));
-    while (heldSlots.count() < slots && !queue.isEmpty()) {
+    refuseExpired(now, decisions);
+    while (!queue.isEmpty() && tryTakeSlot(now)) {
       GoalRequest next = queue.remove(0);
-      if (now.isBefore(next.deadline())) {
-        hold(next, now);
-        decisions.add(new SlotDecision(next.attempt(), Kind.ADMITTED));
-      } else {
-        decisions.add(new SlotDecision(next.attempt(), Kind.DEADLINE));
-      }
+      hold(next, now);
+      decisions.add(new SlotDecision(next.attempt(), Kind.ADMITTED));
     }
     refuseTooLate(now, decisions);
     return decisions;
   }
 
+  private void refuseExpired(Instant now, List<SlotDecision> decisions) {
+    queue.removeIf(
+        request -> {
+          boolean expired = !now.isBefore(request.deadline());
+          if (expired) {
+            decisions.add(new SlotDecision(request.attempt(), Kind.DEADLINE));
+          }
+          return expired;
+        });
+  }
+
   private void refuseTooLate(Instant now, List<SlotDecision> decisions) {
     double aheadNanos = meanHeldNanos();
     List<GoalRequest> remaining = new ArrayList<>();
     for (GoalRequest request : queue) {
-      if (canAnswerBy(lateAnswerLimit(request), request, aheadNanos / slots, now)) {
+      double wait =
+          Math.max(aheadNanos / concurrency(), permitWaitNanos(remaining.size() + 1, now));
+      if (canAnswerBy(lateAnswerLimit(request), request, wait, now)) {
         remaining.add(request);
         aheadNanos += expectedNanos(request.route());
       } else {
@@ -222,28 +243,49 @@
   }
 
   /**
-   * Returns the number of slots.
+   * Returns how many requests the target may execute concurrently, which is less than its slots
+   * while a rate limit is in effect.
+   *
+   * @return the number of slots that are in use on average at the permitted rate (Little's law),
+   *     rounded up
+   */
+  public int effectiveSlots() {
+    double used = rateLimit.perSecond().orElse(Double.POSITIVE_INFINITY) * overallMeanNanos / 1e9;
+    return (int) Math.max(1, Math.min(concurrency(), Math.ceil(used)));
+  }
+
+  /**
+   * Returns when the next waiting attempt may be granted a slot that is already free.
    *
-   * @return number of requests that the target executes concurrently
+   * @param now current time
+   * @return time until the next permit; empty if none waits or all slots are held
    */
-  public int slots() {
-    return slots;
+  public Optional<Duration> timeUntilPermitted(Instant now) {
+    return queue.isEmpty() || heldSlots.count() >= concurrency()
+        ? Optional.empty()
+        : Optional.of(rateLimit.timeUntilPermitted(1, now));
   }
 
   /**
    * Returns how long an attempt of the lowest priority that arrives now would wait for a slot.
    *
-   * @return the estimated time; zero while a slot is free
+   * @param now current time
+   * @return the estimated time; zero while a slot is free and a request is permitted
    */
-  public Duration expectedWait() {
-    if (queue.isEmpty() && heldSlots.count() < slots) {
-      return Duration.ZERO;
+  public Duration expectedWait(Instant now) {
+    double permitWait = permitWaitNanos(queue.size() + 1, now);
+    if (queue.isEmpty() && heldSlots.count() < concurrency()) {
+      return Duration.ofNanos((long) permitWait);
     }
     double aheadNanos = meanHeldNanos();
     for (GoalRequest waiting : queue) {
       aheadNanos += expectedNanos(waiting.route());
     }
-    return Duration.ofNanos((long) (aheadNanos / slots));
+    return Duration.ofNanos((long) Math.max(aheadNanos / concurrency(), permitWait));
+  }
+
+  private int concurrency() {
+    return rateLimit.maxConcurrent(slots);
   }
 
   private void hold(GoalRequest request, Instant now) {
@@ -256,14 +298,20 @@
     return routeMean > 0 ? routeMean : overallMeanNanos;
   }
 
-  private double waitNanos(GoalRequest request) {
+  private double waitNanos(GoalRequest request, Instant now) {
     double aheadNanos = meanHeldNanos();
+    int ahead = 0;
     for (GoalRequest waiting : queue) {
       if (waiting.priority() <= request.priority()) {
         aheadNanos += expectedNanos(waiting.route());
+        ahead++;
       }
     }
-    return aheadNanos / slots;
+    return Math.max(aheadNanos / concurrency(), permitWaitNanos(ahead + 1, now));
+  }
+
+  private double permitWaitNanos(int requests, Instant now) {
+    return rateLimit.timeUntilPermitted(requests, now).toNanos();
   }
 
   /**
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/GoalQueueTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/GoalQueueTests.java
@@ -11,11 +11,15 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import org.cuminlatch.core.admission.SlotDecision.Kind;
 import org.cuminlatch.core.retry.AttemptId;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -41,8 +45,15 @@
     return request(priority, Duration.ofMillis(400), Duration.ofMillis(1000));
   }
 
+  /** Returns the limit of a target that has answered without naming one. */
+  private RequestRateLimit unlimited() {
+    RequestRateLimit limit = new RequestRateLimit();
+    limit.onAnswer(OptionalDouble.empty(), now, now);
+    return limit;
+  }
+
   private GoalQueue queueWithKnownServiceTimes(int slots) {
-    GoalQueue queue = new GoalQueue(slots);
+    GoalQueue queue = new GoalQueue(slots, unlimited());
     for (int priority = 0; priority < 3; priority++) {
       for (int i = 0; i < 20; i++) {
         GoalRequest sample = request(priority, SERVICE_TIME, Duration.ofSeconds(9));
@@ -79,7 +90,7 @@
 
     @Test
     void boundsQueueByInitialServiceTime() {
-      GoalQueue queue = new GoalQueue(6);
+      GoalQueue queue = new GoalQueue(6, unlimited());
       int queued = 0;
       for (int i = 0; i < 200; i++) {
         queued += queue.offer(request(1), now) == Kind.QUEUED ? 1 : 0;
@@ -178,6 +189,65 @@
     }
   }
 
+  @Nested
+  class WhenTargetNamesRateLimit {
+
+    private static final double PER_SECOND = 10;
+
+    private final RequestRateLimit limit = unlimited();
+    private final GoalQueue queue = new GoalQueue(6, limit);
+
+    @BeforeEach
+    void nameLimit() {
+      queue.offer(request(1), now);
+      limit.onAnswer(OptionalDouble.of(PER_SECOND), now, now);
+    }
+
+    @Test
+    void letsAttemptWaitForPermitThoughSlotIsFree() {
+      GoalRequest waiting = request(1);
+
+      assertThat(queue.offer(waiting, now), is(Kind.QUEUED));
+      assertThat(queue.poll(now), is(List.of()));
+      assertThat(queue.timeUntilPermitted(now), is(Optional.of(Duration.ofMillis(100))));
+
+      now = now.plusMillis(100);
+
+      assertThat(queue.poll(now), contains(new SlotDecision(waiting.attempt(), Kind.ADMITTED)));
+    }
+
+    @Test
+    void grantsNextPermitToHigherPriority() {
+      GoalRequest lower = request(2);
+      GoalRequest higher = request(0);
+      queue.offer(lower, now);
+      queue.offer(higher, now);
+
+      now = now.plusMillis(100);
+
+      assertThat(queue.poll(now), contains(new SlotDecision(higher.attempt(), Kind.ADMITTED)));
+    }
+
+    @Test
+    void refusesAttemptOnArrivalIfPermitComesTooLate() {
+      for (int i = 0; i < 3; i++) {
+        assertThat(queue.offer(request(1), now), is(Kind.QUEUED));
+      }
+
+      assertThat(queue.offer(request(1), now), is(Kind.QUEUE_FULL));
+      assertThat(queue.expectedWait(now), is(Duration.ofMillis(400)));
+    }
+
+    @Test
+    void reportsTheSlotsThatThePermittedRateUses() {
+      assertThat(queue.effectiveSlots(), is(1));
+
+      limit.onAnswer(OptionalDouble.of(35), now, now);
+
+      assertThat(queue.effectiveSlots(), is(4));
+    }
+  }
+
   /** Simulates a load of 1.5 times the capacity of the slots and sums the value of the answers. */
   @Nested
   class WhenOverloaded {
@@ -208,7 +278,7 @@
     /** Returns the total value and the served shares of the higher and the lower priority. */
     private double[] simulateGoalQueue() {
       SplittableRandom random = new SplittableRandom(7);
-      GoalQueue queue = new GoalQueue(SLOTS);
+      GoalQueue queue = new GoalQueue(SLOTS, unlimited());
       Map<AttemptId, GoalRequest> pending = new HashMap<>();
       PriorityQueue<Completion> completions =
           new PriorityQueue<>((one, other) -> one.at().compareTo(other.at()));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import org.cuminlatch.core.admission.GoalQueue;
 import org.cuminlatch.core.admission.GoalRequest;
+import org.cuminlatch.core.admission.RequestRateLimit;
 import org.cuminlatch.core.admission.SlotDecision;
 import org.cuminlatch.core.admission.SlotDecision.Kind;
 import org.cuminlatch.core.admission.SlotEnd;
@@ -76,8 +77,9 @@
   private final List<GateAttempt> arrived = new ArrayList<>();
   private final Set<CallChannel> peerChannels = new HashSet<>();
   private Optional<TargetReport> report = Optional.empty();
-  private GoalQueue slots = new GoalQueue(1);
-  private OptionalDouble limit = OptionalDouble.empty();
+  private RequestRateLimit rateLimit = new RequestRateLimit();
+  private GoalQueue slots = new GoalQueue(1, rateLimit);
+  private Future<?> permitTimer;
   private boolean open;
   private boolean absent;
   private int connectFailures;
@@ -129,17 +131,17 @@
 
   /** Starts to admit attempts to a target, or continues with a new report of it. */
   void open(TargetReport newReport) {
-    boolean same =
-        report
-            .filter(newReport::isOfSameStart)
-            .filter(known -> known.slots() == newReport.slots())
-            .isPresent();
+    final boolean sameStart = report.filter(newReport::isOfSameStart).isPresent();
+    final boolean sameSlots =
+        report.filter(known -> known.slots() == newReport.slots()).isPresent();
     report = Optional.of(newReport);
     open = true;
-    if (!same) {
+    if (!sameStart) {
+      rateLimit = new RequestRateLimit();
+    }
+    if (!sameStart || !sameSlots) {
       refuseWaiting(RefusalReason.TARGET_REPLACED);
-      slots = new GoalQueue(newReport.slots());
-      limit = OptionalDouble.empty();
+      slots = new GoalQueue(newReport.slots(), rateLimit);
       running = 0;
       callback.onTargetReplaced();
     }
@@ -269,6 +271,25 @@
             attempt.arrivedAt().plusNanos(begin.getGoalMicros() * 1000),
             attempt.deadline());
     apply(new SlotDecision(attempt.id(), slots.offer(request, now)));
+    awaitPermit(now);
+  }
+
+  /** Admits waiting attempts once the target's rate limit permits the next request. */
+  private void awaitPermit(Instant now) {
+    if (permitTimer == null) {
+      slots.timeUntilPermitted(now).ifPresent(this::admitWaitingAfter);
+    }
+  }
+
+  private void admitWaitingAfter(Duration delay) {
+    permitTimer =
+        loop.schedule(
+            () -> {
+              permitTimer = null;
+              admitWaiting();
+            },
+            delay.toNanos(),
+            TimeUnit.NANOSECONDS);
   }
 
   private Optional<RefusalReason> refusalReason(Begin begin) {
@@ -344,7 +365,7 @@
       lastAnswerAt = clock.instant();
       connectFailures = 0;
       if (response.status() != 421 && attempt.queue() == slots) {
-        recordLimit(response);
+        updateRateLimit(response, attempt.dispatchedAt());
       }
       if (response.header(names.notRun()).isPresent() || response.status() == 421) {
         boolean replaced = response.status() == 421;
@@ -383,7 +404,7 @@
     }
   }
 
-  private void recordLimit(ClientResponse response) {
+  private void updateRateLimit(ClientResponse response, Instant sentAt) {
     OptionalDouble named;
     try {
       named = ForwardedHeaders.requestLimit(response, names);
@@ -391,18 +412,17 @@
       log.event("target-limit-unreadable").with("reason", unreadable.getMessage()).write();
       return;
     }
-    if (!named.equals(limit)) {
-      limit = named;
+    if (rateLimit.onAnswer(named, sentAt, clock.instant())) {
       log.event("target-limit")
           .with("target", report.map(TargetReport::instance).orElse("-"))
-          .with("perSecond", named.orElse(-1))
+          .with("perSecond", rateLimit.perSecond().orElse(-1))
           .write();
     }
   }
 
   /** Returns the rate limit that the target has named, in requests per second. */
   OptionalDouble limitPerSecond() {
-    return limit;
+    return rateLimit.perSecond();
   }
 
   private void onConnectFailed() {
@@ -488,9 +508,11 @@
   }
 
   private void admitWaiting() {
-    for (SlotDecision decision : slots.poll(clock.instant())) {
+    Instant now = clock.instant();
+    for (SlotDecision decision : slots.poll(now)) {
       apply(decision);
     }
+    awaitPermit(now);
   }
 
   private void refuseWaiting(RefusalReason reason) {
@@ -509,7 +531,7 @@
                     Refusal.newBuilder()
                         .setReason(reason)
                         .setLoad(load())
-                        .setFreeInMicros(slots.expectedWait().toNanos() / 1000))
+                        .setFreeInMicros(slots.expectedWait(clock.instant()).toNanos() / 1000))
                 .build());
     log.request("gate-refused", attempt.begin().getRequestId())
         .with("route", attempt.begin().getRoute())
@@ -517,7 +539,7 @@
         .with("reason", reason.name())
         .with("running", running)
         .with("waiting", slots.queued())
-        .with("limit", slots.slots())
+        .with("limit", slots.effectiveSlots())
         .write();
   }
 
@@ -535,7 +557,7 @@
     return Load.newBuilder()
         .setBusy(slots.busy())
         .setQueued(slots.queued())
-        .setLimit(slots.slots())
+        .setLimit(slots.effectiveSlots())
         .setLagMicros(lag.value().toNanos() / 1000)
         .build();
   }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/TargetLimitTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/TargetLimitTests.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -14,11 +15,16 @@
 @DisplayName("The gate of a target that names a request limit")
 class TargetLimitTests {
 
+  /** Requests that may be sent at once after a pause, at 20 per second. */
+  private static final int MAX_BURST = 5;
+
+  private static final int MAX_BEFORE_ANSWER = 4;
+
   private GateFixture fixture;
 
   @BeforeEach
   void open() throws InterruptedException {
-    fixture = new GateFixture(4);
+    fixture = new GateFixture(10);
   }
 
   @AfterEach
@@ -41,6 +47,45 @@
     assertThat(fixture.gate().limitPerSecond(), is(OptionalDouble.empty()));
   }
 
+  @Test
+  void sendsNoMoreThanTheLimitToTarget() throws InterruptedException {
+    final long limitedAt = System.nanoTime();
+    answerNextWith(1, Map.of("Limit", "20"));
+    fixture.onLoop(() -> beginAll(2, 31));
+
+    int received = 0;
+    while (received < 31) {
+      received = fixture.received().size();
+      double seconds = (System.nanoTime() - limitedAt) / 1e9;
+      assertThat((double) received, lessThanOrEqualTo(1 + 20 * seconds + MAX_BURST));
+    }
+  }
+
+  @Test
+  void sendsAllAtOnceWhenTheLimitHasEnded() throws InterruptedException {
+    answerNextWith(1, Map.of("Limit", "1"));
+    answerNextWith(2, Map.of());
+    fixture.setTarget(exchange -> {});
+    fixture.onLoop(() -> beginAll(3, 6));
+
+    GateFixture.await(() -> fixture.received().size() == 6);
+  }
+
+  @Test
+  void sendsFewRequestsBeforeTheFirstAnswerShowsWhetherThereIsOne() throws InterruptedException {
+    fixture.setTarget(exchange -> {});
+    fixture.onLoop(() -> beginAll(1, 20));
+    GateFixture.await(() -> fixture.received().size() == MAX_BEFORE_ANSWER);
+
+    assertThat(fixture.gate().running(), is(MAX_BEFORE_ANSWER));
+  }
+
+  private void beginAll(int first, int last) {
+    for (int number = first; number <= last; number++) {
+      fixture.begin(number);
+    }
+  }
+
   @Test
   void ignoresLimitThatIsNoNumber() throws InterruptedException {
     answerNextWith(1, Map.of("Limit", "25.5"));
