Send nothing more to a target whose answer says that it leaves

Cause of the gap: a node learned that its target leaves from reports only, and the other nodes from that node. If the reports are lost, or the node beside the target has been restarted and the store did not have the exit, the target was taken for ready and got requests.

The gate takes such an answer like a report that the target leaves: it closes at once, stores the exit, tells the others, and stays closed for that start of the target. An entry node that passes such an answer on remembers the start of the target, and leaves it out whatever the target's node says later.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -249,6 +249,9 @@
 
   private void onAnswer(Answer answer) {
     recordLoad(answer.getLoad());
+    if (ForwardedHeaders.saysLeaving(answer, entry.settings().headers())) {
+      entry.links().exclude(target);
+    }
     boolean failure = answer.getStatus() >= 500;
     entry.metrics().recordAnswer(route.name(), answer.getStatus(), since(startedAt));
     if (failure && mayRetry()) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.cuminlatch.node.http.ClientResponse;
 import org.cuminlatch.node.http.ServerExchange;
+import org.cuminlatch.wire.proto.call.Answer;
 import org.cuminlatch.wire.proto.call.Begin;
 import org.cuminlatch.wire.proto.call.Header;
 
@@ -32,6 +33,8 @@
           "expect",
           "content-length");
 
+  private static final String LEAVING_VALUE = "1";
+
   private ForwardedHeaders() {}
 
   /** Returns the caller's headers without those of its connection and those that the mesh sets. */
@@ -97,6 +100,18 @@
     return OptionalDouble.of(perSecond);
   }
 
+  /** Returns whether an answer says that its target leaves. */
+  static boolean saysLeaving(ClientResponse response, HeaderNames names) {
+    return response.header(names.leaving()).filter(LEAVING_VALUE::equals).isPresent();
+  }
+
+  /** Returns whether the answer of a target's node says that the target leaves. */
+  static boolean saysLeaving(Answer answer, HeaderNames names) {
+    return answer.getHeadersList().stream()
+        .filter(header -> header.getName().equalsIgnoreCase(names.leaving()))
+        .anyMatch(header -> header.getValue().equals(LEAVING_VALUE));
+  }
+
   private static Set<String> listedNames(List<String> connectionHeaders) {
     Set<String> names = new HashSet<>();
     for (String value : connectionHeaders) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/HeaderNames.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/HeaderNames.java
@@ -12,6 +12,7 @@
  * @param notRun present if the target has not executed the request
  * @param instance target that answered
  * @param requestLimit requests per second that the target accepts from all nodes together
+ * @param leaving 1 if the target leaves and must get no further requests
  */
 public record HeaderNames(
     String requestId,
@@ -20,7 +21,8 @@
     String originService,
     String notRun,
     String instance,
-    String requestLimit) {
+    String requestLimit,
+    String leaving) {
 
   /** Checks the fields. */
   public HeaderNames {
@@ -31,5 +33,6 @@
     notBlank(notRun, "notRun");
     notBlank(instance, "instance");
     notBlank(requestLimit, "requestLimit");
+    notBlank(leaving, "leaving");
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/LocalTarget.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/LocalTarget.java
@@ -154,6 +154,19 @@
         control);
   }
 
+  /** Handles an answer of the target that says that it leaves, for which it need not report. */
+  void onLeavingAnswer(TargetReport target) {
+    TargetLifecycle.Change change = lifecycle.deregister(target.instance(), target.bornMillis());
+    log.event("target-leaving")
+        .with("target", target.instance())
+        .with("born", target.bornMillis())
+        .with("change", change.name())
+        .write();
+    if (change == TargetLifecycle.Change.LEAVES) {
+      onLeave(target.instance(), target.bornMillis());
+    }
+  }
+
   /**
    * Closes the gate and stores that the target leaves; completes when both are done or time out.
    */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -459,6 +459,11 @@
         evidence.add(begin.getRoute(), result, took, warm);
       }
 
+      @Override
+      public void onTargetLeaves(TargetReport leaving) {
+        control.execute(() -> target.onLeavingAnswer(leaving));
+      }
+
       @Override
       public void onTargetReplaced() {
         evidence.clear();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +12,7 @@
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.core.membership.Member;
 import org.cuminlatch.core.route.ServiceIndex;
+import org.cuminlatch.core.target.TargetExit;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.wire.call.CallChannel;
 import org.cuminlatch.wire.call.CallFrameHandler;
@@ -49,6 +51,9 @@
   /** Further silence after which a probed connection is closed, and all attempts on it fail. */
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
 
+  /** Maximum number of targets that are remembered as leaving; the oldest are forgotten first. */
+  private static final int MAX_EXCLUDED = 1024;
+
   private final CallTransport transport;
   private final RandomGenerator random;
   private final EventLog log;
@@ -58,6 +63,7 @@
   private final Map<String, TargetLink> linkByInstance = new HashMap<>();
   private Optional<Member> localTarget = Optional.empty();
   private TargetLink localLink;
+  private final Set<TargetExit> excluded = new LinkedHashSet<>();
   private ServiceIndex index = ServiceIndex.of(List.of());
 
   PeerLinks(CallTransport transport, RandomGenerator random, EventLog log, PeerListener listener) {
@@ -88,6 +94,24 @@
     rebuild();
   }
 
+  /**
+   * Sends no more calls to a target that leaves. It stays excluded also if its node, which may have
+   * been restarted since, reports it as ready.
+   */
+  void exclude(Member target) {
+    if (excluded.add(startOf(target))) {
+      log.event("target-excluded").with("target", target.instance()).write();
+      if (excluded.size() > MAX_EXCLUDED) {
+        excluded.remove(excluded.iterator().next());
+      }
+      rebuild();
+    }
+  }
+
+  private static TargetExit startOf(Member target) {
+    return new TargetExit(target.instance(), target.incarnation());
+  }
+
   /** Requests from a node the configuration that it has in force. */
   void pullConfiguration(String node) {
     CallFrame pull = CallFrame.newBuilder().setConfigPull(ConfigPull.getDefaultInstance()).build();
@@ -245,18 +269,21 @@
     List<Member> members = new ArrayList<>();
     for (PeerLink link : links.values()) {
       Optional<Member> member = link.status().flatMap(status -> toMember(status, link.address()));
-      if (link.isOpen() && !link.isSuspect() && member.isPresent()) {
-        members.add(member.get());
-        linkByInstance.put(member.get().instance(), link);
+      if (link.isOpen() && !link.isSuspect()) {
+        member.ifPresent(target -> addMember(target, link, members));
       }
     }
-    if (localTarget.isPresent()) {
-      members.add(localTarget.get());
-      linkByInstance.put(localTarget.get().instance(), localLink);
-    }
+    localTarget.ifPresent(target -> addMember(target, localLink, members));
     index = ServiceIndex.of(members);
   }
 
+  private void addMember(Member target, TargetLink link, List<Member> members) {
+    if (!excluded.contains(startOf(target))) {
+      members.add(target);
+      linkByInstance.put(target.instance(), link);
+    }
+  }
+
   /** Returns the target that a status describes, empty if it takes no calls. */
   static Optional<Member> toMember(TargetStatus status, Address address) {
     if (status.getPhase() != TargetPhase.READY || status.getNodeStops()) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -77,6 +77,10 @@
   private final List<GateAttempt> arrived = new ArrayList<>();
   private final Set<CallChannel> peerChannels = new HashSet<>();
   private Optional<TargetReport> report = Optional.empty();
+
+  /** Latest start of the target that has said in an answer that it leaves. */
+  private Optional<TargetReport> leaving = Optional.empty();
+
   private RequestRateLimit rateLimit = new RequestRateLimit();
   private GoalQueue slots = new GoalQueue(1, rateLimit);
   private Future<?> permitTimer;
@@ -116,6 +120,9 @@
     /** Called when the target's execution of an attempt has ended. */
     void onExecutionEnd(Begin begin, Result result, Duration took);
 
+    /** Called when an answer of the local target says that it leaves; the gate is closed then. */
+    void onTargetLeaves(TargetReport target);
+
     /** Called when the local target was replaced, restarted or given another number of slots. */
     void onTargetReplaced();
 
@@ -135,7 +142,7 @@
     final boolean sameSlots =
         report.filter(known -> known.slots() == newReport.slots()).isPresent();
     report = Optional.of(newReport);
-    open = true;
+    open = leaving.filter(newReport::isOfSameStart).isEmpty();
     if (!sameStart) {
       rateLimit = new RequestRateLimit();
     }
@@ -366,6 +373,7 @@
       connectFailures = 0;
       if (response.status() != 421 && attempt.queue() == slots) {
         updateRateLimit(response, attempt.dispatchedAt());
+        closeIfLeaving(response);
       }
       if (response.header(names.notRun()).isPresent() || response.status() == 421) {
         boolean replaced = response.status() == 421;
@@ -404,6 +412,14 @@
     }
   }
 
+  private void closeIfLeaving(ClientResponse response) {
+    if (open && ForwardedHeaders.saysLeaving(response, names)) {
+      leaving = report;
+      close();
+      callback.onTargetLeaves(report.get());
+    }
+  }
+
   private void updateRateLimit(ClientResponse response, Instant sentAt) {
     OptionalDouble named;
     try {
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -37,7 +37,8 @@
 final class GateFixture implements AutoCloseable {
 
   static final HeaderNames HEADERS =
-      new HeaderNames("id", "deadline", "expect", "origin", "not-run", "instance", "limit");
+      new HeaderNames(
+          "id", "deadline", "expect", "origin", "not-run", "instance", "limit", "leaving");
 
   private static final int WAIT_SECONDS = 20;
   private static final String INSTANCE = "i-1";
@@ -50,6 +51,7 @@
   private final CallChannel channel = new RecordingChannel();
   private final MeshMetrics metrics = new MeshMetrics();
   private final SlotGate gate;
+  private final int slots;
   private volatile ExchangeHandler target = GateFixture::answer;
   private boolean open = true;
 
@@ -73,10 +75,16 @@
             log,
             metrics,
             new NoCallback());
-    onLoop(
-        () ->
-            gate.open(
-                new TargetReport(INSTANCE, 1000, 1, "bookings", "v1", slots, true, Duration.ZERO)));
+    this.slots = slots;
+    reportReady(1000, 1);
+  }
+
+  /** Opens the gate with a report of a start of the target. */
+  void reportReady(long bornMillis, long sequence) throws InterruptedException {
+    TargetReport report =
+        new TargetReport(
+            INSTANCE, bornMillis, sequence, "bookings", "v1", slots, true, Duration.ZERO);
+    onLoop(() -> gate.open(report));
   }
 
   private void receive(ServerExchange exchange) {
@@ -225,6 +233,9 @@
     @Override
     public void onExecutionEnd(Begin begin, Result result, Duration took) {}
 
+    @Override
+    public void onTargetLeaves(TargetReport target) {}
+
     @Override
     public void onTargetReplaced() {}
 
