Do not take a refusal without a request id for that of the current request

Operators of other systems reported: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told "not run" for a request that the target ran, or it ran at a second target.

An answer without an id shows which request it belongs to only if nothing else was answered on its connection before. On any other connection the request ends as unknown: 502, or a retry if it is idempotent, and the connection is closed. The filter of HttpClient becomes ResponseOwner with these three cases.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -47,6 +47,7 @@
   private ByteBuf body;
   private Duration idleTimeout = MAX_IDLE_TIMEOUT;
   private long idleSinceNanos;
+  private boolean hasReceivedResponse;
 
   ClientConnection(HttpClient client, Channel channel, int maxBodyBytes) {
     this.client = client;
@@ -151,9 +152,16 @@
     if (responseHead.status().code() < 200) {
       return; // an interim response
     }
-    if (!request.responseFilter().test(response)) {
+    ResponseOwner owner = request.ownerOfResponse().apply(response);
+    boolean first = !hasReceivedResponse;
+    hasReceivedResponse = true;
+    if (owner == ResponseOwner.OTHER_REQUEST) {
       return; // a late response to an earlier request; that of this request follows
     }
+    if (owner == ResponseOwner.UNNAMED && !first) {
+      fail("response names no request on a connection that has carried another response");
+      return;
+    }
     final ClientListener endedListener = listener;
     request = null;
     listener = null;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientRequest.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientRequest.java
@@ -5,7 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Predicate;
+import java.util.function.Function;
 
 /**
  * A request that an {@link HttpClient} sends.
@@ -15,7 +15,7 @@
  * @param headers all headers except Content-Length; must include Host
  * @param body the body
  * @param maxIdleTime maximum time for which a reused connection may have been idle
- * @param responseFilter tests whether a response belongs to the request; other responses are
+ * @param ownerOfResponse finds out which request a response belongs to; responses to others are
  *     skipped
  */
 public record ClientRequest(
@@ -24,7 +24,7 @@
     List<Map.Entry<String, String>> headers,
     byte[] body,
     Duration maxIdleTime,
-    Predicate<ClientResponse> responseFilter) {
+    Function<ClientResponse, ResponseOwner> ownerOfResponse) {
 
   /** Validates the components and copies the headers. */
   public ClientRequest {
@@ -33,6 +33,6 @@
     headers = List.copyOf(notNull(headers, "headers"));
     notNull(body, "body");
     notNull(maxIdleTime, "maxIdleTime");
-    notNull(responseFilter, "responseFilter");
+    notNull(ownerOfResponse, "ownerOfResponse");
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
@@ -10,6 +10,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.cuminlatch.node.http.ClientResponse;
+import org.cuminlatch.node.http.ResponseOwner;
 import org.cuminlatch.node.http.ServerExchange;
 import org.cuminlatch.wire.proto.call.Answer;
 import org.cuminlatch.wire.proto.call.Begin;
@@ -77,10 +78,16 @@
         .toList();
   }
 
-  /** Returns whether an answer is to this attempt and not a late one to an earlier attempt. */
-  static boolean isAnswerTo(ClientResponse response, Begin begin, HeaderNames names) {
-    boolean success = response.status() < 300;
-    return response.header(names.requestId()).map(begin.getRequestId()::equals).orElse(!success);
+  /** Returns whether an answer belongs to this attempt; a success always names its request. */
+  static ResponseOwner ownerOf(ClientResponse response, Begin begin, HeaderNames names) {
+    Optional<String> id = response.header(names.requestId());
+    if (id.isEmpty()) {
+      boolean success = response.status() < 300;
+      return success ? ResponseOwner.OTHER_REQUEST : ResponseOwner.UNNAMED;
+    }
+    return id.get().equals(begin.getRequestId())
+        ? ResponseOwner.THIS_REQUEST
+        : ResponseOwner.OTHER_REQUEST;
   }
 
   /**
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -354,7 +354,7 @@
             ForwardedHeaders.toTarget(begin, names, timeLeft),
             attempt.body(),
             begin.getIdempotent() ? REPEATABLE_IDLE_TIMEOUT : UNREPEATABLE_IDLE_TIMEOUT,
-            response -> ForwardedHeaders.isAnswerTo(response, begin, names));
+            response -> ForwardedHeaders.ownerOf(response, begin, names));
     attempt.setCall(target.send(request, new Execution(attempt)), timer);
   }
 
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/HttpClientTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/HttpClientTests.java
@@ -58,7 +58,7 @@
             List.of(Map.entry("Host", "shop.example")),
             new byte[0],
             Duration.ofSeconds(1),
-            response -> true);
+            response -> ResponseOwner.THIS_REQUEST);
     ClientListener clientListener =
         new ClientListener() {
           @Override
