Bound what a target can make its node read and hold without a complete answer

Tried against the code as it was with endless letters, blank lines, spaces, header lines, interim answers, answers to other requests, bodies without length, chunks, chunk sizes and trailers (HttpClientTests):

- Endless heads, chunk sizes and trailers were given up by Netty's limits, endless bodies at 16 MiB.
- Endless interim answers and answers to other requests were read until the deadline of the request (cases 6 and 7 failed: the client still read after 4 s).
- Bodies on all connections of a target together had no bound: 16 MiB for each slot, in a heap of 96 MB.

A request now fails after 32 skipped answers. The bodies that are being received from a target hold at most 24 MiB together; beyond that the request with the largest one fails, so that small answers still get through.

Result: all cases end as failures at once, and with 8 answers of 700 kB in 2 MiB exactly six fail.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -34,6 +34,9 @@
   /** Fraction of the server's announced idle timeout after which a connection is not reused. */
   private static final double IDLE_TIMEOUT_FRACTION = 0.6;
 
+  /** Maximum number of interim responses and responses to others before that to a request. */
+  private static final int MAX_SKIPPED_RESPONSES = 32;
+
   private static final Duration MAX_IDLE_TIMEOUT = Duration.ofSeconds(4);
   private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout\\s*=\\s*(\\d{1,6})");
 
@@ -48,6 +51,7 @@
   private Duration idleTimeout = MAX_IDLE_TIMEOUT;
   private long idleSinceNanos;
   private boolean hasReceivedResponse;
+  private int skippedResponses;
 
   ClientConnection(HttpClient client, Channel channel, int maxBodyBytes) {
     this.client = client;
@@ -65,6 +69,7 @@
   ClientCall send(ClientRequest newRequest, ClientListener newListener) {
     request = newRequest;
     listener = newListener;
+    skippedResponses = 0;
     DefaultFullHttpRequest message =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -89,6 +94,7 @@
     if (request == cancelled) {
       request = null;
       listener = null;
+      discardResponse();
       close();
     }
   }
@@ -133,30 +139,54 @@
       body = Unpooled.buffer();
     }
     if (part instanceof HttpContent content && head != null) {
-      body.writeBytes(content.content());
-      if (body.readableBytes() > maxBodyBytes) {
-        fail("response body is larger than " + maxBodyBytes + " bytes");
-      } else if (content instanceof LastHttpContent) {
-        complete();
-      }
+      append(content);
+    }
+  }
+
+  private void append(HttpContent content) {
+    int bytes = content.content().readableBytes();
+    body.writeBytes(content.content());
+    client.onBuffered(bytes);
+    if (body != null && body.readableBytes() > maxBodyBytes) {
+      fail("response body is larger than " + maxBodyBytes + " bytes");
+    } else if (body != null && content instanceof LastHttpContent) {
+      complete();
     }
   }
 
+  /** Returns the size of the part of a response's body that has been received. */
+  int bufferedBytes() {
+    return body == null ? 0 : body.readableBytes();
+  }
+
+  /** Forgets the response that is being received. */
+  private void discardResponse() {
+    client.onBuffered(-bufferedBytes());
+    head = null;
+    body = null;
+  }
+
+  /** Ends the request because the responses of all connections need too much memory. */
+  void failForMemory() {
+    fail("responses of the server that are being received need too much memory");
+  }
+
   private void complete() {
     HttpResponse responseHead = head;
     final ClientResponse response =
         new ClientResponse(
             responseHead.status().code(), headersOf(responseHead), ByteBufUtil.getBytes(body));
-    head = null;
-    body = null;
+    discardResponse();
     if (responseHead.status().code() < 200) {
-      return; // an interim response
+      skipResponse(); // an interim response
+      return;
     }
     ResponseOwner owner = request.ownerOfResponse().apply(response);
     boolean first = !hasReceivedResponse;
     hasReceivedResponse = true;
     if (owner == ResponseOwner.OTHER_REQUEST) {
-      return; // a late response to an earlier request; that of this request follows
+      skipResponse(); // a late response to an earlier request; that of this request follows
+      return;
     }
     if (owner == ResponseOwner.UNNAMED && !first) {
       fail("response names no request on a connection that has carried another response");
@@ -169,6 +199,13 @@
     endedListener.onResponse(response);
   }
 
+  private void skipResponse() {
+    skippedResponses++;
+    if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+      fail("more than " + MAX_SKIPPED_RESPONSES + " other responses were received");
+    }
+  }
+
   private void keepOrClose(HttpResponse responseHead) {
     boolean hasFraming =
         HttpUtil.isContentLengthSet(responseHead)
@@ -204,7 +241,7 @@
     final ClientListener endedListener = listener;
     request = null;
     listener = null;
-    head = null;
+    discardResponse();
     close();
     if (endedListener != null) {
       endedListener.onFailure(new ClientListener.Failure(true, reason));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
@@ -12,6 +12,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
@@ -31,6 +32,8 @@
   private final Address server;
   private final Duration connectTimeout;
   private final int maxBodyBytes;
+  private final long maxBufferedBytes;
+  private long bufferedBytes;
   private final Deque<ClientConnection> idleConnections = new ArrayDeque<>();
   private final Set<ClientConnection> openConnections = new HashSet<>();
 
@@ -41,13 +44,20 @@
    * @param server address of the server
    * @param connectTimeout maximum time to open a connection
    * @param maxBodyBytes maximum size of a response's body in bytes
+   * @param maxBufferedBytes maximum size in bytes of the bodies that are being received at a time;
+   *     if it is exceeded, the request with the largest one fails
    */
   public HttpClient(
-      EventLoopGroup group, Address server, Duration connectTimeout, int maxBodyBytes) {
+      EventLoopGroup group,
+      Address server,
+      Duration connectTimeout,
+      int maxBodyBytes,
+      long maxBufferedBytes) {
     this.group = notNull(group, "group");
     this.server = notNull(server, "server");
     this.connectTimeout = notNull(connectTimeout, "connectTimeout");
     this.maxBodyBytes = maxBodyBytes;
+    this.maxBufferedBytes = maxBufferedBytes;
   }
 
   /**
@@ -119,6 +129,16 @@
     }
   }
 
+  /** Counts bytes of bodies that have been received, negative ones if they are no longer held. */
+  void onBuffered(int bytes) {
+    bufferedBytes += bytes;
+    if (bufferedBytes > maxBufferedBytes) {
+      openConnections.stream()
+          .max(Comparator.comparingInt(ClientConnection::bufferedBytes))
+          .ifPresent(ClientConnection::failForMemory);
+    }
+  }
+
   void onReleased(ClientConnection connection) {
     idleConnections.addFirst(connection);
     ClientConnection oldest = idleConnections.peekLast();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -36,6 +36,10 @@
 
   private static final Duration TARGET_CONNECT_TIMEOUT = Duration.ofMillis(400);
   private static final int MAX_ANSWER_BYTES = 16 << 20;
+
+  /** A quarter of the heap that deploy/system.toml gives to a node. */
+  private static final int MAX_BUFFERED_ANSWER_BYTES = 24 << 20;
+
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(50);
   private static final Duration LINK_CHECK_INTERVAL = Duration.ofMillis(250);
 
@@ -77,7 +81,12 @@
     RandomGenerator random = new SplittableRandom(System.nanoTime() ^ settings.node().hashCode());
     this.log = EventLog.start(clock, settings.node());
     HttpClient targetClient =
-        new HttpClient(trafficGroup, settings.target(), TARGET_CONNECT_TIMEOUT, MAX_ANSWER_BYTES);
+        new HttpClient(
+            trafficGroup,
+            settings.target(),
+            TARGET_CONNECT_TIMEOUT,
+            MAX_ANSWER_BYTES,
+            MAX_BUFFERED_ANSWER_BYTES);
     this.control =
         new MeshControl(
             settings,
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/HttpClientTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/HttpClientTests.java
@@ -8,27 +8,34 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.cuminlatch.core.membership.Address;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 @DisplayName("The HTTP client")
 class HttpClientTests {
 
   private static final int WAIT_SECONDS = 20;
   private static final int MAX_BODY_BYTES = 1 << 20;
+  private static final int MAX_BUFFERED_BYTES = 2 << 20;
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -39,7 +46,9 @@
   void start() throws IOException {
     listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     Address address = new Address("127.0.0.1", listener.getLocalPort());
-    client = new HttpClient(group, address, Duration.ofSeconds(WAIT_SECONDS), MAX_BODY_BYTES);
+    client =
+        new HttpClient(
+            group, address, Duration.ofSeconds(WAIT_SECONDS), MAX_BODY_BYTES, MAX_BUFFERED_BYTES);
   }
 
   @AfterEach
@@ -58,7 +67,10 @@
             List.of(Map.entry("Host", "shop.example")),
             new byte[0],
             Duration.ofSeconds(1),
-            response -> ResponseOwner.THIS_REQUEST);
+            response ->
+                response.header("Other").isPresent()
+                    ? ResponseOwner.OTHER_REQUEST
+                    : ResponseOwner.THIS_REQUEST);
     ClientListener clientListener =
         new ClientListener() {
           @Override
@@ -131,4 +143,91 @@
           instanceOf(ClientListener.Failure.class));
     }
   }
+
+  @Nested
+  class WhenTheServerWritesWithoutEnd {
+
+    /** Answers the next request with some bytes, repeated until the client closes. */
+    private Object answerWithoutEnd(String first, String repeated) throws Exception {
+      CompletableFuture<Object> end = send();
+      try (Socket socket = listener.accept()) {
+        socket.getInputStream().read(new byte[1024]);
+        OutputStream out = socket.getOutputStream();
+        out.write(first.getBytes(StandardCharsets.ISO_8859_1));
+        byte[] block = repeated.repeat(1000).getBytes(StandardCharsets.ISO_8859_1);
+        long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (!end.isDone() && System.nanoTime() < giveUpAt) {
+          out.write(block);
+        }
+        assertThat("the client still reads", end.isDone(), is(true));
+      } catch (SocketException closedByClient) {
+        // the request has ended
+      }
+      return end.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        delimiter = '|',
+        quoteCharacter = '`',
+        value = {
+          "`` | x",
+          "`` | `\r\n`",
+          "`` | ` `",
+          "`HTTP/1.1 200 OK\r\nA: ` | x",
+          "`HTTP/1.1 200 OK\r\n` | `A: b\r\n`",
+          "`` | `HTTP/1.1 100 Continue\r\n\r\n`",
+          "`` | `HTTP/1.1 200 OK\r\nOther: 1\r\nContent-Length: 0\r\n\r\n`",
+          "`HTTP/1.1 200 OK\r\n\r\n` | x",
+          "`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n` | `1\r\nx\r\n`",
+          "`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n` | 0",
+          "`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n` | `A: b\r\n`",
+        })
+    void failsAndCloses(String first, String repeated) throws Exception {
+      assertThat(answerWithoutEnd(first, repeated), instanceOf(ClientListener.Failure.class));
+    }
+
+    @Test
+    void failsOnlyAsManyRequestsAsMemoryRequires() throws Exception {
+      int requests = 8;
+      byte[] part = new byte[700_000];
+      List<Socket> sockets = new ArrayList<>();
+      List<CompletableFuture<Object>> ends = new ArrayList<>();
+      for (int i = 0; i < requests; i++) {
+        ends.add(send());
+        Socket socket = listener.accept();
+        sockets.add(socket);
+        socket.getInputStream().read(new byte[1024]);
+        OutputStream out = socket.getOutputStream();
+        out.write("HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        out.write(part);
+        int received = i + 1;
+        int expectedFailures = Math.max(0, received - MAX_BUFFERED_BYTES / part.length);
+        await(() -> failures(ends) == expectedFailures);
+      }
+      for (Socket socket : sockets) {
+        socket.close();
+      }
+      for (CompletableFuture<Object> end : ends) {
+        end.get(WAIT_SECONDS, TimeUnit.SECONDS);
+      }
+      assertThat(failures(ends), is(requests - MAX_BUFFERED_BYTES / part.length));
+    }
+
+    private int failures(List<CompletableFuture<Object>> ends) {
+      return (int)
+          ends.stream()
+              .filter(CompletableFuture::isDone)
+              .filter(end -> end.join() instanceof ClientListener.Failure)
+              .count();
+    }
+
+    private void await(BooleanSupplier condition) throws InterruptedException {
+      long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+      while (!condition.getAsBoolean() && System.nanoTime() < end) {
+        Thread.sleep(5);
+      }
+      assertThat(condition.getAsBoolean(), is(true));
+    }
+  }
 }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -68,7 +68,7 @@
     gate =
         new SlotGate(
             loop,
-            new HttpClient(group, address, Duration.ofSeconds(1), 1 << 20),
+            new HttpClient(group, address, Duration.ofSeconds(1), 1 << 20, 1 << 24),
             new MonotonicClock(),
             HEADERS,
             new LoopLag(Duration.ofMillis(50)),
