Let the answers of 16 slots of the largest size be received at a time

The bound of 24 MiB for the answers that a node receives from its target at a time was counted for the 13 slots of one deployment. The grown one has 16 slots of 1.7 MB, 27 MB. 32 MiB are a third of the heap.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -37,8 +37,8 @@
   private static final Duration TARGET_CONNECT_TIMEOUT = Duration.ofMillis(400);
   private static final int MAX_ANSWER_BYTES = 16 << 20;
 
-  /** A quarter of the heap that deploy/system.toml gives to a node. */
-  private static final int MAX_BUFFERED_ANSWER_BYTES = 24 << 20;
+  /** A third of the heap that deploy/system.toml gives to a node. */
+  private static final int MAX_BUFFERED_ANSWER_BYTES = 32 << 20;
 
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(50);
   private static final Duration LINK_CHECK_INTERVAL = Duration.ofMillis(250);
