Test that a caller that closes its sending side counts as one that has left

One more way by which a call ends early: the caller sends its request, closes its sending side and waits for the answer. DepartedCallerTests holds that the handler does not get it and the connection is closed. No logic changes.

--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/DepartedCallerTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/DepartedCallerTests.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
 import io.netty.channel.EventLoopGroup;
@@ -165,6 +166,20 @@
       assertThat(handled, contains("/first", "/next"));
     }
 
+    @Test
+    void isNotHandledIfItsCallerClosedItsSendingSide() throws Exception {
+      CountDownLatch release = blockLoop();
+      try (Socket caller = connect()) {
+        send(caller, "/left");
+        caller.shutdownOutput();
+        release.countDown();
+        assertThat(caller.getInputStream().read(), is(-1));
+      }
+
+      await(abandoned, "/left");
+      assertThat(handled, empty());
+    }
+
     @Test
     void isNotHandledIfItsConnectionWasReset() throws Exception {
       CountDownLatch release = blockLoop();
