Wait in the tests on departed callers until the request was given up

The order in which an event loop reads two connections is not fixed: the answer to the later request could arrive before the earlier one was given up, and the check could pass or fail by chance. Each case now waits until the request has been reported as abandoned, then checks that it was not handled.

--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/DepartedCallerTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/DepartedCallerTests.java
@@ -147,8 +147,8 @@
       release.countDown();
       awaitAnswer("/next");
 
+      await(abandoned, "/left");
       assertThat(handled, contains("/next"));
-      assertThat(abandoned, contains("/left"));
     }
 
     @Test
@@ -163,6 +163,7 @@
       }
       awaitAnswer("/next");
 
+      await(abandoned, "/left");
       assertThat(handled, contains("/first", "/next"));
     }
 
@@ -190,6 +191,7 @@
       release.countDown();
       awaitAnswer("/next");
 
+      await(abandoned, "/left");
       assertThat(handled, contains("/next"));
     }
   }
