Use all slots of a target again if its first answer takes long

Cause: until the first answer of a target its node sends it four requests at a time, as the target may have named a limit to an earlier process of the node. A first answer that is lost, or that takes seconds at a cold or slow target, kept it at four all that time, though its slots were free. Change: the bound ends one second after the first request was sent. Result: RequestRateLimitTests.permitsAllSlotsIfTheAnswerTakesLong did not compile before and passes now; the tests of the core pass.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
@@ -96,7 +96,7 @@
 
   /** Returns whether a slot is free and the target accepts a request now; takes a permit if so. */
   private boolean tryTakeSlot(Instant now) {
-    return heldSlots.count() < concurrency() && rateLimit.tryAcquire(now);
+    return heldSlots.count() < concurrency(now) && rateLimit.tryAcquire(now);
   }
 
   private boolean canAnswerBy(Instant time, GoalRequest request, double waitNanos, Instant now) {
@@ -167,7 +167,7 @@
     List<GoalRequest> remaining = new ArrayList<>();
     for (GoalRequest request : queue) {
       double wait =
-          Math.max(aheadNanos / concurrency(), permitWaitNanos(remaining.size() + 1, now));
+          Math.max(aheadNanos / concurrency(now), permitWaitNanos(remaining.size() + 1, now));
       if (canAnswerBy(lateAnswerLimit(request), request, wait, now)) {
         remaining.add(request);
         aheadNanos += expectedNanos(request.route());
@@ -246,12 +246,13 @@
    * Returns how many requests the target may execute concurrently, which is less than its slots
    * while a rate limit is in effect.
    *
+   * @param now current time
    * @return the number of slots that are in use on average at the permitted rate (Little's law),
    *     rounded up
    */
-  public int effectiveSlots() {
+  public int effectiveSlots(Instant now) {
     double used = rateLimit.perSecond().orElse(Double.POSITIVE_INFINITY) * overallMeanNanos / 1e9;
-    return (int) Math.max(1, Math.min(concurrency(), Math.ceil(used)));
+    return (int) Math.max(1, Math.min(concurrency(now), Math.ceil(used)));
   }
 
   /**
@@ -261,7 +262,7 @@
    * @return time until the next permit; empty if none waits or all slots are held
    */
   public Optional<Duration> timeUntilPermitted(Instant now) {
-    return queue.isEmpty() || heldSlots.count() >= concurrency()
+    return queue.isEmpty() || heldSlots.count() >= concurrency(now)
         ? Optional.empty()
         : Optional.of(rateLimit.timeUntilPermitted(1, now));
   }
@@ -274,18 +275,18 @@
    */
   public Duration expectedWait(Instant now) {
     double permitWait = permitWaitNanos(queue.size() + 1, now);
-    if (queue.isEmpty() && heldSlots.count() < concurrency()) {
+    if (queue.isEmpty() && heldSlots.count() < concurrency(now)) {
       return Duration.ofNanos((long) permitWait);
     }
     double aheadNanos = meanHeldNanos();
     for (GoalRequest waiting : queue) {
       aheadNanos += expectedNanos(waiting.route());
     }
-    return Duration.ofNanos((long) Math.max(aheadNanos / concurrency(), permitWait));
+    return Duration.ofNanos((long) Math.max(aheadNanos / concurrency(now), permitWait));
   }
 
-  private int concurrency() {
-    return rateLimit.maxConcurrent(slots);
+  private int concurrency(Instant now) {
+    return rateLimit.maxConcurrent(slots, now);
   }
 
   private void hold(GoalRequest request, Instant now) {
@@ -307,7 +308,7 @@
         ahead++;
       }
     }
-    return Math.max(aheadNanos / concurrency(), permitWaitNanos(ahead + 1, now));
+    return Math.max(aheadNanos / concurrency(now), permitWaitNanos(ahead + 1, now));
   }
 
   private double permitWaitNanos(int requests, Instant now) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/RequestRateLimit.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/RequestRateLimit.java
@@ -17,7 +17,7 @@
  * the target named the limit. Without a limit, each request is permitted.
  *
  * <p>A target may have named a limit to an earlier process of its node. Until its first answer, it
- * therefore gets only a few requests at a time. Not thread-safe.
+ * therefore gets only a few requests at a time, unless the answer takes long. Not thread-safe.
  */
 public final class RequestRateLimit {
 
@@ -36,12 +36,16 @@
   /** Maximum number of requests at the target before its first answer. */
   static final int MAX_CONCURRENT_BEFORE_ANSWER = 4;
 
+  /** Time after the first request after which the first answer is no longer awaited. */
+  static final Duration FIRST_ANSWER_TIMEOUT = Duration.ofSeconds(1);
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   private double ratePerSecond = Double.POSITIVE_INFINITY;
   private double permits;
   private Instant permitsAt = Instant.MIN;
   private Instant namedAt = Instant.MIN;
+  private Instant firstSentAt = Instant.MAX;
   private boolean answered;
 
   /**
@@ -75,13 +79,13 @@
    */
   public boolean tryAcquire(Instant now) {
     refill(now);
-    if (!isLimited()) {
-      return true;
-    }
-    if (permits < 1) {
+    if (isLimited() && permits < 1) {
       return false;
     }
-    permits -= 1;
+    if (isLimited()) {
+      permits -= 1;
+    }
+    firstSentAt = now.isBefore(firstSentAt) ? now : firstSentAt;
     return true;
   }
 
@@ -105,10 +109,15 @@
    * Returns how many requests the target may execute concurrently.
    *
    * @param slots number of slots of the target
+   * @param now current time
    * @return the number of slots, or a smaller number before the first answer of the target
    */
-  public int maxConcurrent(int slots) {
-    return answered ? slots : Math.min(slots, MAX_CONCURRENT_BEFORE_ANSWER);
+  public int maxConcurrent(int slots, Instant now) {
+    boolean awaitsAnswer =
+        !answered
+            && (firstSentAt.equals(Instant.MAX)
+                || now.isBefore(firstSentAt.plus(FIRST_ANSWER_TIMEOUT)));
+    return awaitsAnswer ? Math.min(slots, MAX_CONCURRENT_BEFORE_ANSWER) : slots;
   }
 
   /**
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/GoalQueueTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/GoalQueueTests.java
@@ -240,11 +240,11 @@
 
     @Test
     void reportsTheSlotsThatThePermittedRateUses() {
-      assertThat(queue.effectiveSlots(), is(1));
+      assertThat(queue.effectiveSlots(now), is(1));
 
       limit.onAnswer(OptionalDouble.of(35), now, now);
 
-      assertThat(queue.effectiveSlots(), is(4));
+      assertThat(queue.effectiveSlots(now), is(4));
     }
   }
 
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/RequestRateLimitTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/RequestRateLimitTests.java
@@ -144,12 +144,24 @@
 
     @Test
     void permitsFewConcurrentRequests() {
-      assertThat(limit.maxConcurrent(13), is(4));
-      assertThat(limit.maxConcurrent(2), is(2));
+      assertThat(limit.maxConcurrent(13, now), is(4));
+      assertThat(limit.maxConcurrent(2, now), is(2));
 
       limit.onAnswer(OptionalDouble.empty(), now, now);
 
-      assertThat(limit.maxConcurrent(13), is(13));
+      assertThat(limit.maxConcurrent(13, now), is(13));
+    }
+
+    @Test
+    void permitsAllSlotsIfTheAnswerTakesLong() {
+      limit.tryAcquire(now);
+      advance(999);
+      limit.tryAcquire(now);
+      assertThat(limit.maxConcurrent(13, now), is(4));
+
+      advance(1);
+
+      assertThat(limit.maxConcurrent(13, now), is(13));
     }
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -555,7 +555,7 @@
         .with("reason", reason.name())
         .with("running", running)
         .with("waiting", slots.queued())
-        .with("limit", slots.effectiveSlots())
+        .with("limit", slots.effectiveSlots(clock.instant()))
         .write();
   }
 
@@ -573,7 +573,7 @@
     return Load.newBuilder()
         .setBusy(slots.busy())
         .setQueued(slots.queued())
-        .setLimit(slots.effectiveSlots())
+        .setLimit(slots.effectiveSlots(clock.instant()))
         .setLagMicros(lag.value().toNanos() / 1000)
         .build();
   }
