--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -1,6 +1,7 @@
 package org.cuminlatch.node.mesh;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.NetUtil;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
@@ -378,6 +379,11 @@
 
   private void onNodeRecord(Item item) {
     Address address = Address.parse(item.key());
+    if (!NetUtil.isValidIpV4Address(address.host())
+        && !NetUtil.isValidIpV6Address(address.host())) {
+      // a name would have to be looked up on the traffic loop
+      throw new IllegalArgumentException("address of a node must have a numeric host");
+    }
     if (address.equals(settings.peers())) {
       registered = item.value().length > 0;
     } else if (item.value().length == 0) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -122,7 +122,7 @@
     nextOffset = page.end();
     lastReadNanos = System.nanoTime();
     page.items().forEach(this::deliver);
-    listener.onPageRead();
+    endPage();
     if (page.items().isEmpty()) {
       start();
     } else {
@@ -130,10 +130,22 @@
     }
   }
 
+  /** Ends a page; the stream is followed further also if its listener fails. */
+  private void endPage() {
+    try {
+      listener.onPageRead();
+    } catch (RuntimeException error) {
+      log.event("task-failed")
+          .with("task", "page of " + subscription.stream().name())
+          .with("reason", String.valueOf(error))
+          .write();
+    }
+  }
+
   private void deliver(Item item) {
     try {
       listener.onItem(item);
-    } catch (RuntimeException unusable) {
+    } catch (RuntimeException | StackOverflowError unusable) {
       log.event("record-unusable")
           .with("stream", subscription.stream().name())
           .with("key", item.key())
