Handle requests that a caller sends ahead side by side

Change: idempotent requests are handled side by side, up to eight of a connection and 512 KB of responses that are held behind an earlier one; responses keep the order of the requests. A request that may not be repeated waits until all earlier ones have been answered, and those behind it wait for it. Nothing behind a response that closes the connection is handled; such a connection is read for half a second more, as closing it with unread bytes resets it and can cost the caller the response. A caller that leaves ends all its requests. An interim response is no longer written into the middle of an earlier response.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ExchangeHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ExchangeHandler.java
@@ -11,6 +11,17 @@
    */
   void handle(ServerExchange exchange);
 
+  /**
+   * Returns whether a request may be handled side by side with others that its caller has sent
+   * before and after it on the same connection. Responses keep the order of the requests.
+   *
+   * @param exchange the request
+   * @return true if the order in which such requests are executed does not matter
+   */
+  default boolean mayOverlap(ServerExchange exchange) {
+    return false;
+  }
+
   /**
    * Called instead of {@link #handle} if the caller had closed the connection before its request
    * could be handled.
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -27,9 +28,17 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/** A caller's connection: reads complete requests and has them handled one after the other. */
+/**
+ * A caller's connection: reads complete requests, has them handled and sends the responses in the
+ * order of the requests.
+ *
+ * <p>Requests that a caller sends ahead of earlier responses are handled side by side if the
+ * handler allows it, up to a bound, and otherwise one after the other. A request behind one whose
+ * response closes the connection is not handled.
+ */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
   /** Number of requests read ahead of the current one at which reading pauses. */
@@ -38,19 +47,35 @@
   /** Size of the bodies read ahead at which reading pauses. */
   private static final int MAX_PIPELINED_BYTES = 256 * 1024;
 
+  /** Number of requests that are handled side by side. */
+  static final int MAX_OVERLAPPING_REQUESTS = 8;
+
+  /** Size of the responses that wait for an earlier one at which no further request is started. */
+  private static final int MAX_HELD_BYTES = 512 * 1024;
+
+  /** Time for which a closing connection still reads what the caller has sent before. */
+  private static final Duration LINGER_TIMEOUT = Duration.ofMillis(500);
+
   private final HttpServer server;
   private final Channel channel;
   private final HeadAwareResponseEncoder encoder;
+
+  /** Requests that have been read and not started. */
   private final Deque<ServerExchange> pipelined = new ArrayDeque<>();
+
+  /** Requests that are handled, in the order received; the first may send its response. */
+  private final Deque<ServerExchange> running = new ArrayDeque<>();
+
   private int pipelinedBytes;
   private HttpRequest head;
   private ByteBuf body;
-  private ServerExchange current;
   private ScheduledFuture<?> readTimeoutTimer;
   private ScheduledFuture<?> idleTimer;
   private long idleSinceNanos = System.nanoTime();
   private boolean rejecting;
 
+  private boolean closing;
+
   ServerConnection(HttpServer server, Channel channel, HeadAwareResponseEncoder encoder) {
     this.server = server;
     this.channel = channel;
@@ -118,7 +143,7 @@
       reject(HttpResponseStatus.BAD_REQUEST);
     } else if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-    } else if (HttpUtil.is100ContinueExpected(request)) {
+    } else if (HttpUtil.is100ContinueExpected(request) && running.isEmpty()) {
       channel.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
@@ -160,24 +185,50 @@
    * sent has been read, so that a close that follows the request is seen first.
    */
   private void scheduleNext() {
-    if (current == null) {
+    if (mayStart(pipelined.peek())) {
       channel.eventLoop().execute(this::startNext);
     }
   }
 
+  /** Returns whether a request may be started now, alone or side by side with those before it. */
+  private boolean mayStart(ServerExchange next) {
+    if (next == null || closing) {
+      return false;
+    }
+    return running.isEmpty()
+        || (running.size() < MAX_OVERLAPPING_REQUESTS
+            && running.stream().mapToInt(ServerExchange::heldBytes).sum() < MAX_HELD_BYTES
+            && !server.isDraining()
+            && running.getLast().keepsConnection()
+            && server.handler().mayOverlap(running.getLast())
+            && server.handler().mayOverlap(next));
+  }
+
   private void startNext() {
     if (!channel.isActive()) {
       pipelined.forEach(server.handler()::onAbandoned);
       pipelined.clear();
-    } else if (current == null && !pipelined.isEmpty()) {
-      current = pipelined.poll();
-      pipelinedBytes -= current.body().length;
+      return;
+    }
+    while (mayStart(pipelined.peek())) {
+      ServerExchange next = pipelined.poll();
+      pipelinedBytes -= next.body().length;
+      running.add(next);
       pauseOrResumeReading();
-      encoder.setBodyOmitted(current.method().equals(HttpMethod.HEAD.name()));
-      server.handler().handle(current);
+      if (running.getFirst() == next) {
+        releaseFirst();
+      }
+      server.handler().handle(next);
     }
   }
 
+  /** Lets the first of the running requests send its response. */
+  private void releaseFirst() {
+    ServerExchange first = running.getFirst();
+    encoder.setBodyOmitted(first.method().equals(HttpMethod.HEAD.name()));
+    first.release();
+  }
+
   /** Rejects a request that could not be read and closes the connection after the response. */
   private void reject(HttpResponseStatus status) {
     stopReadTimeout();
@@ -191,10 +242,9 @@
         .with("reason", "request is malformed, over a limit or incomplete")
         .with("peer", peer())
         .write();
-    if (current != null || !pipelined.isEmpty()) {
-      return; // the next response is completed first; the connection is closed after it
-    }
-    writeRejection(status);
+    if (running.isEmpty() && pipelined.isEmpty()) {
+      writeRejection(status);
+    } // otherwise the connection is closed once the earlier requests have been answered
   }
 
   private void writeRejection(HttpResponseStatus status) {
@@ -205,19 +255,48 @@
     channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
   }
 
-  /** Ends the current exchange and starts the next request that was read ahead, if any. */
-  void exchangeFinished(boolean keepAlive) {
-    current = null;
+  /** Ends an exchange whose response was sent; the next one may send its response then. */
+  void exchangeFinished(ServerExchange exchange, boolean keepAlive) {
+    running.remove(exchange);
     idleSinceNanos = System.nanoTime();
-    if (!keepAlive || rejecting) {
+    if (!keepAlive) {
+      close(exchange.keepsConnection());
+    } else if (!running.isEmpty()) {
+      releaseFirst();
+      scheduleNext();
+    } else if (pipelined.isEmpty() && rejecting) {
+      close(true);
+    } else {
+      scheduleNext();
+    }
+  }
+
+  /**
+   * Closes the connection. If the caller may still be sending, it is read for a while: closing a
+   * connection with unread bytes resets it, and the caller could lose the response.
+   */
+  private void close(boolean callerMaySend) {
+    closing = true;
+    pipelined.clear();
+    if (!callerMaySend || !channel.isActive()) {
       channel.close();
       return;
     }
-    scheduleNext();
+    rejecting = true;
+    channel.config().setAutoRead(true);
+    ((SocketChannel) channel).shutdownOutput();
+    channel
+        .eventLoop()
+        .schedule(() -> channel.close(), LINGER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
-  boolean keepsAlive(HttpRequest request) {
-    return HttpUtil.isKeepAlive(request) && !server.isDraining() && !rejecting;
+  /**
+   * Returns whether the connection stays open after the response of an exchange. While the server
+   * drains, or if an unreadable request follows, the response to the last request closes it.
+   */
+  boolean keepsAlive(ServerExchange exchange) {
+    boolean closesAfterLast = server.isDraining() || (rejecting && pipelined.isEmpty());
+    return exchange.keepsConnection() && !(closesAfterLast && running.peekLast() == exchange);
   }
 
   Channel channel() {
@@ -229,7 +308,7 @@
   }
 
   boolean isBusy() {
-    return current != null || head != null || !pipelined.isEmpty();
+    return !running.isEmpty() || (head != null && !closing) || !pipelined.isEmpty();
   }
 
   void closeIfIdle() {
@@ -245,9 +324,7 @@
       idleTimer.cancel(false);
     }
     startNext();
-    if (current != null) {
-      current.callerDisconnected();
-    }
+    List.copyOf(running).forEach(ServerExchange::callerDisconnected);
   }
 
   @Override
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
@@ -1,9 +1,11 @@
 package org.cuminlatch.node.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -13,13 +15,23 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.channels.ClosedChannelException;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
-/** A completely received request and its response; used on one event loop. */
+/**
+ * A completely received request and its response; used on one event loop.
+ *
+ * <p>The response is held back until all earlier requests of the connection have been answered.
+ */
 public final class ServerExchange {
 
   private final ServerConnection connection;
@@ -29,6 +41,14 @@
   private boolean started;
   private boolean ended;
   private boolean keepAlive;
+  private final long receivedNanos = System.nanoTime();
+  private final Deque<HeldPart> heldParts = new ArrayDeque<>();
+  private int heldBytes;
+  private boolean released;
+  private boolean aborted;
+
+  /** A part of the response that waits for the responses to earlier requests. */
+  private record HeldPart(Object part, ChannelPromise written) {}
 
   ServerExchange(ServerConnection connection, HttpRequest head, byte[] body) {
     this.connection = connection;
@@ -101,7 +121,44 @@
     disconnectListener = listener;
   }
 
+  /** Returns the time since the last byte of the request was read. */
+  public Duration age() {
+    return Duration.ofNanos(System.nanoTime() - receivedNanos);
+  }
+
+  /** Returns whether the caller lets the connection stay open after the response. */
+  boolean keepsConnection() {
+    return HttpUtil.isKeepAlive(head) && head.protocolVersion().equals(HttpVersion.HTTP_1_1);
+  }
+
+  int heldBytes() {
+    return heldBytes;
+  }
+
+  /** Sends what has been held back of the response, and its further parts at once. */
+  void release() {
+    released = true;
+    if (aborted) {
+      connection.channel().close();
+      return;
+    }
+    heldParts.forEach(held -> connection.channel().write(held.part(), held.written()));
+    heldParts.clear();
+    heldBytes = 0;
+    connection.channel().flush();
+  }
+
+  private void discardHeldParts() {
+    for (HeldPart held : heldParts) {
+      ReferenceCountUtil.release(held.part());
+      held.written().tryFailure(new ClosedChannelException());
+    }
+    heldParts.clear();
+    heldBytes = 0;
+  }
+
   void callerDisconnected() {
+    discardHeldParts();
     if (!ended) {
       ended = true;
       disconnectListener.run();
@@ -121,7 +178,7 @@
     }
     started = true;
     ended = true;
-    keepAlive = connection.keepsAlive(head);
+    keepAlive = connection.keepsAlive(this);
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
@@ -130,7 +187,8 @@
     headers.forEach(entry -> response.headers().add(entry.getKey(), entry.getValue()));
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
     setConnectionHeader(response.headers());
-    write(response).addListener(done -> connection.exchangeFinished(keepAlive && done.isSuccess()));
+    write(response)
+        .addListener(done -> connection.exchangeFinished(this, keepAlive && done.isSuccess()));
   }
 
   /**
@@ -145,7 +203,7 @@
       return;
     }
     started = true;
-    keepAlive = connection.keepsAlive(head);
+    keepAlive = connection.keepsAlive(this);
     HttpResponse response =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     headers.forEach(entry -> response.headers().add(entry.getKey(), entry.getValue()));
@@ -157,7 +215,7 @@
       response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     }
     setConnectionHeader(response.headers());
-    connection.channel().write(response);
+    write(response, false);
   }
 
   /**
@@ -177,14 +235,20 @@
     }
     ended = true;
     write(LastHttpContent.EMPTY_LAST_CONTENT)
-        .addListener(done -> connection.exchangeFinished(keepAlive && done.isSuccess()));
+        .addListener(done -> connection.exchangeFinished(this, keepAlive && done.isSuccess()));
   }
 
   /** Aborts the response by closing the connection, so that it can't be taken for complete. */
   public void abort() {
-    if (!ended) {
-      ended = true;
+    if (ended) {
+      return;
+    }
+    ended = true;
+    if (released) {
       connection.channel().close();
+    } else {
+      aborted = true; // closes the connection once the earlier requests have been answered
+      discardHeldParts();
     }
   }
 
@@ -198,8 +262,18 @@
   }
 
   private ChannelFuture write(Object part) {
+    return write(part, true);
+  }
+
+  private ChannelFuture write(Object part, boolean flush) {
     Channel channel = connection.channel();
-    return channel.writeAndFlush(part);
+    if (released) {
+      return flush ? channel.writeAndFlush(part) : channel.write(part);
+    }
+    ChannelPromise written = channel.newPromise();
+    heldParts.add(new HeldPart(part, written));
+    heldBytes += part instanceof ByteBufHolder holder ? holder.content().readableBytes() : 0;
+    return written;
   }
 
   private void setConnectionHeader(HttpHeaders headers) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -94,7 +94,7 @@
     this.id = id;
     this.route = route;
     this.service = service;
-    this.startedAt = entry.estimatedArrival();
+    this.startedAt = entry.estimatedArrival(exchange);
     this.idempotent = isIdempotent(exchange, route);
     this.deadline = startedAt.plus(callTimeout(entry, exchange, route));
     Duration maxWait = Duration.between(entry.now(), deadline).plus(DEADLINE_GRACE);
@@ -102,7 +102,7 @@
     exchange.onCallerDisconnected(this::handleCallerLeft);
   }
 
-  private static boolean isIdempotent(ServerExchange exchange, Route route) {
+  static boolean isIdempotent(ServerExchange exchange, Route route) {
     Repeatability repeatability = route.policy().repeatability();
     return repeatability == Repeatability.BY_METHOD
         ? route.limits().idempotentMethods().contains(exchange.method())
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -132,6 +132,15 @@
     call.start();
   }
 
+  @Override
+  public boolean mayOverlap(ServerExchange exchange) {
+    return view.get()
+        .table()
+        .flatMap(table -> table.match(requestHead(exchange)))
+        .filter(route -> EntryCall.isIdempotent(exchange, route))
+        .isPresent();
+  }
+
   @Override
   public void onAbandoned(ServerExchange exchange) {
     metrics.countAbandoned();
@@ -233,9 +242,9 @@
     return clock.instant();
   }
 
-  /** Returns the estimated arrival of a request that is read now: half of the lag ago. */
-  Instant estimatedArrival() {
-    return now().minus(lag.value().dividedBy(2));
+  /** Returns the estimated arrival of a request: half of the lag before it was read. */
+  Instant estimatedArrival(ServerExchange exchange) {
+    return now().minus(exchange.age()).minus(lag.value().dividedBy(2));
   }
 
   EventLoop loop() {
