Refuse during a planned stop what may outlast it

Reported by operators of similar systems: requests that came late in the grace were taken and passed on, and cut at its end with no answer. Cause: here a stopping node took all calls for 3.2 s and none after that, whatever time they could need. With routes that allow 5 s and a grace of 6 s, what came at 3 s could be cut at 5.1 s. Its gate took attempts of other nodes to the end. Change: StopAdmission. For 3 s, until callers have seen that the node is not ready, calls are taken as before; later ones only if the time that their caller allows ends before the node does, so that with a long grace more is served than before. Attempts of other nodes, which have other targets, must end in time from the start; they are refused as not executed.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -69,6 +69,7 @@
   private final String service;
   private final boolean idempotent;
   private final Instant startedAt;
+  private final Instant goal;
   private final Instant deadline;
   private final Future<?> timer;
   private final Set<String> triedInstances = new HashSet<>();
@@ -88,15 +89,31 @@
   private boolean answerStarted;
   private boolean ended;
 
-  EntryCall(EntryHandler entry, ServerExchange exchange, String id, Route route, String service) {
+  /**
+   * Times of a call.
+   *
+   * @param arrivedAt estimated arrival at this node
+   * @param goal time up to which an answer has its full worth for the caller
+   * @param deadline end of the time that the caller and the route allow
+   */
+  record Times(Instant arrivedAt, Instant goal, Instant deadline) {}
+
+  EntryCall(
+      EntryHandler entry,
+      ServerExchange exchange,
+      String id,
+      Route route,
+      String service,
+      Times times) {
     this.entry = entry;
     this.exchange = exchange;
     this.id = id;
     this.route = route;
     this.service = service;
-    this.startedAt = entry.estimatedArrival(exchange);
+    this.startedAt = times.arrivedAt();
+    this.goal = times.goal();
     this.idempotent = isIdempotent(exchange, route);
-    this.deadline = startedAt.plus(callTimeout(entry, exchange, route));
+    this.deadline = times.deadline();
     Duration maxWait = Duration.between(entry.now(), deadline).plus(DEADLINE_GRACE);
     this.timer = entry.loop().schedule(this::onTimeout, maxWait.toMillis(), TimeUnit.MILLISECONDS);
     exchange.onCallerDisconnected(this::handleCallerLeft);
@@ -109,7 +126,8 @@
         : repeatability == Repeatability.IDEMPOTENT;
   }
 
-  private static Duration callTimeout(EntryHandler entry, ServerExchange exchange, Route route) {
+  /** Returns the time that the caller of a request and its route allow for the answer. */
+  static Duration timeout(EntryHandler entry, ServerExchange exchange, Route route) {
     Duration timeout = route.limits().timeout();
     Optional<String> text = exchange.header(entry.settings().headers().deadlineMillis());
     if (text.isEmpty()) {
@@ -214,8 +232,7 @@
         .setOriginService(entry.settings().service())
         .setExpectedInstance(target.instance())
         .setPriority(route.policy().priority())
-        .setGoalMicros(
-            Duration.between(entry.now(), startedAt.plus(route.policy().goal())).toNanos() / 1000)
+        .setGoalMicros(Duration.between(entry.now(), goal).toNanos() / 1000)
         .build();
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -15,6 +15,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.admission.LagLimit;
+import org.cuminlatch.core.admission.StopAdmission;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.RoutePolicy;
 import org.cuminlatch.core.retry.RetryBudget;
@@ -41,8 +42,8 @@
   static final double RETRY_SHARE = 0.06;
 
   /**
-   * Unused retries that a node may save for a service. All nodes may use theirs at the same time, and
-   * operators allow little more than one per node beside the share of the requests.
+   * Unused retries that a node may save for a service. All nodes may use theirs at the same time,
+   * and operators allow little more than one per node beside the share of the requests.
    */
   private static final double MAX_SAVED_RETRIES = 1;
 
@@ -72,7 +73,7 @@
   private final ServiceBalancer balancer;
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, Double> meanAnswerBytes = new HashMap<>();
-  private boolean refusesNewCalls;
+  private Optional<StopAdmission> stop = Optional.empty();
   private final Set<EntryCall> calls = new HashSet<>();
 
   EntryHandler(
@@ -110,10 +111,6 @@
       reject(exchange, id, 400, "target of the request is not a path");
       return;
     }
-    if (refusesNewCalls) {
-      refuse(exchange, id, "node stops", DEFAULT_RETRY_AFTER_SECONDS);
-      return;
-    }
     RoutingView current = view.get();
     if (current.table().isEmpty()) {
       refuse(exchange, id, "no configuration yet", DEFAULT_RETRY_AFTER_SECONDS);
@@ -130,7 +127,21 @@
       refuse(exchange, id, "node is behind", retryAfter.get().toMillis() / 1000.0);
       return;
     }
-    EntryCall call = new EntryCall(this, exchange, id, route.get(), selectService(route.get()));
+    Instant arrivedAt = estimatedArrival(exchange);
+    Instant goal = arrivedAt.plus(route.get().policy().goal());
+    Instant deadline = arrivedAt.plus(EntryCall.timeout(this, exchange, route.get()));
+    if (stop.isPresent() && !stop.get().admitsCall(deadline, now())) {
+      refuse(exchange, id, "node stops", DEFAULT_RETRY_AFTER_SECONDS);
+      return;
+    }
+    EntryCall call =
+        new EntryCall(
+            this,
+            exchange,
+            id,
+            route.get(),
+            selectService(route.get()),
+            new EntryCall.Times(arrivedAt, goal, deadline));
     calls.add(call);
     call.start();
   }
@@ -202,9 +213,9 @@
         (reason + "\n").getBytes(StandardCharsets.UTF_8));
   }
 
-  /** Refuses new calls from now on, as the node is about to stop. */
-  void refuseNewCalls() {
-    refusesNewCalls = true;
+  /** Accepts from now on only the calls that the stop of the node leaves time for. */
+  void announceStop(StopAdmission admission) {
+    stop = Optional.of(admission);
   }
 
   void onEnded(EntryCall call) {
@@ -249,7 +260,7 @@
   }
 
   /** Returns the estimated arrival of a request: half of the lag before it was read. */
-  Instant estimatedArrival(ServerExchange exchange) {
+  private Instant estimatedArrival(ServerExchange exchange) {
     return now().minus(exchange.age()).minus(lag.value().dividedBy(2));
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -19,6 +20,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.admission.LagLimit;
+import org.cuminlatch.core.admission.StopAdmission;
 import org.cuminlatch.core.config.CallerLimits;
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.node.event.EventLog;
@@ -44,10 +46,10 @@
   private static final Duration LINK_CHECK_INTERVAL = Duration.ofMillis(250);
 
   /**
-   * Time after the request to stop in which calls are still accepted, so that callers can see that
-   * the node is not ready.
+   * Time after the request to stop for which the node keeps running even if it is idle, so that
+   * callers can see that it is not ready.
    */
-  private static final Duration STOP_ADMISSION_DELAY = Duration.ofMillis(3200);
+  private static final Duration STOP_NOTICE_PERIOD = Duration.ofMillis(3200);
 
   private static final long CLOSE_TIMEOUT_MILLIS = 500;
 
@@ -55,6 +57,7 @@
   private static final long CLOSE_QUIET_PERIOD_MILLIS = 1;
 
   private final MeshSettings settings;
+  private final MonotonicClock clock = new MonotonicClock();
   private final EventLoopGroup trafficGroup;
   private final EventLoopGroup controlGroup;
   private final EventLoop traffic;
@@ -77,7 +80,6 @@
     this.trafficGroup = trafficGroup;
     this.controlGroup = controlGroup;
     this.traffic = (EventLoop) trafficGroup.next();
-    MonotonicClock clock = new MonotonicClock();
     RandomGenerator random = new SplittableRandom(System.nanoTime() ^ settings.node().hashCode());
     this.log = EventLog.start(clock, settings.node());
     HttpClient targetClient =
@@ -281,16 +283,21 @@
    * Stops serving: announces the stop to peers and callers, completes the accepted calls, and
    * returns when none is left or the stop period has passed.
    *
-   * <p>New calls are accepted until callers have had time to see that the node is not ready, and
-   * refused after that, so that no call is cut off at the end.
+   * <p>{@link StopAdmission} decides which calls are still accepted meanwhile.
    */
   public void stop() {
     log.event("stopping").with("periodMillis", settings.stopPeriod().toMillis()).write();
     final long start = System.nanoTime();
     control.announceStop();
-    traffic.execute(callers::drain);
-    pause(STOP_ADMISSION_DELAY);
-    traffic.execute(entry::refuseNewCalls);
+    Instant now = clock.instant();
+    StopAdmission admission = new StopAdmission(now, now.plus(settings.stopPeriod()));
+    traffic.execute(
+        () -> {
+          callers.drain();
+          entry.announceStop(admission);
+          gate.announceStop(admission);
+        });
+    pause(STOP_NOTICE_PERIOD);
     long end = start + settings.stopPeriod().toNanos();
     boolean idle = false;
     while (System.nanoTime() < end && !idle) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -20,6 +20,7 @@
 import org.cuminlatch.core.admission.SlotDecision;
 import org.cuminlatch.core.admission.SlotDecision.Kind;
 import org.cuminlatch.core.admission.SlotEnd;
+import org.cuminlatch.core.admission.StopAdmission;
 import org.cuminlatch.core.move.CallOutcome.Result;
 import org.cuminlatch.core.retry.AttemptId;
 import org.cuminlatch.core.target.TargetReport;
@@ -84,6 +85,7 @@
   private RequestRateLimit rateLimit = new RequestRateLimit();
   private GoalQueue slots = new GoalQueue(1, rateLimit);
   private Future<?> permitTimer;
+  private Optional<StopAdmission> stop = Optional.empty();
   private boolean open;
   private boolean absent;
   private int connectFailures;
@@ -160,6 +162,11 @@
     refuseWaiting(RefusalReason.DRAINING);
   }
 
+  /** Accepts from now on only the attempts that the stop of the node leaves time for. */
+  void announceStop(StopAdmission admission) {
+    stop = Optional.of(admission);
+  }
+
   /** Called on a report of the target, which shows that it may be reachable again. */
   void markReachable() {
     connectFailures = 0;
@@ -263,7 +270,7 @@
   }
 
   private void offer(GateAttempt attempt) {
-    Optional<RefusalReason> refusal = refusalReason(attempt.begin());
+    Optional<RefusalReason> refusal = refusalReason(attempt);
     if (refusal.isPresent()) {
       refuse(attempt, refusal.get());
       return;
@@ -299,19 +306,29 @@
             TimeUnit.NANOSECONDS);
   }
 
-  private Optional<RefusalReason> refusalReason(Begin begin) {
+  private Optional<RefusalReason> refusalReason(GateAttempt attempt) {
+    Begin begin = attempt.begin();
     if (report.isEmpty()) {
       return Optional.of(RefusalReason.NOT_SERVING);
     }
     if (!begin.getExpectedInstance().equals(report.get().instance())) {
       return Optional.of(RefusalReason.TARGET_REPLACED);
     }
-    if (!open) {
+    if (!open || mayOutlastNode(attempt)) {
       return Optional.of(RefusalReason.DRAINING);
     }
     return absent ? Optional.of(RefusalReason.TARGET_UNREACHABLE) : Optional.empty();
   }
 
+  /**
+   * Returns whether the node may stop before an attempt ends; the own calls were checked before.
+   */
+  private boolean mayOutlastNode(GateAttempt attempt) {
+    return stop.isPresent()
+        && peerChannels.contains(attempt.origin())
+        && !stop.get().admitsAttempt(attempt.deadline());
+  }
+
   private void apply(SlotDecision decision) {
     GateAttempt attempt = attempts.get(decision.attempt());
     if (attempt == null) {
@@ -570,10 +587,11 @@
   }
 
   private Load load() {
+    Instant now = clock.instant();
     return Load.newBuilder()
         .setBusy(slots.busy())
         .setQueued(slots.queued())
-        .setLimit(slots.effectiveSlots(clock.instant()))
+        .setLimit(slots.effectiveSlots(now))
         .setLagMicros(lag.value().toNanos() / 1000)
         .build();
   }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,6 +16,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.cuminlatch.core.admission.StopAdmission;
 import org.cuminlatch.core.config.CallerLimits;
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.core.move.CallOutcome.Result;
@@ -50,6 +52,7 @@
   private final List<CallFrame> frames = new CopyOnWriteArrayList<>();
   private final CallChannel channel = new RecordingChannel();
   private final MeshMetrics metrics = new MeshMetrics();
+  private final MonotonicClock clock = new MonotonicClock();
   private final SlotGate gate;
   private final int slots;
   private volatile ExchangeHandler target = GateFixture::answer;
@@ -69,7 +72,7 @@
         new SlotGate(
             loop,
             new HttpClient(group, address, Duration.ofSeconds(1), 1 << 20, 1 << 24),
-            new MonotonicClock(),
+            clock,
             HEADERS,
             new LoopLag(Duration.ofMillis(50)),
             log,
@@ -150,6 +153,16 @@
             .build());
   }
 
+  /** Announces that the node of the gate stops after some time. */
+  void announceStop(Duration period) throws InterruptedException {
+    onLoop(
+        () -> {
+          Instant now = clock.instant();
+          gate.onConnected(channel);
+          gate.announceStop(new StopAdmission(now, now.plus(period)));
+        });
+  }
+
   /** Cancels an attempt; must be called on the loop. */
   void cancel(int number) {
     gate.onFrame(
