Let only those wait whose answers will probably be in time

Cause: an attempt was queued if its wait and the mean service time ended at its goal, or half a service time after it. While load exceeds capacity the queue stands at that bound, so that half of the answers are late: it is full of requests that have just missed their goal, which took slots from those that could meet it and were counted ahead of them on arrival. Change: what may wait must meet its goal with two mean deviations of the service time to spare. An attempt that will be late in any case waits only while no other has to, is not counted ahead of others, and is refused at once when one has to wait.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
@@ -16,11 +16,13 @@
  * Queue for the slots of one target, ordered for load that exceeds the target's capacity.
  *
  * <p>An answer loses part of its worth after the goal of its request and all of it at the deadline,
- * and routes differ in priority. A free slot is granted at once. Waiting attempts that can still
- * meet their goal go first, ordered by priority and then by goal. An attempt that would miss its
- * goal because of the attempts ahead of it is refused on arrival, except for a few that may wait
- * for load to drop. A waiting attempt that falls so far back that it can't be answered in time is
- * refused by the next {@link #poll}.
+ * and routes differ in priority. A free slot is granted at once. An attempt may wait if it will
+ * probably be answered by its goal behind those that go first, in the order of priority and then of
+ * goal. The others are refused on arrival: while load exceeds capacity, each slot that is spent on
+ * a late answer is one that an answer in time does not get.
+ *
+ * <p>An attempt that will probably miss its goal in any case may wait as long as no other has to,
+ * as after a short burst. {@link #poll} refuses it once another has to wait.
  *
  * <p>If the target names a {@link RequestRateLimit}, a slot is granted only with a permit of it,
  * and waiting times include the wait for permits. Not thread-safe.
@@ -42,6 +44,9 @@
   /** Maximum queue length per slot, regardless of the estimated waiting times. */
   private static final int MAX_QUEUED_PER_SLOT = 6;
 
+  /** Mean deviations of the service time that an attempt must have to spare to count as safe. */
+  private static final double SAFE_DEVIATIONS = 2;
+
   private static final double OVERALL_MEAN_SMOOTHING = 0.05;
 
   private final int slots;
@@ -87,7 +92,7 @@
     if (!canAnswerBy(request.deadline(), request, wait, now)) {
       return Kind.DEADLINE;
     }
-    if (!canAnswerBy(request.goal(), request, wait, now) && !mayWaitPastGoal(request, wait, now)) {
+    if (!likelyMeetsGoal(request, wait, now) && !mayWaitThoughLate(request, wait, now)) {
       return Kind.QUEUE_FULL;
     }
     queue.add(request);
@@ -104,15 +109,22 @@
     return Duration.between(now, time).toNanos() >= needed;
   }
 
-  /** Returns whether an attempt that would miss its goal may wait for load to drop. */
-  private boolean mayWaitPastGoal(GoalRequest request, double waitNanos, Instant now) {
-    double maxOvershootNanos = MAX_LATE_PER_SLOT * expectedNanos(request.route());
-    boolean withinLateLimit =
-        missesGoal(request, now)
-            ? queue.size() < Math.max(1, slots * MAX_LATE_PER_SLOT)
-            : canAnswerBy(
-                request.goal().plusNanos((long) maxOvershootNanos), request, waitNanos, now);
-    return withinLateLimit && canAnswerBy(lateAnswerLimit(request), request, waitNanos, now);
+  /** Returns whether an attempt is answered by its goal even if it takes longer than the mean. */
+  private boolean likelyMeetsGoal(GoalRequest request, double waitNanos, Instant now) {
+    double needed = waitNanos + safeNanos(request.route());
+    return Duration.between(now, request.goal()).toNanos() >= needed;
+  }
+
+  /** Returns whether an attempt that will miss its goal in any case may wait for load to drop. */
+  private boolean mayWaitThoughLate(GoalRequest request, double waitNanos, Instant now) {
+    return missesGoal(request, now)
+        && queue.size() < maxLate()
+        && queue.stream().allMatch(waiting -> missesGoal(waiting, now))
+        && canAnswerBy(lateAnswerLimit(request), request, waitNanos, now);
+  }
+
+  private int maxLate() {
+    return (int) Math.max(1, slots * MAX_LATE_PER_SLOT);
   }
 
   private static Instant lateAnswerLimit(GoalRequest request) {
@@ -123,7 +135,7 @@
   }
 
   private boolean missesGoal(GoalRequest request, Instant now) {
-    return !canAnswerBy(request.goal(), request, 0, now);
+    return !likelyMeetsGoal(request, 0, now);
   }
 
   /**
@@ -162,15 +174,20 @@
         });
   }
 
+  /** Refuses late attempts if others wait, and those that can't be answered in time. */
   private void refuseTooLate(Instant now, List<SlotDecision> decisions) {
     double aheadNanos = meanHeldNanos();
     List<GoalRequest> remaining = new ArrayList<>();
+    boolean othersWait = false;
     for (GoalRequest request : queue) {
       double wait =
           Math.max(aheadNanos / concurrency(now), permitWaitNanos(remaining.size() + 1, now));
-      if (canAnswerBy(lateAnswerLimit(request), request, wait, now)) {
+      boolean late = missesGoal(request, now);
+      boolean mayWait = !late || (!othersWait && remaining.size() < maxLate());
+      if (mayWait && canAnswerBy(lateAnswerLimit(request), request, wait, now)) {
         remaining.add(request);
         aheadNanos += expectedNanos(request.route());
+        othersWait |= !late;
       } else {
         decisions.add(new SlotDecision(request.attempt(), Kind.DEADLINE));
       }
@@ -299,11 +316,19 @@
     return routeMean > 0 ? routeMean : overallMeanNanos;
   }
 
+  /** Returns a time within which most requests of a route complete. */
+  private double safeNanos(String route) {
+    double mean = expectedNanos(route);
+    double deviation =
+        Math.max(0, serviceTimes.upperBoundNanos(route) - serviceTimes.meanNanos(route));
+    return mean + SAFE_DEVIATIONS * deviation;
+  }
+
   private double waitNanos(GoalRequest request, Instant now) {
     double aheadNanos = meanHeldNanos();
     int ahead = 0;
     for (GoalRequest waiting : queue) {
-      if (waiting.priority() <= request.priority()) {
+      if (waiting.priority() <= request.priority() && !missesGoal(waiting, now)) {
         aheadNanos += expectedNanos(waiting.route());
         ahead++;
       }
