Let refused calls leave a region whose targets are full

The link between the regions carried 0.002 GB. Cause: a call left its region only for a target with a free slot. Under load that no target can spare a slot for, the calls of the weaker region were refused by up to four of its targets while those of the other one could wait there. Change: after one refusal a noticeably shorter queue in the other region is enough, after two the own region counts as full. Result: two cases of ServiceBalancerTests, not run on the old code.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceBalancer.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceBalancer.java
@@ -84,7 +84,7 @@
     return chooser.choose(
         context.candidates(group),
         context.ownLocality(),
-        context.regionSpillPressure(),
+        context.triedInstances().size(),
         context.now(),
         random);
   }
@@ -153,13 +153,6 @@
       notNull(now, "now");
     }
 
-    /** A call that has been refused once leaves its region as soon as no slot is free there. */
-    private double regionSpillPressure() {
-      return triedInstances.isEmpty()
-          ? TargetChooser.REGION_SPILL_PRESSURE
-          : TargetChooser.ZONE_SPILL_PRESSURE;
-    }
-
     /** Keeps large answers off the link between the regions, which many small answers share. */
     private List<Member> candidates(List<Member> members) {
       boolean ownRegionServes = members.stream().anyMatch(this::isInOwnRegion);
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetChooser.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetChooser.java
@@ -25,6 +25,12 @@
   /** Difference in pressure, in requests per slot, above which a call leaves its zone. */
   static final double ZONE_EXIT_MARGIN = 0.25;
 
+  /** Difference in pressure above which a call that was refused leaves its region. */
+  static final double REGION_EXIT_MARGIN = 0.25;
+
+  /** Refusals after which the own region counts as full. */
+  static final int REFUSALS_OF_FULL_REGION = 2;
+
   private final TargetLoads loads;
   private final LinkBudget link;
 
@@ -35,19 +41,26 @@
 
   Optional<Choice> choose(
       List<Member> candidates, Locality ownLocality, Instant now, RandomGenerator random) {
-    return choose(candidates, ownLocality, REGION_SPILL_PRESSURE, now, random);
+    return choose(candidates, ownLocality, 0, now, random);
   }
 
   /**
-   * Chooses a target. A call leaves its region if the target chosen there has at least the given
-   * pressure.
+   * Chooses a target for a call that targets have refused so far.
+   *
+   * <p>A first attempt leaves its region only for a free slot, if the target chosen in the region
+   * has a long queue. After a refusal, a noticeably shorter queue is enough. After two refusals the
+   * region counts as full: while the regions differ in load, its callers would be turned away
+   * beside targets that can still serve them.
+   *
+   * @param refusals number of targets that have refused the call
    */
   Optional<Choice> choose(
       List<Member> candidates,
       Locality ownLocality,
-      double regionSpillPressure,
+      int refusals,
       Instant now,
       RandomGenerator random) {
+    final double regionSpillPressure = refusals == 0 ? REGION_SPILL_PRESSURE : ZONE_SPILL_PRESSURE;
     List<Member> eligible = OutlierEjection.withoutEjected(candidates, loads, now);
     Optional<Member> inZone =
         leastLoadedOfTwo(within(eligible, ownLocality, Distance.SAME_ZONE), now, random);
@@ -65,7 +78,7 @@
     Optional<Member> remote =
         link.allows(now) ? inOtherRegion(eligible, ownLocality, now, random) : Optional.empty();
     if (remote.isPresent()
-        && (inRegion.isEmpty() || isLessLoaded(remote.get(), inRegion.get(), now))) {
+        && (inRegion.isEmpty() || isPreferred(remote.get(), inRegion.get(), refusals, now))) {
       return Optional.of(new Choice(remote.get(), Reason.OTHER_REGION));
     }
     return inRegion.map(member -> new Choice(member, reason(ownLocality, member)));
@@ -87,9 +100,13 @@
     return leastLoadedOfTwo(others, now, random);
   }
 
-  private boolean isLessLoaded(Member inOtherRegion, Member inRegion, Instant now) {
-    return pressure(inOtherRegion, now) < ZONE_SPILL_PRESSURE
-        && pressure(inOtherRegion, now) < pressure(inRegion, now);
+  private boolean isPreferred(Member inOtherRegion, Member inRegion, int refusals, Instant now) {
+    double pressure = pressure(inOtherRegion, now);
+    if (refusals >= REFUSALS_OF_FULL_REGION) {
+      return pressure < REGION_SPILL_PRESSURE;
+    }
+    boolean shorterQueue = refusals > 0 && pressure < pressure(inRegion, now) - REGION_EXIT_MARGIN;
+    return shorterQueue || (pressure < ZONE_SPILL_PRESSURE && pressure < pressure(inRegion, now));
   }
 
   double pressure(Member member, Instant now) {
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/route/ServiceBalancerTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/route/ServiceBalancerTests.java
@@ -220,6 +220,27 @@
       assertThat(choose(Optional.empty(), false, "home-1"), is(Optional.of("far-1")));
     }
 
+    @Test
+    void choosesShorterQueueInOtherRegionAfterRefusal() {
+      loadOwnRegion();
+      for (int i = 0; i < 6; i++) {
+        loads.begin("far-1", now);
+      }
+
+      assertThat(choose(Optional.empty(), false).get(), not(startsWith("far")));
+      assertThat(choose(Optional.empty(), false, "home-1"), is(Optional.of("far-1")));
+    }
+
+    @Test
+    void countsAsFullAfterTwoRefusals() {
+      loadOwnRegion();
+      for (int i = 0; i < 8; i++) {
+        loads.begin("far-1", now);
+      }
+
+      assertThat(choose(Optional.empty(), false, "home-1", "home-2"), is(Optional.of("far-1")));
+    }
+
     @Test
     void staysInRegionWhenOtherRegionIsFullToo() {
       loadOwnRegion();
