Count the goal of a returning caller from its first request

Cause: a caller that comes back was taken for a new one with a full goal, so that it waited in line with new requests and took slots from them. Its answer is late in any case, as its goal runs from its first request; the new request was refused, came back, and did the same to the next. Change: CallerPatience estimates from the time that a request still allows, beside the longest that its route's requests allow, how much its caller has spent. The goal ends earlier by that. Such a request gets a free slot, and waits only while no other has to.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.cuminlatch.core.admission.CallerPatience;
 import org.cuminlatch.core.admission.LagLimit;
 import org.cuminlatch.core.admission.StopAdmission;
 import org.cuminlatch.core.config.Route;
@@ -74,6 +75,7 @@
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
   private final Map<String, Double> meanAnswerBytes = new HashMap<>();
   private Optional<StopAdmission> stop = Optional.empty();
+  private final CallerPatience patience = new CallerPatience();
   private final Set<EntryCall> calls = new HashSet<>();
 
   EntryHandler(
@@ -128,8 +130,10 @@
       return;
     }
     Instant arrivedAt = estimatedArrival(exchange);
-    Instant goal = arrivedAt.plus(route.get().policy().goal());
-    Instant deadline = arrivedAt.plus(EntryCall.timeout(this, exchange, route.get()));
+    Duration timeout = EntryCall.timeout(this, exchange, route.get());
+    Duration waited = patience.waitedBefore(route.get().name(), timeout);
+    Instant goal = arrivedAt.plus(route.get().policy().goal()).minus(waited);
+    Instant deadline = arrivedAt.plus(timeout);
     if (stop.isPresent() && !stop.get().admitsCall(deadline, now())) {
       refuse(exchange, id, "node stops", DEFAULT_RETRY_AFTER_SECONDS);
       return;
