Read the store less at the start of a fleet

Cause, by kind (trial with a line for each call): a node that starts knows no other one, takes itself for the reader of its zone and follows the operators' stream, which it leaves after 8 s; while all nodes register, each reads the stream of nodes again every second; nodes that are not readers read all operators' records every 30 s. Change: the second read of the operators' stream comes 2.5 s after the start, when the readers of the zones are known, that of the nodes' stream 1 s after it; further nodes accumulate for 2.5 s; the reads that make up for faults of other nodes come every two minutes.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -55,11 +55,20 @@
   /** Time for which the store may hold a read for a new node; others connect to it meanwhile. */
   private static final Duration NODES_WAIT_TIMEOUT = Duration.ofSeconds(25);
 
+  /**
+   * Delay of the second read after the start of the node, by which most nodes that have started
+   * together know that another one reads for their zone.
+   */
+  private static final Duration CONFIGURATION_FIRST_DELAY = Duration.ofMillis(2500);
+
+  /** Delay of the second read after the start of the node, as many may start together. */
+  private static final Duration NODES_FIRST_DELAY = Duration.ofMillis(1000);
+
   /** Delay before the next read, in which changes of the configuration accumulate. */
   private static final Duration CONFIGURATION_BATCH_DELAY = Duration.ofMillis(400);
 
   /** Delay before the next read, in which addresses of new nodes accumulate. */
-  private static final Duration NODES_BATCH_DELAY = Duration.ofMillis(1000);
+  private static final Duration NODES_BATCH_DELAY = Duration.ofMillis(2500);
 
   private static final Duration MOVE_TICK_INTERVAL = Duration.ofMillis(400);
 
@@ -216,12 +225,16 @@
 
   private StoreFollower.Subscription operatorSubscription() {
     return new StoreFollower.Subscription(
-        Stream.OPERATOR, CONFIGURATION_WAIT_TIMEOUT, CONFIGURATION_BATCH_DELAY, this::readsForZone);
+        Stream.OPERATOR,
+        CONFIGURATION_WAIT_TIMEOUT,
+        CONFIGURATION_FIRST_DELAY,
+        CONFIGURATION_BATCH_DELAY,
+        this::readsForZone);
   }
 
   private StoreFollower.Subscription nodeSubscription() {
     return new StoreFollower.Subscription(
-        Stream.NODES, NODES_WAIT_TIMEOUT, NODES_BATCH_DELAY, () -> true);
+        Stream.NODES, NODES_WAIT_TIMEOUT, NODES_FIRST_DELAY, NODES_BATCH_DELAY, () -> true);
   }
 
   private StoreFollower newFollower(
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -23,8 +23,12 @@
   /** Interval of the check whether this node has become a reader. */
   private static final Duration READER_CHECK_INTERVAL = Duration.ofMillis(250);
 
-  /** Interval of the reads of a node that is not a reader. */
-  private static final Duration STANDBY_READ_INTERVAL = Duration.ofSeconds(30);
+  /**
+   * Interval of the reads of a node that is not a reader. It gets changes from other nodes, and is
+   * a reader itself while it is connected to none; the reads make up for faults of other nodes
+   * only.
+   */
+  private static final Duration STANDBY_READ_INTERVAL = Duration.ofMinutes(2);
 
   /** Consecutive failures after which the store counts as lost. */
   private static final int FAILURES_UNTIL_LOST = 2;
@@ -41,6 +45,7 @@
   private long nextOffset = -1;
   private int failures;
   private long lastReadNanos;
+  private boolean hasRead;
 
   /**
    * A stream to follow and how to read it.
@@ -48,12 +53,18 @@
    * @param stream the stream
    * @param maxWait time for which the store may hold a read without records; it bounds the time
    *     until a silent connection is detected
+   * @param firstDelay time between the first read and the next, in which nodes that start together
+   *     store their addresses and connect
    * @param batchDelay time between the arrival of records and the next read, in which changes
    *     accumulate
    * @param isReader returns whether this node is one of those that follow the stream
    */
   record Subscription(
-      Stream stream, Duration maxWait, Duration batchDelay, BooleanSupplier isReader) {}
+      Stream stream,
+      Duration maxWait,
+      Duration firstDelay,
+      Duration batchDelay,
+      BooleanSupplier isReader) {}
 
   /** Receives the records in the order of the stream; called on the control loop. */
   interface ItemListener {
@@ -123,7 +134,10 @@
     lastReadNanos = System.nanoTime();
     page.items().forEach(this::deliver);
     endPage();
-    if (page.items().isEmpty()) {
+    if (!hasRead) {
+      hasRead = true;
+      schedule(subscription.firstDelay());
+    } else if (page.items().isEmpty()) {
       start();
     } else {
       schedule(subscription.batchDelay());
