Log the time until the goal with each refusal of a gate

A refusal that says QUEUE_FULL could not be told from one of a caller that has come back too late: both have the same load. The line gate-refused has goalMillis, which decides, and is negative for the latter. Tests of the gate pass; no decision changes.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -573,6 +573,7 @@
         .with("running", running)
         .with("waiting", slots.queued())
         .with("limit", slots.effectiveSlots(clock.instant()))
+        .with("goalMillis", attempt.begin().getGoalMicros() / 1000)
         .write();
   }
 
