--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -72,8 +72,11 @@
   private ScheduledFuture<?> readTimeoutTimer;
   private ScheduledFuture<?> idleTimer;
   private long idleSinceNanos = System.nanoTime();
+
+  /** Whether what the caller sends is no longer read as requests. */
   private boolean rejecting;
 
+  /** Whether the last response has been sent; no further request is started. */
   private boolean closing;
 
   ServerConnection(HttpServer server, Channel channel, HeadAwareResponseEncoder encoder) {
@@ -277,6 +280,9 @@
    */
   private void close(boolean callerMaySend) {
     closing = true;
+    stopReadTimeout();
+    head = null;
+    body = null;
     pipelined.clear();
     if (!callerMaySend || !channel.isActive()) {
       channel.close();
@@ -308,7 +314,7 @@
   }
 
   boolean isBusy() {
-    return !running.isEmpty() || (head != null && !closing) || !pipelined.isEmpty();
+    return !running.isEmpty() || head != null || !pipelined.isEmpty();
   }
 
   void closeIfIdle() {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -126,19 +126,14 @@
         : repeatability == Repeatability.IDEMPOTENT;
   }
 
-  /** Returns the time that the caller of a request and its route allow for the answer. */
-  static Duration timeout(EntryHandler entry, ServerExchange exchange, Route route) {
-    Duration timeout = route.limits().timeout();
+  /** Returns the time that the caller of a request allows for the answer, if it says so. */
+  static Optional<Duration> callerTimeout(EntryHandler entry, ServerExchange exchange) {
     Optional<String> text = exchange.header(entry.settings().headers().deadlineMillis());
-    if (text.isEmpty()) {
-      return timeout;
-    }
     try {
-      Duration callerTimeout = Duration.ofNanos((long) (Double.parseDouble(text.get()) * 1e6));
-      return callerTimeout.compareTo(timeout) < 0 ? callerTimeout : timeout;
+      return text.map(millis -> Duration.ofNanos((long) (Double.parseDouble(millis) * 1e6)));
     } catch (NumberFormatException unreadable) {
       entry.log().event("deadline-unreadable").with("value", text.get()).write();
-      return timeout;
+      return Optional.empty();
     }
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -130,10 +130,18 @@
       return;
     }
     Instant arrivedAt = estimatedArrival(exchange);
-    Duration timeout = EntryCall.timeout(this, exchange, route.get());
-    Duration waited = patience.waitedBefore(route.get().name(), timeout);
+    Optional<Duration> callerTimeout = EntryCall.callerTimeout(this, exchange);
+    Duration waited =
+        callerTimeout
+            .map(timeout -> patience.waitedBefore(route.get().name(), timeout))
+            .orElse(Duration.ZERO);
+    Duration routeTimeout = route.get().limits().timeout();
     Instant goal = arrivedAt.plus(route.get().policy().goal()).minus(waited);
-    Instant deadline = arrivedAt.plus(timeout);
+    Instant deadline =
+        arrivedAt.plus(
+            callerTimeout
+                .filter(timeout -> timeout.compareTo(routeTimeout) < 0)
+                .orElse(routeTimeout));
     if (stop.isPresent() && !stop.get().admitsCall(deadline, now())) {
       refuse(exchange, id, "node stops", DEFAULT_RETRY_AFTER_SECONDS);
       return;
