--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetChooser.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetChooser.java
@@ -52,7 +52,7 @@
    * region counts as full: while the regions differ in load, its callers would be turned away
    * beside targets that can still serve them.
    *
-   * @param refusals number of targets that have refused the call
+   * @param refusals number of targets that have refused or failed the call
    */
   Optional<Choice> choose(
       List<Member> candidates,
