--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetChooser.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetChooser.java
@@ -28,8 +28,8 @@
   /** Difference in pressure above which a call that was refused leaves its region. */
   static final double REGION_EXIT_MARGIN = 0.25;
 
-  /** Refusals after which the own region counts as full. */
-  static final int REFUSALS_OF_FULL_REGION = 2;
+  /** Targets that were tried in vain for a call after which its region counts as full. */
+  static final int TRIES_UNTIL_REGION_COUNTS_AS_FULL = 2;
 
   private final TargetLoads loads;
   private final LinkBudget link;
@@ -45,22 +45,23 @@
   }
 
   /**
-   * Chooses a target for a call that targets have refused so far.
+   * Chooses a target for a call that may have been tried at others in vain.
    *
    * <p>A first attempt leaves its region only for a free slot, if the target chosen in the region
-   * has a long queue. After a refusal, a noticeably shorter queue is enough. After two refusals the
-   * region counts as full: while the regions differ in load, its callers would be turned away
-   * beside targets that can still serve them.
+   * has a long queue. After a refusal, a noticeably shorter queue is enough. After two the region
+   * counts as full: while the regions differ in load, its callers would be turned away beside
+   * targets that can still serve them.
    *
-   * @param refusals number of targets that have refused or failed the call
+   * @param triedTargets number of targets that have refused or failed the call
    */
   Optional<Choice> choose(
       List<Member> candidates,
       Locality ownLocality,
-      int refusals,
+      int triedTargets,
       Instant now,
       RandomGenerator random) {
-    final double regionSpillPressure = refusals == 0 ? REGION_SPILL_PRESSURE : ZONE_SPILL_PRESSURE;
+    final double regionSpillPressure =
+        triedTargets == 0 ? REGION_SPILL_PRESSURE : ZONE_SPILL_PRESSURE;
     List<Member> eligible = OutlierEjection.withoutEjected(candidates, loads, now);
     Optional<Member> inZone =
         leastLoadedOfTwo(within(eligible, ownLocality, Distance.SAME_ZONE), now, random);
@@ -78,7 +79,7 @@
     Optional<Member> remote =
         link.allows(now) ? inOtherRegion(eligible, ownLocality, now, random) : Optional.empty();
     if (remote.isPresent()
-        && (inRegion.isEmpty() || isPreferred(remote.get(), inRegion.get(), refusals, now))) {
+        && (inRegion.isEmpty() || isPreferred(remote.get(), inRegion.get(), triedTargets, now))) {
       return Optional.of(new Choice(remote.get(), Reason.OTHER_REGION));
     }
     return inRegion.map(member -> new Choice(member, reason(ownLocality, member)));
@@ -100,12 +101,14 @@
     return leastLoadedOfTwo(others, now, random);
   }
 
-  private boolean isPreferred(Member inOtherRegion, Member inRegion, int refusals, Instant now) {
+  private boolean isPreferred(
+      Member inOtherRegion, Member inRegion, int triedTargets, Instant now) {
     double pressure = pressure(inOtherRegion, now);
-    if (refusals >= REFUSALS_OF_FULL_REGION) {
+    if (triedTargets >= TRIES_UNTIL_REGION_COUNTS_AS_FULL) {
       return pressure < REGION_SPILL_PRESSURE;
     }
-    boolean shorterQueue = refusals > 0 && pressure < pressure(inRegion, now) - REGION_EXIT_MARGIN;
+    boolean shorterQueue =
+        triedTargets > 0 && pressure < pressure(inRegion, now) - REGION_EXIT_MARGIN;
     return shorterQueue || (pressure < ZONE_SPILL_PRESSURE && pressure < pressure(inRegion, now));
   }
 
