--- a/review/standin/Backend.java
+++ b/review/standin/Backend.java
@@ -18,7 +18,7 @@
  *
  * <p>Paths: {@code .../w/MS/size/BYTES} works MS and answers BYTES; with {@code /pieces/N} the
  * answer is sent in N pieces, 100 ms apart; with {@code /unframed} it has no length and ends with
- * its connection.
+ * its connection; with {@code /early} it begins before the request's body has been read.
  */
 public final class Backend {
 
@@ -143,8 +143,12 @@
       InputStream in = new BufferedInputStream(socket.getInputStream());
       OutputStream out = socket.getOutputStream();
       while (true) {
-        Http.Message request = Http.read(in, false);
-        if (!answer(request, out)) {
+        Http.Message head = Http.readHead(in);
+        if (head.firstLine().contains("/early")) {
+          answerEarly(head, in, out);
+          return;
+        }
+        if (!answer(Http.readBody(in, head, false), out)) {
           return;
         }
       }
@@ -153,6 +157,31 @@
     }
   }
 
+  /**
+   * Begins an answer without a length before the request's body is in, reads the body later and ends
+   * the answer with the connection.
+   */
+  private static void answerEarly(Http.Message head, InputStream in, OutputStream out)
+      throws IOException {
+    String requestId = head.header("X-Cuminlatch-Request-Id");
+    String path = head.firstLine().split(" ")[1];
+    say("run " + requestId + " " + head.firstLine());
+    byte[] body = body(requestId, number(path, "size", 200));
+    out.write(
+        ("HTTP/1.1 200 OK\r\nX-Cuminlatch-Request-Id: " + requestId
+                + "\r\nX-Cuminlatch-Server-Stamp: " + id + "." + requestId
+                + "\r\nConnection: close\r\n\r\n")
+            .getBytes(StandardCharsets.ISO_8859_1));
+    out.write(body, 0, body.length / 2);
+    out.flush();
+    say("half " + requestId + " bytes=" + body.length / 2);
+    pause(500);
+    int received = Http.readBody(in, head, false).body().length;
+    out.write(body, body.length / 2, body.length - body.length / 2);
+    out.flush();
+    say("answered " + requestId + " bytes=" + body.length + " body=" + received);
+  }
+
   private static int number(String path, String name, int otherwise) {
     String[] parts = path.split("/");
     for (int i = 0; i + 1 < parts.length; i++) {
--- a/review/standin/Http.java
+++ b/review/standin/Http.java
@@ -41,6 +41,11 @@
 
   /** Reads one message; a response without a length ends with its connection. */
   static Message read(InputStream in, boolean response) throws IOException {
+    return readBody(in, readHead(in), response);
+  }
+
+  /** Reads the first line and the headers of a message. */
+  static Message readHead(InputStream in) throws IOException {
     String first = line(in);
     while (first.isEmpty()) {
       first = line(in);
@@ -51,6 +56,12 @@
       headers.put(
           text.substring(0, colon).trim().toLowerCase(Locale.ROOT), text.substring(colon + 1).trim());
     }
+    return new Message(first, headers, new byte[0]);
+  }
+
+  /** Reads the body that follows a head. */
+  static Message readBody(InputStream in, Message head, boolean response) throws IOException {
+    Map<String, String> headers = head.headers();
     byte[] body = new byte[0];
     if (headers.getOrDefault("transfer-encoding", "").contains("chunked")) {
       ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -65,7 +76,7 @@
     } else if (response) {
       body = in.readAllBytes();
     }
-    return new Message(first, headers, body);
+    return new Message(head.firstLine(), headers, body);
   }
 
   private static int chunk(InputStream in) throws IOException {
--- a/review/standin/LargeBody.java
+++ b/review/standin/LargeBody.java
@@ -17,9 +17,10 @@
  */
 public final class LargeBody {
 
-  private static final int CLIENTS = 24;
-  private static final int BODY_BYTES = 3 << 20;
+  private static final int CLIENTS = 34;
+  private static final int BODY_BYTES = 4 << 20;
   private static final int PIECES = 64;
+  private static final int SMALL_CLIENTS = 12;
   private static final int SEND_MILLIS = 4000;
   private static final int SMALL_DEADLINE_MILLIS = 1000;
   private static final int LARGE_DEADLINE_MILLIS = 1200;
@@ -61,7 +62,7 @@
     List<End> large = Collections.synchronizedList(new ArrayList<>());
     List<Thread> threads = new ArrayList<>();
     long end = System.currentTimeMillis() + 25_000;
-    for (int client = 0; client < 8; client++) {
+    for (int client = 0; client < SMALL_CLIENTS; client++) {
       Thread thread = new Thread(() -> small(bed, machine, end, small));
       thread.start();
       threads.add(thread);
