--- a/review/standin/Bed.java
+++ b/review/standin/Bed.java
@@ -26,6 +26,8 @@
     }
   }
 
+  private static int nextPort = 12_000 + (int) (ProcessHandle.current().pid() * 97 % 19_900);
+
   final Store store = new Store();
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
   private final Path repository = Path.of(System.getProperty("repository"));
@@ -46,10 +48,17 @@
     System.out.println(text);
   }
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+  /** Returns a free port below those that systems give to outgoing connections. */
+  static synchronized int freePort() throws IOException {
+    for (int i = 0; i < 2000; i++) {
+      nextPort = nextPort >= 31_900 ? 12_000 : nextPort + 1;
+      try (ServerSocket socket = new ServerSocket(nextPort, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (java.net.BindException taken) {
+        // the next one is tried
+      }
     }
+    throw new CannotRun("no free port");
   }
 
   static void pause(long millis) {
