End an answer without a length only where the target ends it

Cause: Netty's decoder ends such a body when the channel becomes inactive, whoever closed it, and ClientConnection took that for the target's end. A write that fails closes the channel without exceptionCaught, and the gate's probe of a silent target closed the connections of running requests.

Change: the end counts only if the end of the target's bytes was read from the connection. A failed probe closes idle connections only and gives up just the requests that can be repeated and have no answer yet; the others are awaited up to their deadlines, as the target may go on before.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -53,6 +54,9 @@
   private boolean hasReceivedResponse;
   private int skippedResponses;
 
+  /** Whether the server has ended the connection; it is not set by a reset or a close by us. */
+  private boolean endedByServer;
+
   ClientConnection(HttpClient client, Channel channel, int maxBodyBytes) {
     this.client = client;
     this.channel = channel;
@@ -62,6 +66,7 @@
   void addTo(ChannelPipeline pipeline) {
     pipeline
         .addLast(new HttpRequestEncoder())
+        .addLast(new EndOfInputHandler())
         .addLast(new HeadAwareResponseDecoder())
         .addLast(this);
   }
@@ -83,7 +88,7 @@
       message.headers().set(HttpHeaderNames.CONTENT_LENGTH, newRequest.body().length);
     }
     writeFuture = channel.writeAndFlush(message);
-    return () -> cancel(newRequest);
+    return new RunningCall(newRequest);
   }
 
   private static boolean omitsEmptyBody(String method) {
@@ -150,7 +155,12 @@
     if (body != null && body.readableBytes() > maxBodyBytes) {
       fail("response body is larger than " + maxBodyBytes + " bytes");
     } else if (body != null && content instanceof LastHttpContent) {
-      complete();
+      if (hasFraming(head) || endedByServer) {
+        complete();
+      } else {
+        // the decoder ends a body without a length at any close of the channel
+        fail("connection failed before the end of a response without a length");
+      }
     }
   }
 
@@ -207,12 +217,9 @@
   }
 
   private void keepOrClose(HttpResponse responseHead) {
-    boolean hasFraming =
-        HttpUtil.isContentLengthSet(responseHead)
-            || HttpUtil.isTransferEncodingChunked(responseHead)
-            || responseHead.status().code() == 204
-            || responseHead.status().code() == 304;
-    if (!hasFraming || !HttpUtil.isKeepAlive(responseHead) || !writeFuture.isSuccess()) {
+    if (!hasFraming(responseHead)
+        || !HttpUtil.isKeepAlive(responseHead)
+        || !writeFuture.isSuccess()) {
       close();
       return;
     }
@@ -221,6 +228,14 @@
     client.onReleased(this);
   }
 
+  /** Returns whether a response itself tells where its body ends. */
+  private static boolean hasFraming(HttpResponse response) {
+    return HttpUtil.isContentLengthSet(response)
+        || HttpUtil.isTransferEncodingChunked(response)
+        || response.status().code() == 204
+        || response.status().code() == 304;
+  }
+
   private static Duration idleTimeoutOf(HttpResponse response) {
     String keepAlive = response.headers().get("Keep-Alive");
     Matcher timeout = KEEP_ALIVE_TIMEOUT.matcher(keepAlive == null ? "" : keepAlive);
@@ -248,6 +263,13 @@
     }
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      close();
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     client.onClosed(this);
@@ -264,6 +286,39 @@
     fail("connection failed: " + cause.getMessage());
   }
 
+  /** A request that this connection carries. */
+  private final class RunningCall implements ClientCall {
+
+    private final ClientRequest sent;
+
+    RunningCall(ClientRequest sent) {
+      this.sent = sent;
+    }
+
+    @Override
+    public void cancel() {
+      ClientConnection.this.cancel(sent);
+    }
+
+    @Override
+    public boolean hasResponseStarted() {
+      return request == sent && head != null;
+    }
+  }
+
+  /**
+   * Notes the end of the server's bytes before the decoder sees it. The event occurs only if the
+   * end was read from the connection.
+   */
+  private final class EndOfInputHandler extends ChannelInboundHandlerAdapter {
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      endedByServer |= event instanceof ChannelInputShutdownEvent;
+      context.fireUserEventTriggered(event);
+    }
+  }
+
   /** Decodes responses; a response to HEAD has no body whatever its headers state. */
   private final class HeadAwareResponseDecoder extends HttpResponseDecoder {
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
@@ -109,6 +109,8 @@
         .group(group)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        // makes the end of the server's bytes distinguishable from a close by this side
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
   }
 
@@ -158,9 +160,9 @@
     idleConnections.remove(connection);
   }
 
-  /** Closes all connections; running requests fail. */
-  public void closeConnections() {
-    List.copyOf(openConnections).forEach(ClientConnection::close);
+  /** Closes the connections that carry no request. */
+  public void closeIdleConnections() {
+    List.copyOf(idleConnections).forEach(ClientConnection::close);
   }
 
   /** A request whose connection is being opened. */
@@ -197,5 +199,10 @@
         running.cancel();
       }
     }
+
+    @Override
+    public boolean hasResponseStarted() {
+      return running != null && running.hasResponseStarted();
+    }
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/GateAttempt.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/GateAttempt.java
@@ -101,6 +101,19 @@
     timer = deadlineTimer;
   }
 
+  /**
+   * Returns whether the attempt should be ended if the target is silent and unreachable, so that
+   * another target can execute it. Its answer is awaited if it has begun, or if the request can't
+   * be repeated, as the target may be heard again before the deadline.
+   */
+  boolean isBetterRepeated() {
+    return isDispatched()
+        && begin.getIdempotent()
+        && answer == null
+        && call != null
+        && !call.hasResponseStarted();
+  }
+
   void cancelCall() {
     if (call != null) {
       call.cancel();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -613,7 +613,22 @@
   private void onProbeEnd(boolean reachable) {
     if (!reachable && running > 0) {
       markAbsent("it did not answer its requests, and a connection to it can't be opened");
-      target.closeConnections();
+      target.closeIdleConnections();
+      List.copyOf(attempts.values()).stream()
+          .filter(GateAttempt::isBetterRepeated)
+          .forEach(this::giveUp);
     }
   }
+
+  /** Ends an attempt that the target executes, so that it can be repeated elsewhere. */
+  private void giveUp(GateAttempt attempt) {
+    attempt.cancelCall();
+    log.request("target-failed", attempt.begin().getRequestId())
+        .with("target", attempt.begin().getExpectedInstance())
+        .with("sent", "true")
+        .with("reason", "target is silent and unreachable")
+        .write();
+    release(attempt, SlotEnd.OTHER, Result.FAILURE);
+    fail(attempt, FailureReason.TARGET_BROKEN);
+  }
 }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/HttpClientTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/HttpClientTests.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -37,6 +38,12 @@
   private static final int MAX_BODY_BYTES = 1 << 20;
   private static final int MAX_BUFFERED_BYTES = 2 << 20;
 
+  /** More than the buffers of a connection hold, so that the request is still being written. */
+  private static final int LARGE_REQUEST_BYTES = 16 << 20;
+
+  /** Time in which the client receives what the server has written. */
+  private static final long RECEIVE_MILLIS = 100;
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private ServerSocket listener;
@@ -59,13 +66,17 @@
 
   /** Sends a request and returns how it ends: a response or a failure. */
   private CompletableFuture<Object> send() {
+    return send("GET", new byte[0]);
+  }
+
+  private CompletableFuture<Object> send(String method, byte[] body) {
     CompletableFuture<Object> end = new CompletableFuture<>();
     ClientRequest request =
         new ClientRequest(
-            "GET",
+            method,
             "/",
             List.of(Map.entry("Host", "shop.example")),
-            new byte[0],
+            body,
             Duration.ofSeconds(1),
             response ->
                 response.header("Other").isPresent()
@@ -142,6 +153,37 @@
           answerWith("HTTP/1.1 200 OK\r\nId: a\r\n\r\ndone", true),
           instanceOf(ClientListener.Failure.class));
     }
+
+    // guards against a part of a response without a length being taken for the whole one
+    @RepeatedTest(5)
+    void failsIfResponseWithoutLengthIsResetWhileRequestIsWritten() throws Exception {
+      CompletableFuture<Object> end = send("POST", new byte[LARGE_REQUEST_BYTES]);
+      try (Socket socket = listener.accept()) {
+        socket.getInputStream().read(new byte[1024]);
+        socket
+            .getOutputStream()
+            .write("HTTP/1.1 200 OK\r\nId: a\r\n\r\npart".getBytes(StandardCharsets.ISO_8859_1));
+        Thread.sleep(RECEIVE_MILLIS);
+        socket.setSoLinger(true, 0);
+      }
+
+      assertThat(end.get(WAIT_SECONDS, TimeUnit.SECONDS), instanceOf(ClientListener.Failure.class));
+    }
+
+    @Test
+    void completesResponseWithoutLengthThatItEndsWhileRequestIsWritten() throws Exception {
+      CompletableFuture<Object> end = send("POST", new byte[LARGE_REQUEST_BYTES]);
+      try (Socket socket = listener.accept()) {
+        socket.getInputStream().read(new byte[1024]);
+        socket
+            .getOutputStream()
+            .write("HTTP/1.1 200 OK\r\nId: a\r\n\r\ndone".getBytes(StandardCharsets.ISO_8859_1));
+        socket.shutdownOutput();
+
+        ClientResponse response = (ClientResponse) end.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        assertThat(response.body().length, is(4));
+      }
+    }
   }
 
   @Nested
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -59,15 +59,17 @@
   private boolean open = true;
 
   GateFixture(int slots) throws InterruptedException {
+    this(slots, Optional.empty());
+  }
+
+  /** Creates a gate of a target that a test runs itself. */
+  GateFixture(int slots, Address target) throws InterruptedException {
+    this(slots, Optional.of(target));
+  }
+
+  private GateFixture(int slots, Optional<Address> otherTarget) throws InterruptedException {
     EventLog log = EventLog.start(InstantSource.system(), "node");
-    HttpServer server =
-        HttpServer.listen(
-            group,
-            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-            () -> CallerLimits.DEFAULT,
-            log,
-            this::receive);
-    Address address = new Address("127.0.0.1", server.address().getPort());
+    Address address = otherTarget.orElseGet(() -> startTarget(log));
     gate =
         new SlotGate(
             loop,
@@ -82,6 +84,17 @@
     reportReady(1000, 1);
   }
 
+  private Address startTarget(EventLog log) {
+    HttpServer server =
+        HttpServer.listen(
+            group,
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+            () -> CallerLimits.DEFAULT,
+            log,
+            this::receive);
+    return new Address("127.0.0.1", server.address().getPort());
+  }
+
   /** Opens the gate with a report of a start of the target. */
   void reportReady(long bornMillis, long sequence) throws InterruptedException {
     TargetReport report =
@@ -128,8 +141,13 @@
     return new AttemptId(1, number);
   }
 
-  /** Offers an attempt to the gate; must be called on the loop. */
+  /** Offers an attempt that can be repeated to the gate; must be called on the loop. */
   void begin(int number) {
+    begin(number, true);
+  }
+
+  /** Offers an attempt to the gate; must be called on the loop. */
+  void begin(int number, boolean idempotent) {
     gate.onFrame(
         channel,
         CallFrames.of(attempt(number))
@@ -145,7 +163,7 @@
                             .setValue(Integer.toString(number)))
                     .setDeadlineMicros(TimeUnit.SECONDS.toMicros(60))
                     .setGoalMicros(TimeUnit.SECONDS.toMicros(60))
-                    .setIdempotent(true)
+                    .setIdempotent(idempotent)
                     .setBodyComplete(true)
                     .setCredit(1 << 20)
                     .setRequestId(Integer.toString(number))
