Acknowledge a leaving only once it outlasts the node's process

Cause: a write that timed out was taken for one that had succeeded. The exit lived in memory only, while the store still named the target as ready. A deregistration without a start time was also stored with the start 0, which matches no later report, and the stored state was read only once.

Change: other nodes write the exit to the store for a node that can't, and confirm it; if the store can be reached by none, two nodes must remember the exit. Each node sends nothing more to a start whose exit it knows, and tells a restarted node of the exit.

--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/EventDescription.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/EventDescription.java
@@ -62,6 +62,8 @@
               "link-suspect", "sends no more requests to the node at {peer}, which is silent"),
           Map.entry("target-leaving", "learns from an answer that target {target} leaves"),
           Map.entry("target-excluded", "sends no more requests to target {target}, which leaves"),
+          Map.entry(
+              "target-left-before", "learns that target {target} left before the node's restart"),
           Map.entry("target-limit", "limits target {target} to {perSecond} requests per second"),
           Map.entry("target-lost", "marks target {target} as unreachable: {reason}"),
           Map.entry(
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/target/TargetLifecycle.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/target/TargetLifecycle.java
@@ -78,6 +78,15 @@
     return latest;
   }
 
+  /**
+   * Returns the last exit.
+   *
+   * @return the exit; empty if no start of the target is known to have left
+   */
+  public Optional<TargetExit> exit() {
+    return exit;
+  }
+
   /**
    * Returns whether the local target accepts requests.
    *
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -92,6 +92,7 @@
   private final OperatorRecordCodec recordCodec;
   private final Set<Address> nodeAddresses = new HashSet<>();
   private final LocalTarget target;
+  private final ExitRelay exitRelay;
   private final MoveControl moves;
   private final Map<String, TargetStatus> peerStatuses = new HashMap<>();
   private final EvidenceCounts evidence = new EvidenceCounts();
@@ -131,6 +132,14 @@
     this.recordCodec = recordCodec;
     this.status = TargetStatus.getDefaultInstance();
     this.target = new LocalTarget(settings.peers().toString(), control, store, log, gateControl());
+    this.exitRelay =
+        new ExitRelay(
+            settings.node(),
+            control,
+            store,
+            random,
+            log,
+            (node, exit) -> traffic.execute(() -> links.confirmExitStored(node, exit)));
     this.moves =
         new MoveControl(
             settings.node(),
@@ -171,6 +180,16 @@
         publishStatus();
         return onTraffic(gate::close);
       }
+
+      @Override
+      public void announceExitWrites(boolean possible) {
+        updateLostStreams(Stream.OWN_TARGETS, !possible);
+      }
+
+      @Override
+      public int connectedNodes() {
+        return peerStatuses.size();
+      }
     };
   }
 
@@ -279,6 +298,16 @@
     return ZoneReaderSelection.isReader(settings.node(), others);
   }
 
+  private void onPeerStatus(TargetStatus peer, Address node) {
+    peerStatuses.put(peer.getNode(), peer);
+    List<String> otherWriters =
+        peerStatuses.values().stream()
+            .filter(other -> !other.getStoreLost() && !other.getNodeStops())
+            .map(TargetStatus::getNode)
+            .toList();
+    exitRelay.onStatus(peer, node, otherWriters);
+  }
+
   private void tickMoves() {
     try {
       if (movesActive || moves.isActive()) {
@@ -483,6 +512,11 @@
         control.execute(() -> target.onLeavingAnswer(leaving));
       }
 
+      @Override
+      public void onExitConfirmed(long token, String peer) {
+        control.execute(() -> target.onExitConfirmed(token, peer));
+      }
+
       @Override
       public void onTargetReplaced() {
         evidence.clear();
@@ -508,8 +542,8 @@
   PeerLinks.PeerListener peerListener() {
     return new PeerLinks.PeerListener() {
       @Override
-      public void onStatus(TargetStatus peer) {
-        control.execute(() -> peerStatuses.put(peer.getNode(), peer));
+      public void onStatus(TargetStatus peer, Address node) {
+        control.execute(() -> onPeerStatus(peer, node));
       }
 
       @Override
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -12,6 +12,7 @@
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.core.membership.Member;
 import org.cuminlatch.core.route.ServiceIndex;
+import org.cuminlatch.core.target.ExitToken;
 import org.cuminlatch.core.target.TargetExit;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.wire.call.CallChannel;
@@ -76,7 +77,7 @@
   /** Receives what other nodes send over their connections; called on the traffic loop. */
   interface PeerListener {
 
-    void onStatus(TargetStatus status);
+    void onStatus(TargetStatus status, Address node);
 
     /** Called when the connection to a node is lost, which makes its last status invalid. */
     void onStatusLost(TargetStatus status);
@@ -99,19 +100,56 @@
    * been restarted since, reports it as ready.
    */
   void exclude(Member target) {
-    if (excluded.add(startOf(target))) {
+    if (remember(startOf(target))) {
       log.event("target-excluded").with("target", target.instance()).write();
-      if (excluded.size() > MAX_EXCLUDED) {
-        excluded.remove(excluded.iterator().next());
-      }
       rebuild();
     }
   }
 
+  private boolean remember(TargetExit exit) {
+    boolean isNew = excluded.add(exit);
+    if (excluded.size() > MAX_EXCLUDED) {
+      excluded.remove(excluded.iterator().next());
+    }
+    return isNew;
+  }
+
   private static TargetExit startOf(Member target) {
     return new TargetExit(target.instance(), target.incarnation());
   }
 
+  /** Tells a node that the store holds the exit of its target. */
+  void confirmExitStored(Address node, TargetExit exit) {
+    PeerLink link = links.get(node);
+    if (link != null) {
+      link.send(pingWith(ExitToken.stored(exit)));
+    }
+  }
+
+  /**
+   * Remembers the exit of a node's target and confirms it to a node that can't store it, or that
+   * has forgotten it in a restart. A ping carries the confirmation, as nodes that don't know
+   * confirmations answer it like any other.
+   */
+  private void rememberExit(PeerLink link, TargetStatus status) {
+    if (status.getInstance().isEmpty()) {
+      return;
+    }
+    TargetExit start = new TargetExit(status.getInstance(), status.getBornMillis());
+    boolean leaves = status.getPhase() == TargetPhase.LEAVING;
+    if (leaves) {
+      remember(start);
+    }
+    boolean forgotten = status.getPhase() == TargetPhase.READY && excluded.contains(start);
+    if (forgotten || leaves && status.getStoreLost()) {
+      link.send(pingWith(ExitToken.known(start)));
+    }
+  }
+
+  private static CallFrame pingWith(long nonce) {
+    return CallFrame.newBuilder().setPing(Ping.newBuilder().setNonce(nonce)).build();
+  }
+
   /** Requests from a node the configuration that it has in force. */
   void pullConfiguration(String node) {
     CallFrame pull = CallFrame.newBuilder().setConfigPull(ConfigPull.getDefaultInstance()).build();
@@ -218,9 +256,10 @@
   }
 
   private void updateStatus(PeerLink link, TargetStatus status) {
-    boolean same = link.status().filter(known -> sameTarget(known, status)).isPresent();
+    final boolean same = link.status().filter(known -> sameTarget(known, status)).isPresent();
     link.setStatus(status);
-    listener.onStatus(status);
+    rememberExit(link, status);
+    listener.onStatus(status, link.address());
     if (same) {
       return;
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -125,6 +125,14 @@
     /** Called when an answer of the local target says that it leaves; the gate is closed then. */
     void onTargetLeaves(TargetReport target);
 
+    /**
+     * Called when another node tells what it knows of a target's exit.
+     *
+     * @param token token of the exit, see {@link org.cuminlatch.core.target.ExitToken}
+     * @param peer address of the other node
+     */
+    void onExitConfirmed(long token, String peer);
+
     /** Called when the local target was replaced, restarted or given another number of slots. */
     void onTargetReplaced();
 
@@ -224,11 +232,18 @@
           find(id).ifPresent(attempt -> addCredit(attempt, frame.getCredit().getBytes()));
       case CANCEL -> cancel(channel, id);
       case CONFIG_PULL -> callback.configurationFrame().ifPresent(channel::send);
-      case PING -> channel.send(CallFrame.newBuilder().setPong(Pong.getDefaultInstance()).build());
+      case PING -> onPing(channel, frame.getPing().getNonce());
       default -> channel.close();
     }
   }
 
+  private void onPing(CallChannel channel, long nonce) {
+    if (nonce != 0) {
+      callback.onExitConfirmed(nonce, channel.peer());
+    }
+    channel.send(CallFrame.newBuilder().setPong(Pong.getDefaultInstance()).build());
+  }
+
   private Optional<GateAttempt> find(AttemptId id) {
     return Optional.ofNullable(attempts.get(id));
   }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -267,6 +267,9 @@
     @Override
     public void onTargetLeaves(TargetReport target) {}
 
+    @Override
+    public void onExitConfirmed(long token, String peer) {}
+
     @Override
     public void onTargetReplaced() {}
 
--- /dev/null
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
@@ -0,0 +1,192 @@
+package org.cuminlatch.node.mesh;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.cuminlatch.core.target.ExitToken;
+import org.cuminlatch.core.target.TargetExit;
+import org.cuminlatch.core.target.TargetReport;
+import org.cuminlatch.node.event.EventLog;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+@DisplayName("A local target whose node can't reach the store")
+class LocalTargetTests {
+
+  private static final String KEY = "127.0.0.1:7000";
+  private static final String INSTANCE = "i-1";
+  private static final long BORN = 1000;
+  private static final TargetExit EXIT = new TargetExit(INSTANCE, BORN);
+  private static final int WAIT_SECONDS = 20;
+
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = (EventLoop) group.next();
+  private final FailingStore store = new FailingStore();
+  private final RecordingGate gate = new RecordingGate();
+  private final LocalTarget target =
+      new LocalTarget(KEY, loop, store, EventLog.start(InstantSource.system(), "node"), gate);
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  private void start() throws Exception {
+    loop.submit(target::readStored).sync();
+  }
+
+  private void reportReady() throws Exception {
+    TargetReport ready =
+        new TargetReport(INSTANCE, BORN, 1, "bookings", "v1", 2, true, Duration.ZERO);
+    target.onReport(ready).toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private boolean isDeregistrationAcknowledged() throws Exception {
+    try {
+      target
+          .onDeregistration(INSTANCE, BORN)
+          .toCompletableFuture()
+          .get(WAIT_SECONDS, TimeUnit.SECONDS);
+      return true;
+    } catch (ExecutionException notAcknowledged) {
+      return false;
+    }
+  }
+
+  private void confirm(long token, String peer) throws Exception {
+    loop.submit(() -> target.onExitConfirmed(token, peer)).sync();
+  }
+
+  @Test
+  void isNotToldThatItMayLeaveWhileOnlyItsNodeKnows() throws Exception {
+    start();
+    reportReady();
+
+    assertThat(isDeregistrationAcknowledged(), is(false));
+    assertThat(isDeregistrationAcknowledged(), is(false));
+    assertThat(gate.open, is(false));
+  }
+
+  @Test
+  void mayLeaveOnceOtherNodesRememberIt() throws Exception {
+    start();
+    reportReady();
+    assertThat(isDeregistrationAcknowledged(), is(false));
+
+    confirm(ExitToken.known(EXIT), "a");
+    confirm(ExitToken.known(EXIT), "b");
+
+    assertThat(isDeregistrationAcknowledged(), is(true));
+  }
+
+  @Test
+  void mayLeaveOnceAnotherNodeHasStoredIt() throws Exception {
+    start();
+    reportReady();
+    assertThat(isDeregistrationAcknowledged(), is(false));
+
+    confirm(ExitToken.stored(EXIT), "a");
+
+    assertThat(isDeregistrationAcknowledged(), is(true));
+    assertThat(gate.asksOthers, is(false));
+  }
+
+  @Test
+  void getsNoCallsIfAnotherNodeRemembersThatItLeft() throws Exception {
+    start();
+    reportReady();
+    assertThat(gate.open, is(true));
+
+    confirm(ExitToken.known(EXIT), "a");
+
+    assertThat(gate.open, is(false));
+  }
+
+  @Test
+  void getsNoCallsOnceItsStoredExitCanBeRead() throws Exception {
+    start();
+    reportReady();
+    assertThat(gate.open, is(true));
+
+    store.stored = true;
+
+    GateFixture.await(() -> !gate.open);
+  }
+
+  /** Fails all calls, except reads of the exit once it is stored. */
+  private static final class FailingStore implements KeyedStore {
+
+    private volatile boolean stored;
+
+    @Override
+    public CompletionStage<Page> newest(Stream stream) {
+      if (!stored) {
+        return failed();
+      }
+      Item item = new Item(KEY, LocalTarget.exitRecord(EXIT).toByteArray(), 0);
+      return CompletableFuture.completedFuture(new Page(List.of(item), 1));
+    }
+
+    @Override
+    public CompletionStage<Page> follow(Stream stream, long from, Duration maxWait) {
+      return failed();
+    }
+
+    @Override
+    public CompletionStage<Long> append(
+        Stream stream, String key, byte[] value, OptionalLong expectedEnd) {
+      return failed();
+    }
+
+    private static <T> CompletionStage<T> failed() {
+      return CompletableFuture.failedFuture(new IllegalStateException("store is away"));
+    }
+  }
+
+  /** Records the state of the gate; two other nodes are connected. */
+  private static final class RecordingGate implements LocalTarget.GateControl {
+
+    private volatile boolean open;
+    private volatile boolean asksOthers;
+
+    @Override
+    public CompletableFuture<Void> open(TargetReport report) {
+      open = true;
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> targetReachable() {
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public CompletableFuture<Void> close() {
+      open = false;
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public void announceExitWrites(boolean possible) {
+      asksOthers = !possible;
+    }
+
+    @Override
+    public int connectedNodes() {
+      return 2;
+    }
+  }
+}
