Notice within two seconds that a connection to the store is silent

Cause: the reader of a zone waited for a change on one connection for 8 s and gave it up 1.5 s later; nothing else showed that it was silent.

Change: the store holds that read for 1.5 s.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -49,8 +49,11 @@
  */
 final class MeshControl {
 
-  /** Time for which the store may hold a read until the configuration changes. */
-  private static final Duration CONFIGURATION_WAIT_TIMEOUT = Duration.ofSeconds(8);
+  /**
+   * Time for which the store may hold a read until the configuration changes. A connection that has
+   * gone silent is noticed only after it, and the change must be in force on all nodes soon after.
+   */
+  private static final Duration CONFIGURATION_WAIT_TIMEOUT = Duration.ofMillis(1500);
 
   /** Time for which the store may hold a read for a new node; others connect to it meanwhile. */
   private static final Duration NODES_WAIT_TIMEOUT = Duration.ofSeconds(25);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -97,7 +97,7 @@
             clock,
             random.nextLong(),
             log,
-            platform.store(controlGroup, metrics),
+            platform.store(controlGroup, metrics, log),
             platform.recordCodec());
     this.gate =
         new SlotGate(
@@ -145,9 +145,10 @@
      *
      * @param group event loop group of the control thread
      * @param metrics metrics that record the client's calls
+     * @param log log of the client's connections
      * @return the client
      */
-    KeyedStore store(EventLoopGroup group, MeshMetrics metrics);
+    KeyedStore store(EventLoopGroup group, MeshMetrics metrics, EventLog log);
 
     /**
      * Returns the codec of the operators' records.
