Read the store in place of a reader that has gone silent

Related path of the silent connections to the store: a node that does not read the operators' records hears of versions from the reader of its zone. If the connection to that reader went silent, or the reader lost power, it stayed the reader until its connection was closed, 5 s later without calls and 3.3 s with them, and the old configuration stayed in force meanwhile.

Change: connections to the first three nodes of the zone are probed after 0.5 s of silence, so that a silent one is suspect after 1.4 s. While the reader is suspect, three other nodes of the zone read the store as well; a few, as every reader of a large configuration uses the link between the regions.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -98,6 +98,11 @@
   private final ExitRelay exitRelay;
   private final MoveControl moves;
   private final Map<String, TargetStatus> peerStatuses = new HashMap<>();
+
+  /** Nodes whose connections are silent, so that they may have ended. */
+  private final Set<String> suspectNodes = new HashSet<>();
+
+  private Set<String> observedNodes = Set.of();
   private final EvidenceCounts evidence = new EvidenceCounts();
   private volatile Optional<ConfigRecordCodec.LazyFrame> recordInForce = Optional.empty();
   private final ConfigurationPullSchedule pullSchedule = new ConfigurationPullSchedule();
@@ -292,17 +297,29 @@
 
   /** Returns whether this node reads the operators' records for its zone. */
   private boolean readsForZone() {
-    List<String> others =
-        peerStatuses.values().stream()
-            .filter(this::isInOwnZone)
-            .filter(peer -> !peer.getStoreLost() && !peer.getNodeStops())
-            .map(TargetStatus::getNode)
-            .toList();
-    return ZoneReaderSelection.isReader(settings.node(), others);
+    return ZoneReaderSelection.isReader(settings.node(), otherReaders(), suspectNodes);
+  }
+
+  /** Returns the other nodes of this zone that can read the store. */
+  private List<String> otherReaders() {
+    return peerStatuses.values().stream()
+        .filter(this::isInOwnZone)
+        .filter(peer -> !peer.getStoreLost() && !peer.getNodeStops())
+        .map(TargetStatus::getNode)
+        .toList();
+  }
+
+  private void updateObservedNodes() {
+    Set<String> observed = ZoneReaderSelection.observedNodes(otherReaders());
+    if (!observed.equals(observedNodes)) {
+      observedNodes = observed;
+      traffic.execute(() -> links.setObservedNodes(observed));
+    }
   }
 
   private void onPeerStatus(TargetStatus peer, Address node) {
     peerStatuses.put(peer.getNode(), peer);
+    updateObservedNodes();
     List<String> otherWriters =
         peerStatuses.values().stream()
             .filter(other -> !other.getStoreLost() && !other.getNodeStops())
@@ -311,6 +328,12 @@
     exitRelay.onStatus(peer, node, otherWriters);
   }
 
+  private void onPeerStatusLost(TargetStatus peer) {
+    peerStatuses.remove(peer.getNode(), peer);
+    suspectNodes.remove(peer.getNode());
+    updateObservedNodes();
+  }
+
   private void tickMoves() {
     try {
       if (movesActive || moves.isActive()) {
@@ -551,7 +574,19 @@
 
       @Override
       public void onStatusLost(TargetStatus peer) {
-        control.execute(() -> peerStatuses.remove(peer.getNode(), peer));
+        control.execute(() -> onPeerStatusLost(peer));
+      }
+
+      @Override
+      public void onSuspectChange(TargetStatus peer, boolean suspect) {
+        control.execute(
+            () -> {
+              if (suspect) {
+                suspectNodes.add(peer.getNode());
+              } else {
+                suspectNodes.remove(peer.getNode());
+              }
+            });
       }
 
       @Override
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -46,6 +46,9 @@
   /** Silence after which a connection without attempts is probed with a ping. */
   private static final Duration IDLE_PROBE_DELAY = Duration.ofSeconds(2);
 
+  /** Silence after which a connection to an observed node is probed with a ping. */
+  private static final Duration OBSERVED_PROBE_DELAY = Duration.ofMillis(500);
+
   /** Further silence after which a probed connection is suspect and gets no more attempts. */
   private static final Duration SUSPECT_TIMEOUT = Duration.ofMillis(900);
 
@@ -64,6 +67,7 @@
   private final Map<String, TargetLink> linkByInstance = new HashMap<>();
   private Optional<Member> localTarget = Optional.empty();
   private TargetLink localLink;
+  private Set<String> observedNodes = Set.of();
   private final Set<TargetExit> excluded = new LinkedHashSet<>();
   private ServiceIndex index = ServiceIndex.of(List.of());
 
@@ -82,6 +86,9 @@
     /** Called when the connection to a node is lost, which makes its last status invalid. */
     void onStatusLost(TargetStatus status);
 
+    /** Called when the connection to a node becomes suspect, and when it is no longer. */
+    void onSuspectChange(TargetStatus status, boolean suspect);
+
     void onEvidence(CallFrame frame);
 
     /** Called when a node sends the configuration that was requested from it. */
@@ -171,6 +178,11 @@
     check();
   }
 
+  /** Sets the nodes whose silence must be noticed soon, also if no attempts are sent to them. */
+  void setObservedNodes(Set<String> nodes) {
+    observedNodes = nodes;
+  }
+
   ServiceIndex index() {
     return index;
   }
@@ -195,12 +207,13 @@
   }
 
   private void probe(PeerLink link) {
-    Duration probeDelay = link.hasAttempts() ? BUSY_PROBE_DELAY : IDLE_PROBE_DELAY;
+    Duration probeDelay = probeDelay(link);
     long silentNanos = link.silentNanos();
     boolean probed = link.nanosSincePing() < silentNanos;
     if (probed && silentNanos > probeDelay.plus(SUSPECT_TIMEOUT).toNanos() && !link.isSuspect()) {
       log.event("link-suspect").with("peer", link.address().toString()).write();
       link.markSuspect();
+      link.status().ifPresent(status -> listener.onSuspectChange(status, true));
       rebuild();
     }
     if (probed && silentNanos > probeDelay.plus(CLOSE_TIMEOUT).toNanos()) {
@@ -216,6 +229,15 @@
     }
   }
 
+  private Duration probeDelay(PeerLink link) {
+    if (link.hasAttempts()) {
+      return BUSY_PROBE_DELAY;
+    }
+    boolean observed =
+        link.status().filter(status -> observedNodes.contains(status.getNode())).isPresent();
+    return observed ? OBSERVED_PROBE_DELAY : IDLE_PROBE_DELAY;
+  }
+
   private void openLink(PeerLink link) {
     link.markConnecting();
     transport
@@ -244,6 +266,7 @@
     boolean suspect = link.isSuspect();
     link.onFrameReceived();
     if (suspect) {
+      link.status().ifPresent(status -> listener.onSuspectChange(status, false));
       rebuild();
     }
     switch (frame.getKindCase()) {
