Bound the answers that wait at a gate for slow callers

Cause: a target's slot is free once the gate has its answer, and nothing bounded the sum of the answers whose callers had not read them.

Change: while 16 MB wait, requests of routes whose answers are large on average are refused at once, not run. Other routes go on.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -53,7 +53,9 @@
   /** Targets that are chosen for one call, including those that refuse it or have no open link. */
   private static final int MAX_PLACEMENTS = 4;
 
-  private static final int ANSWER_WINDOW_BYTES = 256 * 1024;
+  /** Size of the part of an answer that may be on its way to a caller that reads slowly. */
+  static final int ANSWER_WINDOW_BYTES = 256 * 1024;
+
   private static final int BODY_FRAME_BYTES = 256 * 1024;
 
   /** Lower bound of the delay after which a refused caller should retry. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/GateAttempt.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/GateAttempt.java
@@ -153,6 +153,11 @@
     }
   }
 
+  /** Returns the size of the part of the answer that waits for credit. */
+  int waitingBytes() {
+    return answer == null ? 0 : answer.length - answerSent;
+  }
+
   boolean isAnswerSent() {
     return answer != null && answerSent == answer.length;
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -14,6 +14,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.cuminlatch.core.admission.AnswerMemory;
 import org.cuminlatch.core.admission.GoalQueue;
 import org.cuminlatch.core.admission.GoalRequest;
 import org.cuminlatch.core.admission.RequestRateLimit;
@@ -66,6 +67,9 @@
   /** Time without any answer after which a target with outstanding requests is probed. */
   private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(600);
 
+  /** Size of the answers that wait for slow callers at which no more large ones are requested. */
+  private static final int MAX_WAITING_ANSWER_BYTES = 16 << 20;
+
   private final EventLoop loop;
   private final HttpClient target;
   private final InstantSource clock;
@@ -76,6 +80,8 @@
   private final GateCallback callback;
   private final Map<AttemptId, GateAttempt> attempts = new HashMap<>();
   private final List<GateAttempt> arrived = new ArrayList<>();
+  private final AnswerMemory answerMemory =
+      new AnswerMemory(MAX_WAITING_ANSWER_BYTES, EntryCall.ANSWER_WINDOW_BYTES);
   private final Set<CallChannel> peerChannels = new HashSet<>();
   private Optional<TargetReport> report = Optional.empty();
 
@@ -332,7 +338,20 @@
     if (!open || mayOutlastNode(attempt)) {
       return Optional.of(RefusalReason.DRAINING);
     }
-    return absent ? Optional.of(RefusalReason.TARGET_UNREACHABLE) : Optional.empty();
+    if (absent) {
+      return Optional.of(RefusalReason.TARGET_UNREACHABLE);
+    }
+    return hasRoomForAnswer(attempt) ? Optional.empty() : Optional.of(RefusalReason.QUEUE_FULL);
+  }
+
+  private boolean hasRoomForAnswer(GateAttempt attempt) {
+    String route = attempt.begin().getRoute();
+    return !answerMemory.hasLargeAnswers(route) || answerMemory.admits(route, waitingBytes());
+  }
+
+  /** Returns the size of the answers that wait for their callers to read. */
+  private long waitingBytes() {
+    return attempts.values().stream().mapToLong(GateAttempt::waitingBytes).sum();
   }
 
   /**
@@ -349,7 +368,10 @@
     if (attempt == null) {
       return;
     }
-    if (decision.kind() == Kind.ADMITTED) {
+    if (decision.kind() == Kind.ADMITTED && !hasRoomForAnswer(attempt)) {
+      slots.release(attempt.id(), SlotEnd.OTHER, clock.instant());
+      refuse(attempt, RefusalReason.QUEUE_FULL);
+    } else if (decision.kind() == Kind.ADMITTED) {
       dispatch(attempt);
     } else if (decision.kind() != Kind.QUEUED) {
       refuse(attempt, reason(decision.kind()));
@@ -417,6 +439,7 @@
       } else {
         Result result = response.status() >= 500 ? Result.FAILURE : Result.SUCCESS;
         release(attempt, SlotEnd.ANSWERED, result);
+        answerMemory.recordAnswer(attempt.begin().getRoute(), response.body().length);
         attempt.sendAnswer(response, ForwardedHeaders.toCaller(response), load());
         if (attempt.isAnswerSent()) {
           attempts.remove(attempt.id());
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -32,6 +32,7 @@
 import org.cuminlatch.wire.proto.call.Begin;
 import org.cuminlatch.wire.proto.call.CallFrame;
 import org.cuminlatch.wire.proto.call.Cancel;
+import org.cuminlatch.wire.proto.call.Credit;
 import org.cuminlatch.wire.proto.call.Header;
 import org.cuminlatch.wire.proto.call.TargetStatus;
 
@@ -148,12 +149,17 @@
 
   /** Offers an attempt to the gate; must be called on the loop. */
   void begin(int number, boolean idempotent) {
+    begin(number, idempotent, "r-1", 1 << 20);
+  }
+
+  /** Offers an attempt whose answer may be sent as far as its credit in bytes allows. */
+  void begin(int number, boolean idempotent, String route, int credit) {
     gate.onFrame(
         channel,
         CallFrames.of(attempt(number))
             .setBegin(
                 Begin.newBuilder()
-                    .setRoute("r-1")
+                    .setRoute(route)
                     .setMethod("GET")
                     .setPath("/")
                     .addHeaders(Header.newBuilder().setName("Host").setValue("shop.example"))
@@ -165,7 +171,7 @@
                     .setGoalMicros(TimeUnit.SECONDS.toMicros(60))
                     .setIdempotent(idempotent)
                     .setBodyComplete(true)
-                    .setCredit(1 << 20)
+                    .setCredit(credit)
                     .setRequestId(Integer.toString(number))
                     .setExpectedInstance(INSTANCE))
             .build());
@@ -181,6 +187,13 @@
         });
   }
 
+  /** Lets the gate send a further part of an answer; must be called on the loop. */
+  void grantCredit(int number, int bytes) {
+    gate.onFrame(
+        channel,
+        CallFrames.of(attempt(number)).setCredit(Credit.newBuilder().setBytes(bytes)).build());
+  }
+
   /** Cancels an attempt; must be called on the loop. */
   void cancel(int number) {
     gate.onFrame(
