Complete responses to HEAD and interim ones that have no length

Found when reading the diff: took every response without a length for one that ends with its connection. A response to HEAD without a length and each interim response (100, 103) failed the request, so that callers would have got 502 in their place.

Change: the last part counts while the channel is active. The end of the server's bytes arrives as an event before the channel is closed, a reset or a close by this side only afterwards, so that the flag and the handler for it are not needed.

None of the tests before sent such responses.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -54,9 +54,6 @@
   private boolean hasReceivedResponse;
   private int skippedResponses;
 
-  /** Whether the server has ended the connection; it is not set by a reset or a close by us. */
-  private boolean endedByServer;
-
   ClientConnection(HttpClient client, Channel channel, int maxBodyBytes) {
     this.client = client;
     this.channel = channel;
@@ -66,7 +63,6 @@
   void addTo(ChannelPipeline pipeline) {
     pipeline
         .addLast(new HttpRequestEncoder())
-        .addLast(new EndOfInputHandler())
         .addLast(new HeadAwareResponseDecoder())
         .addLast(this);
   }
@@ -155,10 +151,10 @@
     if (body != null && body.readableBytes() > maxBodyBytes) {
       fail("response body is larger than " + maxBodyBytes + " bytes");
     } else if (body != null && content instanceof LastHttpContent) {
-      if (hasFraming(head) || endedByServer) {
+      if (channel.isActive()) {
         complete();
       } else {
-        // the decoder ends a body without a length at any close of the channel
+        // the decoder ends a body without a length at any close of the channel, also by this side
         fail("connection failed before the end of a response without a length");
       }
     }
@@ -217,9 +213,12 @@
   }
 
   private void keepOrClose(HttpResponse responseHead) {
-    if (!hasFraming(responseHead)
-        || !HttpUtil.isKeepAlive(responseHead)
-        || !writeFuture.isSuccess()) {
+    boolean hasFraming =
+        HttpUtil.isContentLengthSet(responseHead)
+            || HttpUtil.isTransferEncodingChunked(responseHead)
+            || responseHead.status().code() == 204
+            || responseHead.status().code() == 304;
+    if (!hasFraming || !HttpUtil.isKeepAlive(responseHead) || !writeFuture.isSuccess()) {
       close();
       return;
     }
@@ -228,14 +227,6 @@
     client.onReleased(this);
   }
 
-  /** Returns whether a response itself tells where its body ends. */
-  private static boolean hasFraming(HttpResponse response) {
-    return HttpUtil.isContentLengthSet(response)
-        || HttpUtil.isTransferEncodingChunked(response)
-        || response.status().code() == 204
-        || response.status().code() == 304;
-  }
-
   private static Duration idleTimeoutOf(HttpResponse response) {
     String keepAlive = response.headers().get("Keep-Alive");
     Matcher timeout = KEEP_ALIVE_TIMEOUT.matcher(keepAlive == null ? "" : keepAlive);
@@ -306,19 +297,6 @@
     }
   }
 
-  /**
-   * Notes the end of the server's bytes before the decoder sees it. The event occurs only if the
-   * end was read from the connection.
-   */
-  private final class EndOfInputHandler extends ChannelInboundHandlerAdapter {
-
-    @Override
-    public void userEventTriggered(ChannelHandlerContext context, Object event) {
-      endedByServer |= event instanceof ChannelInputShutdownEvent;
-      context.fireUserEventTriggered(event);
-    }
-  }
-
   /** Decodes responses; a response to HEAD has no body whatever its headers state. */
   private final class HeadAwareResponseDecoder extends HttpResponseDecoder {
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
@@ -109,7 +109,7 @@
         .group(group)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
-        // makes the end of the server's bytes distinguishable from a close by this side
+        // the end of the server's bytes is seen while the channel is active, unlike a reset
         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
   }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/HttpClientTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/HttpClientTests.java
@@ -30,6 +30,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @DisplayName("The HTTP client")
 class HttpClientTests {
@@ -186,6 +187,33 @@
     }
   }
 
+  @Nested
+  class WhenResponseHasNeitherLengthNorBody {
+
+    private ClientResponse answer(String method, String bytes) throws Exception {
+      CompletableFuture<Object> end = send(method, new byte[0]);
+      try (Socket socket = listener.accept()) {
+        socket.getInputStream().read(new byte[1024]);
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        return (ClientResponse) end.get(WAIT_SECONDS, TimeUnit.SECONDS);
+      }
+    }
+
+    @Test
+    void completesItWhileTheConnectionIsOpenIfRequestIsHead() throws Exception {
+      assertThat(answer("HEAD", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n").status(), is(200));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"100 Continue", "103 Early Hints"})
+    void skipsItIfItIsInterim(String status) throws Exception {
+      String interim = "HTTP/1.1 " + status + "\r\n\r\n";
+      String last = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\ndone";
+
+      assertThat(answer("GET", interim + last).body().length, is(4));
+    }
+  }
+
   @Nested
   class WhenTheServerWritesWithoutEnd {
 
