Let only nodes that reach the store write the exits of others

Found when reading the diff: with the store down for all, every node saw no other writer and chose itself, so that a leaving would have caused as many calls to the store as there are nodes, repeated for 30 s.

Change: a node that has lost the store itself writes for nobody; the two nodes that remember the exit suffice then, as before.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ExitRelay.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ExitRelay.java
@@ -82,9 +82,11 @@
    *
    * @param status the status
    * @param address address of the node, under which its target is stored
-   * @param writers names of the other nodes that can write
+   * @param canWrite whether this node can write; if the store is down for all, none should try
+   * @param otherWriters names of the other nodes that can write
    */
-  void onStatus(TargetStatus status, Address address, Collection<String> writers) {
+  void onStatus(
+      TargetStatus status, Address address, boolean canWrite, Collection<String> otherWriters) {
     if (!needsWriter(status)) {
       waiting.remove(status.getNode());
       return;
@@ -96,7 +98,7 @@
     }
     TargetStatus known = waiting.get(status.getNode());
     boolean isNew = known == null || !exitOf(known).equals(exit);
-    if (isNew && ExitWriterSelection.isWriter(exit, node, writers)) {
+    if (isNew && canWrite && ExitWriterSelection.isWriter(exit, node, otherWriters)) {
       waiting.put(status.getNode(), status);
       write(status, address, 0, System.nanoTime());
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -325,7 +325,7 @@
             .filter(other -> !other.getStoreLost() && !other.getNodeStops())
             .map(TargetStatus::getNode)
             .toList();
-    exitRelay.onStatus(peer, node, otherWriters);
+    exitRelay.onStatus(peer, node, lostStreams.isEmpty(), otherWriters);
   }
 
   private void onPeerStatusLost(TargetStatus peer) {
