--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -28,6 +28,7 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.cuminlatch.node.http.UnsolicitedBytes.Position;
 
 /** One connection of an {@link HttpClient}. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
@@ -51,6 +52,7 @@
   private ByteBuf body;
   private Duration idleTimeout = MAX_IDLE_TIMEOUT;
   private long idleSinceNanos;
+  private final HeadAwareResponseDecoder decoder = new HeadAwareResponseDecoder();
   private boolean hasReceivedResponse;
   private int skippedResponses;
 
@@ -63,7 +65,8 @@
   void addTo(ChannelPipeline pipeline) {
     pipeline
         .addLast(new HttpRequestEncoder())
-        .addLast(new HeadAwareResponseDecoder())
+        .addLast(new IdleInputMonitor())
+        .addLast(decoder)
         .addLast(this);
   }
 
@@ -191,6 +194,7 @@
     boolean first = !hasReceivedResponse;
     hasReceivedResponse = true;
     if (owner == ResponseOwner.OTHER_REQUEST) {
+      client.onUnsolicitedBytes(Position.BEFORE_RESPONSE, response.body().length);
       skipResponse(); // a late response to an earlier request; that of this request follows
       return;
     }
@@ -198,6 +202,9 @@
       fail("response names no request on a connection that has carried another response");
       return;
     }
+    if (decoder.unreadBytes() > 0) {
+      client.onUnsolicitedBytes(Position.AFTER_RESPONSE, decoder.unreadBytes());
+    }
     final ClientListener endedListener = listener;
     request = null;
     listener = null;
@@ -297,6 +304,18 @@
     }
   }
 
+  /** Reports bytes that are received while the connection carries no request. */
+  private final class IdleInputMonitor extends ChannelInboundHandlerAdapter {
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (request == null && message instanceof ByteBuf input) {
+        client.onUnsolicitedBytes(Position.IDLE, input.readableBytes());
+      }
+      context.fireChannelRead(message);
+    }
+  }
+
   /** Decodes responses; a response to HEAD has no body whatever its headers state. */
   private final class HeadAwareResponseDecoder extends HttpResponseDecoder {
 
@@ -305,5 +324,10 @@
       boolean isHeadRequest = request != null && request.method().equals("HEAD");
       return isHeadRequest || super.isContentAlwaysEmpty(message);
     }
+
+    /** Returns the number of bytes that have been received and not decoded. */
+    int unreadBytes() {
+      return actualReadableBytes();
+    }
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
@@ -33,6 +33,7 @@
   private final Duration connectTimeout;
   private final int maxBodyBytes;
   private final long maxBufferedBytes;
+  private Consumer<UnsolicitedBytes> unsolicitedBytesListener = bytes -> {};
   private long bufferedBytes;
   private final Deque<ClientConnection> idleConnections = new ArrayDeque<>();
   private final Set<ClientConnection> openConnections = new HashSet<>();
@@ -60,6 +61,15 @@
     this.maxBufferedBytes = maxBufferedBytes;
   }
 
+  /**
+   * Sets the listener for bytes that the server sends without having been asked for them.
+   *
+   * @param listener called on the event loop
+   */
+  public void listenForUnsolicitedBytes(Consumer<UnsolicitedBytes> listener) {
+    unsolicitedBytesListener = notNull(listener, "listener");
+  }
+
   /**
    * Sends a request.
    *
@@ -141,6 +151,10 @@
     }
   }
 
+  void onUnsolicitedBytes(UnsolicitedBytes.Position position, int bytes) {
+    unsolicitedBytesListener.accept(new UnsolicitedBytes(position, bytes));
+  }
+
   void onReleased(ClientConnection connection) {
     idleConnections.addFirst(connection);
     ClientConnection oldest = idleConnections.peekLast();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.Snapshot;
 import java.time.Duration;
 import java.util.Locale;
+import org.cuminlatch.node.http.UnsolicitedBytes;
 
 /** Counters and timers of a node, rendered as text for the metrics address; see docs/METRICS.md. */
 public final class MeshMetrics {
@@ -50,6 +51,17 @@
     registry.timer("call_seconds{route=\"" + route + "\"}").update(took);
   }
 
+  /**
+   * Counts an occurrence of bytes that were received without a request for them.
+   *
+   * @param server kind of the server that sent them
+   * @param position where they were found
+   */
+  public void countUnsolicitedBytes(String server, UnsolicitedBytes.Position position) {
+    String label = position.name().toLowerCase(Locale.ROOT);
+    registry.counter("unsolicited_bytes{from=\"" + server + "\",position=\"" + label + "\"}").inc();
+  }
+
   /**
    * Records a call to the store.
    *
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -30,6 +30,7 @@
 import org.cuminlatch.node.http.ClientRequest;
 import org.cuminlatch.node.http.ClientResponse;
 import org.cuminlatch.node.http.HttpClient;
+import org.cuminlatch.node.http.UnsolicitedBytes;
 import org.cuminlatch.wire.call.CallChannel;
 import org.cuminlatch.wire.call.CallFrameHandler;
 import org.cuminlatch.wire.call.CallFrames;
@@ -117,6 +118,7 @@
     this.metrics = metrics;
     this.callback = callback;
     this.lastAnswerAt = clock.instant();
+    target.listenForUnsolicitedBytes(this::onUnsolicitedBytes);
   }
 
   /** Receives events of the gate and supplies the frames that it sends to other nodes. */
@@ -467,6 +469,15 @@
     }
   }
 
+  private void onUnsolicitedBytes(UnsolicitedBytes unsolicited) {
+    metrics.countUnsolicitedBytes("target", unsolicited.position());
+    log.event("unsolicited-bytes")
+        .with("from", report.map(TargetReport::instance).orElse("-"))
+        .with("position", unsolicited.position().name())
+        .with("bytes", unsolicited.bytes())
+        .write();
+  }
+
   private void closeIfLeaving(ClientResponse response) {
     if (open && ForwardedHeaders.saysLeaving(response, names)) {
       leaving = report;
