Show that bytes of one response become part of the next one

Cut in its body, the second response swallows the awaited one. - A response that begins again within its own body, with or without a length, is passed on as a whole one.

--- /dev/null
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/UnsolicitedBytesTests.java
@@ -0,0 +1,296 @@
+package org.cuminlatch.node.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.cuminlatch.node.http.RawServer.Responder;
+import org.hamcrest.Matcher;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+@DisplayName("Bytes of a server that no request has asked for")
+class UnsolicitedBytesTests {
+
+  private static final int WAIT_SECONDS = 20;
+
+  /** Time in which the client receives what the server has written. */
+  private static final long RECEIVE_MILLIS = 15;
+
+  private static final String FIRST =
+      "HTTP/1.1 200 OK\r\nServer: x\r\nId: 1\r\nContent-Length: 4\r\n\r\ndone";
+
+  private static final String FAILURE =
+      "HTTP/1.1 500 Internal Server Error\r\nServer: x\r\nId: 2\r\n"
+          + "Content-Length: 6\r\n\r\nfailed";
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+  @AfterEach
+  void stop() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  private HttpClient clientOf(RawServer server) {
+    return new HttpClient(group, server.address(), Duration.ofSeconds(5), 1 << 20, 2 << 20);
+  }
+
+  private static ResponseOwner ownerOf(ClientResponse response, String id) {
+    Optional<String> named = response.header("Id");
+    if (named.isEmpty()) {
+      return response.status() < 300 ? ResponseOwner.OTHER_REQUEST : ResponseOwner.UNNAMED;
+    }
+    return named.get().equals(id) ? ResponseOwner.THIS_REQUEST : ResponseOwner.OTHER_REQUEST;
+  }
+
+  /** Sends a request and passes on how it ends: a response or a failure. */
+  private static void send(HttpClient client, String id, Consumer<Object> end) {
+    ClientRequest request =
+        new ClientRequest(
+            "GET",
+            "/",
+            List.of(Map.entry("Host", "shop.example"), Map.entry("Id", id)),
+            new byte[0],
+            Duration.ofSeconds(5),
+            response -> ownerOf(response, id));
+    client.send(
+        request,
+        new ClientListener() {
+          @Override
+          public void onResponse(ClientResponse response) {
+            end.accept(response);
+          }
+
+          @Override
+          public void onFailure(Failure failure) {
+            end.accept(failure);
+          }
+        });
+  }
+
+  private Object send(HttpClient client, String id) throws Exception {
+    CompletableFuture<Object> end = new CompletableFuture<>();
+    group.next().execute(() -> send(client, id, end::complete));
+    return end.get(WAIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  /** Sends two requests, one after the other, and returns how the second one ends. */
+  private Object endOfSecond(Responder responder) throws Exception {
+    try (RawServer server = new RawServer(responder)) {
+      HttpClient client = clientOf(server);
+      assertThat(send(client, "1"), instanceOf(ClientResponse.class));
+      Thread.sleep(RECEIVE_MILLIS);
+      return send(client, "2");
+    }
+  }
+
+  private static String text(ClientResponse response) {
+    return response.status() + " " + new String(response.body(), StandardCharsets.ISO_8859_1);
+  }
+
+  private static Matcher<Object> failureOfTheServer() {
+    return is((Object) "500 failed");
+  }
+
+  private static Object textOrFailure(Object end) {
+    return end instanceof ClientResponse response ? text(response) : end;
+  }
+
+  @Nested
+  class ReceivedBeforeTheNextRequest {
+
+    // guards against a part of a late second answer becoming the status of the next one
+    @Tag("known-red")
+    @Test
+    void doNotBecomePartOfItsResponseWhereverTheyAreCut() throws Exception {
+      for (int cut = 1; cut <= FIRST.length(); cut++) {
+        String piece = FIRST.substring(0, cut);
+        Object end =
+            endOfSecond(
+                (id, connection) -> {
+                  connection.write(id.equals("1") ? FIRST : FAILURE);
+                  if (id.equals("1")) {
+                    Thread.sleep(RECEIVE_MILLIS / 3);
+                    connection.write(piece);
+                  }
+                });
+        assertThat("after " + cut + " bytes", textOrFailure(end), failureOfTheServer());
+      }
+    }
+
+    // guards against bytes that share a read with the first answer
+    @Tag("known-red")
+    @Test
+    void doNotBecomePartOfItsResponseIfReceivedWithThePreviousOne() throws Exception {
+      for (int cut = 1; cut <= FIRST.length(); cut++) {
+        String piece = FIRST.substring(0, cut);
+        Object end =
+            endOfSecond(
+                (id, connection) -> connection.write(id.equals("1") ? FIRST + piece : FAILURE));
+        assertThat("after " + cut + " bytes", textOrFailure(end), failureOfTheServer());
+      }
+    }
+
+    // guards against sending the next request on a connection that still holds unread bytes
+    @Tag("known-red")
+    @Test
+    void doNotBecomePartOfItsResponseIfItIsSentWhenThePreviousOneEnds() throws Exception {
+      for (int cut = 1; cut <= FIRST.length(); cut++) {
+        String piece = FIRST.substring(0, cut);
+        try (RawServer server =
+            new RawServer(
+                (id, connection) -> connection.write(id.equals("1") ? FIRST + piece : FAILURE))) {
+          HttpClient client = clientOf(server);
+          CompletableFuture<Object> end = new CompletableFuture<>();
+          group.next().execute(() -> send(client, "1", first -> send(client, "2", end::complete)));
+          Object second = end.get(WAIT_SECONDS, TimeUnit.SECONDS);
+          assertThat("after " + cut + " bytes", textOrFailure(second), failureOfTheServer());
+        }
+      }
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(strings = {"\r\n", "x", "no answer", "HTTP/1.1 200 OK\r\n\r\n"})
+    void areNotTakenForTheStartOfTheNextResponse(String bytes) throws Exception {
+      Object end =
+          endOfSecond(
+              (id, connection) -> connection.write(id.equals("1") ? FIRST + bytes : FAILURE));
+      assertThat(textOrFailure(end), failureOfTheServer());
+    }
+  }
+
+  @Nested
+  class ReceivedAfterTheNextRequest {
+
+    private Object endAfter(String bytes, boolean inPieces) throws Exception {
+      return endOfSecond(
+          (id, connection) -> {
+            if (id.equals("1")) {
+              connection.write(FIRST);
+            } else if (inPieces) {
+              connection.write(bytes);
+              Thread.sleep(RECEIVE_MILLIS);
+              connection.write(FAILURE).close();
+            } else {
+              connection.write(bytes + FAILURE).close();
+            }
+          });
+    }
+
+    // guards against a part of a late second answer becoming the status of the awaited one
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void neverTurnFailureIntoSuccessWhereverTheyAreCut(boolean inPieces) throws Exception {
+      for (int cut = 1; cut <= FIRST.length(); cut++) {
+        Object end = endAfter(FIRST.substring(0, cut), inPieces);
+        if (end instanceof ClientResponse response) {
+          assertThat("after " + cut + " bytes", text(response), is("500 failed"));
+        }
+      }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void doNotKeepTheResponseBackIfTheyAreWhole(boolean inPieces) throws Exception {
+      assertThat(textOrFailure(endAfter(FIRST, inPieces)), failureOfTheServer());
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void doNotKeepTheResponseBackIfTheyAreCutInTheBody(boolean inPieces) throws Exception {
+      String head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5000\r\n\r\n";
+      for (String body : List.of("", "x", "\r\n", "HTTP/1.1 200 OK", "x".repeat(1000))) {
+        Object end = endAfter(head + body, inPieces);
+        assertThat("after " + body.length() + " bytes", textOrFailure(end), failureOfTheServer());
+      }
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "no answer", "HTTP/1.1", "HTTP/1.1 20", "HTTP/1.1 200", "\r\n"})
+    void doNotKeepTheResponseBackIfTheyAreNoHead(String bytes) throws Exception {
+      assertThat(textOrFailure(endAfter(bytes, false)), failureOfTheServer());
+    }
+  }
+
+  @Nested
+  class WithinTheResponse {
+
+    private Object endOf(String bytes) throws Exception {
+      try (RawServer server = new RawServer((id, connection) -> connection.write(bytes).close())) {
+        return send(clientOf(server), "1");
+      }
+    }
+
+    // guards against two broken copies of an answer being taken for a whole one
+    @Tag("known-red")
+    @ParameterizedTest
+    @CsvSource({"0", "1", "30", "99"})
+    void failItIfItBeginsAgain(int sent) throws Exception {
+      String head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 100\r\n\r\n";
+      String body = "x".repeat(100);
+
+      assertThat(textOrFailure(endOf(head + body)), is("200 " + body));
+      assertThat(
+          endOf(head + body.substring(0, sent) + head + body),
+          instanceOf(ClientListener.Failure.class));
+    }
+
+    // guards against a second answer being taken for the end of one without a length
+    @Tag("known-red")
+    @Test
+    void failItIfItHasNoLengthAndBeginsAgain() throws Exception {
+      String answer = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\ndone";
+
+      assertThat(endOf(answer + answer), instanceOf(ClientListener.Failure.class));
+    }
+
+    // guards against a part of a second answer being taken for the end of one without a length
+    @Tag("known-red")
+    @Test
+    void failItIfItHasNoLengthAndItsHeadBeginsAgain() throws Exception {
+      String answer = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\ndone";
+
+      assertThat(endOf(answer + "HTTP/1.1 200 OK\r\nI"), instanceOf(ClientListener.Failure.class));
+    }
+
+    @Test
+    void areItsBodyIfTheyNameNoRequest() throws Exception {
+      String body = "HTTP/1.1 200 OK\r\nServer: x\r\n\r\ndone";
+      String head = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: " + body.length() + "\r\n\r\n";
+
+      assertThat(textOrFailure(endOf(head + body)), is("200 " + body));
+    }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 500 Failed", "OK HTTP/1.1 500 Failed"})
+    void failItIfItsHeadHoldsAnotherStatusLine(String value) throws Exception {
+      Object end = endOf("HTTP/1.1 200 OK\r\nA: " + value + "\r\nId: 1\r\n\r\n");
+
+      assertThat(end, not(instanceOf(ClientResponse.class)));
+    }
+  }
+}
