Let the status line, not the framing of another response, start a response

Callers got a 200 where the target had answered 500 if the start of a late second response came after the next request; where it was cut in its body or in the first bytes, the awaited response was lost and they got 502 or 504.

Netty's decoder takes what follows as the rest of what it has begun: a line, a head, a body of a given length.

ResponseDecoder begins a response at a status line only. A head is decoded when it is complete and holds a single status line; otherwise it may be put together from two responses, and the request fails. The head of a response to another request is recognised at once, and all that follows it is skipped up to the next head, so that a body that was cut short takes nothing of the awaited response with it. Bytes before the status line in its line are dropped.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -8,15 +8,14 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -51,7 +50,7 @@
   private ByteBuf body;
   private Duration idleTimeout = MAX_IDLE_TIMEOUT;
   private long idleSinceNanos;
-  private final HeadAwareResponseDecoder decoder = new HeadAwareResponseDecoder();
+  private final ResponseDecoder decoder;
   private boolean hasReceivedResponse;
   private int skippedResponses;
 
@@ -59,6 +58,11 @@
     this.client = client;
     this.channel = channel;
     this.maxBodyBytes = maxBodyBytes;
+    this.decoder =
+        new ResponseDecoder(
+            () -> request != null && request.method().equals("HEAD"),
+            maxBodyBytes,
+            bytes -> client.onUnsolicitedBytes(Position.BEFORE_RESPONSE, bytes));
   }
 
   void addTo(ChannelPipeline pipeline) {
@@ -73,6 +77,7 @@
     request = newRequest;
     listener = newListener;
     skippedResponses = 0;
+    decoder.awaitResponse();
     DefaultFullHttpRequest message =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -147,14 +152,35 @@
       return;
     }
     if (part instanceof HttpResponse response) {
-      head = response;
-      body = Unpooled.buffer();
+      begin(response);
     }
     if (part instanceof HttpContent content && head != null) {
       append(content);
     }
   }
 
+  private void begin(HttpResponse response) {
+    boolean interim = response.status().code() < 200;
+    ResponseOwner owner = interim ? ResponseOwner.THIS_REQUEST : ownerOf(response);
+    if (owner == ResponseOwner.OTHER_REQUEST) {
+      client.onUnsolicitedBytes(Position.BEFORE_RESPONSE, decoder.unreadBytes());
+      hasReceivedResponse = true;
+      decoder.skipResponse();
+      countSkippedResponse();
+    } else if (owner == ResponseOwner.UNNAMED && hasReceivedResponse) {
+      fail("response names no request on a connection that has carried another response");
+    } else {
+      head = response;
+      body = Unpooled.buffer();
+    }
+  }
+
+  private ResponseOwner ownerOf(HttpResponse response) {
+    ClientResponse named =
+        new ClientResponse(response.status().code(), headersOf(response), new byte[0]);
+    return request.ownerOfResponse().apply(named);
+  }
+
   private void append(HttpContent content) {
     int bytes = content.content().readableBytes();
     body.writeBytes(content.content());
@@ -195,21 +221,10 @@
             responseHead.status().code(), headersOf(responseHead), ByteBufUtil.getBytes(body));
     discardResponse();
     if (responseHead.status().code() < 200) {
-      skipResponse(); // an interim response
+      countSkippedResponse(); // an interim response
       return;
     }
-    ResponseOwner owner = request.ownerOfResponse().apply(response);
-    boolean first = !hasReceivedResponse;
     hasReceivedResponse = true;
-    if (owner == ResponseOwner.OTHER_REQUEST) {
-      client.onUnsolicitedBytes(Position.BEFORE_RESPONSE, response.body().length);
-      skipResponse(); // a late response to an earlier request; that of this request follows
-      return;
-    }
-    if (owner == ResponseOwner.UNNAMED && !first) {
-      fail("response names no request on a connection that has carried another response");
-      return;
-    }
     if (decoder.unreadBytes() > 0) {
       client.onUnsolicitedBytes(Position.AFTER_RESPONSE, decoder.unreadBytes());
     }
@@ -220,7 +235,7 @@
     endedListener.onResponse(response);
   }
 
-  private void skipResponse() {
+  private void countSkippedResponse() {
     skippedResponses++;
     if (skippedResponses > MAX_SKIPPED_RESPONSES) {
       fail("more than " + MAX_SKIPPED_RESPONSES + " other responses were received");
@@ -293,7 +308,11 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    fail("connection failed: " + cause.getMessage());
+    if (cause instanceof DecoderException) {
+      fail("response could not be decoded: " + cause.getCause());
+    } else {
+      fail("connection failed: " + cause.getMessage());
+    }
   }
 
   /** A request that this connection carries. */
@@ -330,19 +349,4 @@
       }
     }
   }
-
-  /** Decodes responses; a response to HEAD has no body whatever its headers state. */
-  private final class HeadAwareResponseDecoder extends HttpResponseDecoder {
-
-    @Override
-    protected boolean isContentAlwaysEmpty(HttpMessage message) {
-      boolean isHeadRequest = request != null && request.method().equals("HEAD");
-      return isHeadRequest || super.isContentAlwaysEmpty(message);
-    }
-
-    /** Returns the number of bytes that have been received and not decoded. */
-    int unreadBytes() {
-      return actualReadableBytes();
-    }
-  }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientRequest.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientRequest.java
@@ -15,8 +15,8 @@
  * @param headers all headers except Content-Length; must include Host
  * @param body the body
  * @param maxIdleTime maximum time for which a reused connection may have been idle
- * @param ownerOfResponse finds out which request a response belongs to; responses to others are
- *     skipped
+ * @param ownerOfResponse finds out which request a response belongs to, from its head (the body is
+ *     empty); responses to others are skipped
  */
 public record ClientRequest(
     String method,
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseDecoder.java
@@ -0,0 +1,163 @@
+package org.cuminlatch.node.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectDecoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntConsumer;
+
+/**
+ * Decodes responses from their status line on, whatever precedes it.
+ *
+ * <p>A head is decoded when it is complete, and only if it holds a single status line. Otherwise it
+ * could consist of parts of two responses. A response to HEAD has no body whatever its headers
+ * state.
+ */
+final class ResponseDecoder extends HttpResponseDecoder {
+
+  private static final int MAX_HEAD_BYTES =
+      HttpObjectDecoder.DEFAULT_MAX_INITIAL_LINE_LENGTH + HttpObjectDecoder.DEFAULT_MAX_HEADER_SIZE;
+
+  private final BooleanSupplier answersHead;
+  private final int maxSkippedBytes;
+  private final IntConsumer skippedListener;
+  private boolean awaitsHead = true;
+  private boolean skipsResponse;
+  private int skippedBytes;
+
+  /**
+   * Creates a decoder.
+   *
+   * @param answersHead tells whether the awaited response is one to HEAD
+   * @param maxSkippedBytes maximum number of bytes before a response
+   * @param skippedListener called with the number of bytes that precede a response
+   */
+  ResponseDecoder(BooleanSupplier answersHead, int maxSkippedBytes, IntConsumer skippedListener) {
+    this.answersHead = answersHead;
+    this.maxSkippedBytes = maxSkippedBytes;
+    this.skippedListener = skippedListener;
+  }
+
+  /** Prepares for the response to a new request. */
+  void awaitResponse() {
+    skipsResponse = false;
+    skippedBytes = 0;
+  }
+
+  /**
+   * Skips the response whose head has been decoded: everything up to the next head. Its body may be
+   * cut short, so that its length does not tell where the next response begins.
+   */
+  void skipResponse() {
+    reset();
+    awaitsHead = true;
+    skipsResponse = true;
+  }
+
+  /** Returns the number of bytes that have been received and not decoded. */
+  int unreadBytes() {
+    return actualReadableBytes();
+  }
+
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    return answersHead.getAsBoolean() || super.isContentAlwaysEmpty(message);
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+      throws Exception {
+    if (awaitsHead && !findHead(in)) {
+      return;
+    }
+    super.decode(context, in, out);
+    if (!out.isEmpty()) {
+      awaitsHead = out.get(out.size() - 1) instanceof LastHttpContent;
+    }
+  }
+
+  /** Moves to the next head and returns whether it is complete. */
+  private boolean findHead(ByteBuf in) {
+    while (true) {
+      int start = ResponseHeads.indexOfStatusLine(in, in.readerIndex(), in.writerIndex());
+      if (start < 0) {
+        skipUnlessStatusLineMayFollow(in);
+        return false;
+      }
+      if (start > in.readerIndex()) {
+        skipTo(in, start);
+      }
+      int end = ResponseHeads.indexOfHeadEnd(in, start, in.writerIndex());
+      if (end >= 0) {
+        requireSingleStatusLine(in, end);
+        skipsResponse = false;
+        return true;
+      }
+      if (in.readableBytes() <= MAX_HEAD_BYTES) {
+        return false;
+      }
+      if (!skipsResponse) {
+        throw new TooLongHttpHeaderException("head of a response exceeds " + MAX_HEAD_BYTES);
+      }
+      in.skipBytes(1); // the body of the skipped response holds something like a status line
+    }
+  }
+
+  private void skipUnlessStatusLineMayFollow(ByteBuf in) {
+    if (skipsResponse) {
+      int kept = Math.min(in.readableBytes(), ResponseHeads.STATUS_LINE_PREFIX_LENGTH - 1);
+      skip(in, in.readableBytes() - kept);
+      return;
+    }
+    skipEmptyLines(in);
+    if (in.indexOf(in.readerIndex(), in.writerIndex(), (byte) '\n') >= 0) {
+      throw new IllegalArgumentException("first line is no status line");
+    }
+    if (in.readableBytes() > MAX_HEAD_BYTES) {
+      throw new TooLongHttpHeaderException("no status line within " + MAX_HEAD_BYTES + " bytes");
+    }
+  }
+
+  private void skipEmptyLines(ByteBuf in) {
+    int length = 0;
+    while (length < in.readableBytes() && isLineEnd(in.getByte(in.readerIndex() + length))) {
+      length++;
+    }
+    skip(in, length);
+  }
+
+  private static boolean isLineEnd(byte character) {
+    return character == '\r' || character == '\n';
+  }
+
+  private void skipTo(ByteBuf in, int statusLine) {
+    if (!skipsResponse) {
+      skipEmptyLines(in);
+      if (in.indexOf(in.readerIndex(), statusLine, (byte) '\n') >= 0) {
+        throw new IllegalArgumentException("first line is no status line");
+      }
+      skippedListener.accept(statusLine - in.readerIndex());
+    }
+    skip(in, statusLine - in.readerIndex());
+  }
+
+  private void skip(ByteBuf in, int length) {
+    in.skipBytes(length);
+    skippedBytes += length;
+    if (skippedBytes > maxSkippedBytes) {
+      throw new IllegalArgumentException(
+          "more than " + maxSkippedBytes + " bytes precede a response");
+    }
+  }
+
+  private static void requireSingleStatusLine(ByteBuf in, int end) {
+    if (ResponseHeads.indexOfStatusLine(in, in.readerIndex() + 1, end) >= 0) {
+      throw new IllegalArgumentException("head of a response holds another status line");
+    }
+  }
+}
