Fail a response that begins again within its own body

Callers could get a 200 with the stamp of the target and a body that was not whole: a target that breaks an answer off and sends it again on the same connection fills the length of the first copy with the second one, and an answer without a length takes a second answer, or its beginning, for its own end.

The body's length was all that told where a response ends. Now its body is searched for a head that names the same request, also across its end if more bytes have been received; of a response without a length, for a beginning of a head up to its end. Such a response fails, so that a request that may be repeated goes to another target. Bodies that quote responses to other requests are not affected.

A head with several request ids belongs to a request only if all of them are its own.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -47,6 +47,7 @@
   private ClientListener listener;
   private ChannelFuture writeFuture;
   private HttpResponse head;
+  private ResponseOwner owner;
   private ByteBuf body;
   private Duration idleTimeout = MAX_IDLE_TIMEOUT;
   private long idleSinceNanos;
@@ -161,9 +162,9 @@
 
   private void begin(HttpResponse response) {
     boolean interim = response.status().code() < 200;
-    ResponseOwner owner = interim ? ResponseOwner.THIS_REQUEST : ownerOf(response);
+    owner = interim ? ResponseOwner.UNSPECIFIED : ownerOf(response);
     if (owner == ResponseOwner.OTHER_REQUEST) {
-      client.onUnsolicitedBytes(Position.BEFORE_RESPONSE, decoder.unreadBytes());
+      client.onUnsolicitedBytes(Position.BEFORE_RESPONSE, decoder.unread().readableBytes());
       hasReceivedResponse = true;
       decoder.skipResponse();
       countSkippedResponse();
@@ -189,7 +190,7 @@
       fail("response body is larger than " + maxBodyBytes + " bytes");
     } else if (body != null && content instanceof LastHttpContent) {
       if (channel.isActive()) {
-        complete();
+        completeUnlessBegunAgain();
       } else {
         // the decoder ends a body without a length at any close of the channel, also by this side
         fail("connection failed before the end of a response without a length");
@@ -214,6 +215,46 @@
     fail("responses of the server that are being received need too much memory");
   }
 
+  private void completeUnlessBegunAgain() {
+    boolean named = owner == ResponseOwner.THIS_REQUEST;
+    int repeated = named && body.isReadable() ? indexOfOwnHead() : -1;
+    if (repeated >= 0) {
+      client.onUnsolicitedBytes(Position.WITHIN_RESPONSE, body.readableBytes() - repeated);
+      fail("response begins again within its body");
+    } else {
+      complete();
+    }
+  }
+
+  /**
+   * Returns where the head of this response stands again in its body, -1 if it does not. The server
+   * has broken the response off then, and the end of the body is that of another copy.
+   */
+  private int indexOfOwnHead() {
+    ByteBuf unread = decoder.unread();
+    ByteBuf received = unread.isReadable() ? Unpooled.wrappedBuffer(body.slice(), unread) : body;
+    int end = received.readableBytes();
+    int start = ResponseHeads.indexOfStatusLine(received, 0, end);
+    while (start >= 0 && start < body.readableBytes()) {
+      if (isOwnHead(received, start, end)) {
+        return start;
+      }
+      start = ResponseHeads.indexOfStatusLine(received, start + 1, end);
+    }
+    return -1;
+  }
+
+  private boolean isOwnHead(ByteBuf received, int start, int end) {
+    int headEnd = ResponseHeads.indexOfHeadEnd(received, start, end);
+    if (headEnd >= 0) {
+      return ResponseHeads.decode(received.slice(start, headEnd - start))
+          .filter(repeated -> ownerOf(repeated) == ResponseOwner.THIS_REQUEST)
+          .isPresent();
+    }
+    boolean continues = end > body.readableBytes() || !hasFraming(head);
+    return continues && ResponseHeads.continuesAsHead(received, start, end);
+  }
+
   private void complete() {
     HttpResponse responseHead = head;
     final ClientResponse response =
@@ -225,8 +266,9 @@
       return;
     }
     hasReceivedResponse = true;
-    if (decoder.unreadBytes() > 0) {
-      client.onUnsolicitedBytes(Position.AFTER_RESPONSE, decoder.unreadBytes());
+    int unread = decoder.unread().readableBytes();
+    if (unread > 0) {
+      client.onUnsolicitedBytes(Position.AFTER_RESPONSE, unread);
     }
     final ClientListener endedListener = listener;
     request = null;
@@ -243,13 +285,8 @@
   }
 
   private void keepOrClose(HttpResponse responseHead) {
-    boolean hasFraming =
-        HttpUtil.isContentLengthSet(responseHead)
-            || HttpUtil.isTransferEncodingChunked(responseHead)
-            || responseHead.status().code() == 204
-            || responseHead.status().code() == 304;
-    boolean endsInput = decoder.unreadBytes() == 0;
-    if (!hasFraming
+    boolean endsInput = !decoder.unread().isReadable();
+    if (!hasFraming(responseHead)
         || !endsInput
         || !HttpUtil.isKeepAlive(responseHead)
         || !writeFuture.isSuccess()) {
@@ -261,6 +298,13 @@
     client.onReleased(this);
   }
 
+  private static boolean hasFraming(HttpResponse response) {
+    return HttpUtil.isContentLengthSet(response)
+        || HttpUtil.isTransferEncodingChunked(response)
+        || response.status().code() == 204
+        || response.status().code() == 304;
+  }
+
   private static Duration idleTimeoutOf(HttpResponse response) {
     String keepAlive = response.headers().get("Keep-Alive");
     Matcher timeout = KEEP_ALIVE_TIMEOUT.matcher(keepAlive == null ? "" : keepAlive);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseDecoder.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseDecoder.java
@@ -59,9 +59,9 @@
     skipsResponse = true;
   }
 
-  /** Returns the number of bytes that have been received and not decoded. */
-  int unreadBytes() {
-    return actualReadableBytes();
+  /** Returns the bytes that have been received and not decoded. */
+  ByteBuf unread() {
+    return internalBuffer().slice();
   }
 
   @Override
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseHeads.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseHeads.java
@@ -3,7 +3,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 
 /** Finds the heads of HTTP/1.x responses in a stream of bytes. */
 final class ResponseHeads {
@@ -73,4 +77,40 @@
     }
     return -1;
   }
+
+  /**
+   * Returns whether a range that begins with a status line continues like a head, as far as its
+   * lines are complete.
+   */
+  static boolean continuesAsHead(ByteBuf bytes, int from, int to) {
+    int lineStart = bytes.indexOf(from, to, (byte) '\n') + 1;
+    while (lineStart > 0) {
+      int lineEnd = bytes.indexOf(lineStart, to, (byte) '\n');
+      if (lineEnd < 0) {
+        return true;
+      }
+      int colon = bytes.indexOf(lineStart, lineEnd, (byte) ':');
+      if (colon <= lineStart || bytes.indexOf(lineStart, colon, (byte) ' ') >= 0) {
+        return false;
+      }
+      lineStart = lineEnd + 1;
+    }
+    return true;
+  }
+
+  /**
+   * Decodes a complete head.
+   *
+   * @return the head, empty if it is malformed
+   */
+  static Optional<HttpResponse> decode(ByteBuf head) {
+    EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder());
+    try {
+      channel.writeInbound(head.retainedDuplicate());
+      return Optional.ofNullable((HttpResponse) channel.readInbound())
+          .filter(response -> response.decoderResult().isSuccess());
+    } finally {
+      channel.finishAndReleaseAll();
+    }
+  }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseOwner.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseOwner.java
@@ -12,5 +12,10 @@
    * The response names no request. It belongs to the request that it was read for if that is the
    * first one on the connection; otherwise it may be a late or repeated one to an earlier request.
    */
-  UNNAMED
+  UNNAMED,
+
+  /**
+   * The server's responses never name their requests; the response is taken for the awaited one.
+   */
+  UNSPECIFIED
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/UnsolicitedBytes.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/UnsolicitedBytes.java
@@ -26,6 +26,9 @@
     AFTER_RESPONSE,
 
     /** They are a response to another request and precede the awaited one. */
-    BEFORE_RESPONSE
+    BEFORE_RESPONSE,
+
+    /** They are another copy of a response, within that response's body. */
+    WITHIN_RESPONSE
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
@@ -80,12 +80,16 @@
 
   /** Returns whether an answer belongs to this attempt; a success always names its request. */
   static ResponseOwner ownerOf(ClientResponse response, Begin begin, HeaderNames names) {
-    Optional<String> id = response.header(names.requestId());
-    if (id.isEmpty()) {
+    List<String> ids =
+        response.headers().stream()
+            .filter(entry -> entry.getKey().equalsIgnoreCase(names.requestId()))
+            .map(Map.Entry::getValue)
+            .toList();
+    if (ids.isEmpty()) {
       boolean success = response.status() < 300;
       return success ? ResponseOwner.OTHER_REQUEST : ResponseOwner.UNNAMED;
     }
-    return id.get().equals(begin.getRequestId())
+    return ids.stream().allMatch(begin.getRequestId()::equals)
         ? ResponseOwner.THIS_REQUEST
         : ResponseOwner.OTHER_REQUEST;
   }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/UnsolicitedBytesTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/UnsolicitedBytesTests.java
@@ -21,7 +21,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -248,7 +247,6 @@
     }
 
     // guards against two broken copies of an answer being taken for a whole one
-    @Tag("known-red")
     @ParameterizedTest
     @CsvSource({"0", "1", "30", "99"})
     void failItIfItBeginsAgain(int sent) throws Exception {
@@ -262,7 +260,6 @@
     }
 
     // guards against a second answer being taken for the end of one without a length
-    @Tag("known-red")
     @Test
     void failItIfItHasNoLengthAndBeginsAgain() throws Exception {
       String answer = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\ndone";
@@ -271,7 +268,6 @@
     }
 
     // guards against a part of a second answer being taken for the end of one without a length
-    @Tag("known-red")
     @Test
     void failItIfItHasNoLengthAndItsHeadBeginsAgain() throws Exception {
       String answer = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\ndone";
@@ -279,6 +275,13 @@
       assertThat(endOf(answer + "HTTP/1.1 200 OK\r\nI"), instanceOf(ClientListener.Failure.class));
     }
 
+    @Test
+    void doNotSpoilAnEmptyResponseBeforeThem() throws Exception {
+      String empty = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+
+      assertThat(textOrFailure(endOf(empty + empty)), is("200 "));
+    }
+
     @Test
     void areItsBodyIfTheyNameNoRequest() throws Exception {
       String body = "HTTP/1.1 200 OK\r\nServer: x\r\n\r\ndone";
