Give each request its own connection while a target sends unsolicited bytes

Callers lost answers (502, or a repeat at another target) to a target that sends second responses late: one that comes while the next request waits, cut short, takes that request's response with it, and nothing can be done about it then.

ConnectionReusePolicy suspends the reuse of connections for two seconds after unsolicited bytes: idle connections are closed, and a connection is closed after its response. On a connection that has carried nothing else, no second response can precede the awaited one. Targets that answer as they should keep their connections.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -289,7 +289,8 @@
     if (!hasFraming(responseHead)
         || !endsInput
         || !HttpUtil.isKeepAlive(responseHead)
-        || !writeFuture.isSuccess()) {
+        || !writeFuture.isSuccess()
+        || !client.permitsReuse()) {
       close();
       return;
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
@@ -17,21 +18,25 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.cuminlatch.core.membership.Address;
+import org.cuminlatch.core.target.ConnectionReusePolicy;
 
 /**
  * HTTP client of one server, with a pool of connections that carry one request at a time.
  *
  * <p>A connection is reused only if the request was completely written, its response completely
- * received, and no byte since. Used on one event loop.
+ * received, and no byte since, and not while the server sends bytes that it was not asked for. Used
+ * on one event loop.
  */
 public final class HttpClient {
 
   private final EventLoopGroup group;
   private final Address server;
+  private final InstantSource clock;
   private final Duration connectTimeout;
   private final int maxBodyBytes;
   private final long maxBufferedBytes;
   private Consumer<UnsolicitedBytes> unsolicitedBytesListener = bytes -> {};
+  private final ConnectionReusePolicy reusePolicy = new ConnectionReusePolicy();
   private long bufferedBytes;
   private final Deque<ClientConnection> idleConnections = new ArrayDeque<>();
   private final Set<ClientConnection> openConnections = new HashSet<>();
@@ -41,6 +46,7 @@
    *
    * @param group event loop group of one thread
    * @param server address of the server
+   * @param clock clock that does not go back
    * @param connectTimeout maximum time to open a connection
    * @param maxBodyBytes maximum size of a response's body in bytes
    * @param maxBufferedBytes maximum size in bytes of the bodies that are being received at a time;
@@ -49,11 +55,13 @@
   public HttpClient(
       EventLoopGroup group,
       Address server,
+      InstantSource clock,
       Duration connectTimeout,
       int maxBodyBytes,
       long maxBufferedBytes) {
     this.group = notNull(group, "group");
     this.server = notNull(server, "server");
+    this.clock = notNull(clock, "clock");
     this.connectTimeout = notNull(connectTimeout, "connectTimeout");
     this.maxBodyBytes = maxBodyBytes;
     this.maxBufferedBytes = maxBufferedBytes;
@@ -152,9 +160,16 @@
   }
 
   void onUnsolicitedBytes(UnsolicitedBytes.Position position, int bytes) {
+    reusePolicy.recordUnsolicitedBytes(clock.instant());
+    closeIdleConnections();
     unsolicitedBytesListener.accept(new UnsolicitedBytes(position, bytes));
   }
 
+  /** Returns whether a connection may carry another request after its present one. */
+  boolean permitsReuse() {
+    return reusePolicy.permitsReuse(clock.instant());
+  }
+
   void onReleased(ClientConnection connection) {
     idleConnections.addFirst(connection);
     ClientConnection oldest = idleConnections.peekLast();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -86,6 +86,7 @@
         new HttpClient(
             trafficGroup,
             settings.target(),
+            clock,
             TARGET_CONNECT_TIMEOUT,
             MAX_ANSWER_BYTES,
             MAX_BUFFERED_ANSWER_BYTES);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MonotonicClock.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MonotonicClock.java
@@ -4,7 +4,7 @@
 import java.time.InstantSource;
 
 /** Clock that starts at the system time and then ignores adjustments of the system clock. */
-final class MonotonicClock implements InstantSource {
+public final class MonotonicClock implements InstantSource {
 
   private final Instant start = Instant.now();
   private final long startNanos = System.nanoTime();
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/HttpClientTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/HttpClientTests.java
@@ -15,6 +15,7 @@
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -56,7 +57,12 @@
     Address address = new Address("127.0.0.1", listener.getLocalPort());
     client =
         new HttpClient(
-            group, address, Duration.ofSeconds(WAIT_SECONDS), MAX_BODY_BYTES, MAX_BUFFERED_BYTES);
+            group,
+            address,
+            InstantSource.system(),
+            Duration.ofSeconds(WAIT_SECONDS),
+            MAX_BODY_BYTES,
+            MAX_BUFFERED_BYTES);
   }
 
   @AfterEach
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/UnsolicitedBytesTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/UnsolicitedBytesTests.java
@@ -10,6 +10,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -49,8 +50,11 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
   }
 
+  private volatile Instant now = Instant.EPOCH;
+
   private HttpClient clientOf(RawServer server) {
-    return new HttpClient(group, server.address(), Duration.ofSeconds(5), 1 << 20, 2 << 20);
+    return new HttpClient(
+        group, server.address(), () -> now, Duration.ofSeconds(5), 1 << 20, 2 << 20);
   }
 
   private static ResponseOwner ownerOf(ClientResponse response, String id) {
@@ -237,6 +241,43 @@
     }
   }
 
+  @Nested
+  class FromTimeToTime {
+
+    private static final int REQUESTS = 6;
+
+    private static String answer(String id) {
+      return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 4\r\n\r\ndone";
+    }
+
+    /** Returns how many connections carry some requests after unsolicited bytes. */
+    private int connectionsFor(Duration timeBetween) throws Exception {
+      Responder responder =
+          (id, connection) -> connection.write(id.equals("1") ? FIRST + "x" : answer(id));
+      try (RawServer server = new RawServer(responder)) {
+        HttpClient client = clientOf(server);
+        send(client, "1");
+        int before = server.connections();
+        for (int i = 2; i < 2 + REQUESTS; i++) {
+          now = now.plus(timeBetween);
+          assertThat(send(client, "" + i), instanceOf(ClientResponse.class));
+        }
+        return server.connections() - before;
+      }
+    }
+
+    // guards against losing responses to the second answers of a server that repeats itself
+    @Test
+    void giveEachOfTheNextRequestsItsOwnConnection() throws Exception {
+      assertThat(connectionsFor(Duration.ofMillis(1)), is(REQUESTS));
+    }
+
+    @Test
+    void areForgottenAfterSomeTime() throws Exception {
+      assertThat(connectionsFor(Duration.ofSeconds(10)), is(1));
+    }
+  }
+
   @Nested
   class WithinTheResponse {
 
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -74,7 +74,7 @@
     gate =
         new SlotGate(
             loop,
-            new HttpClient(group, address, Duration.ofSeconds(1), 1 << 20, 1 << 24),
+            new HttpClient(group, address, clock, Duration.ofSeconds(1), 1 << 20, 1 << 24),
             clock,
             HEADERS,
             new LoopLag(Duration.ofMillis(50)),
