--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -50,6 +50,7 @@
   private final HttpClient client;
   private final ProbedSocketChannel channel;
   private final int maxBodyBytes;
+  private final ResponseDecoder decoder;
   private ClientRequest request;
   private ClientListener listener;
   private ChannelFuture writeFuture;
@@ -57,7 +58,6 @@
   private ByteBuf body;
   private Duration idleTimeout = MAX_IDLE_TIMEOUT;
   private long idleSinceNanos;
-  private final ResponseDecoder decoder;
   private boolean hasReceivedResponse;
   private int skippedResponses;
 
@@ -122,8 +122,13 @@
     return channel.isActive() && idleTime().compareTo(idleTimeout) < 0;
   }
 
-  /** Returns whether the connection has received nothing since its last response. */
-  boolean isQuiet() {
+  /**
+   * Looks for bytes that the event loop has not read yet, and reports them. The connection can be
+   * used only if there are none.
+   *
+   * @return true if the connection is open and has received nothing since its last response
+   */
+  boolean probeIsQuiet() {
     ProbedSocketChannel.Input input = channel.probeInput();
     if (input == ProbedSocketChannel.Input.BYTES) {
       client.onUnsolicitedBytes(Position.IDLE, 1);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
@@ -141,7 +141,7 @@
       } else if (newest.idleTime().compareTo(maxIdleTime) > 0) {
         idleConnections.addFirst(newest);
         return null;
-      } else if (newest.isQuiet()) {
+      } else if (newest.probeIsQuiet()) {
         return newest;
       } else {
         newest.close();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseDecoder.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseDecoder.java
@@ -76,7 +76,7 @@
     }
   }
 
-  /** Returns the bytes that have been received and not decoded. */
+  /** Returns the bytes that have been received and not decoded, valid until the next read. */
   ByteBuf unread() {
     return internalBuffer().slice();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseOwner.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseOwner.java
@@ -2,7 +2,7 @@
 
 /** Request that a response belongs to, as far as the response itself tells. */
 public enum ResponseOwner {
-  /** The response names the request that it was read for. */
+  /** The response names the request that it was read for, and no other. */
   THIS_REQUEST,
 
   /** The response belongs to another request. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/UnsolicitedBytes.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/UnsolicitedBytes.java
@@ -7,7 +7,7 @@
  * Bytes that a server has sent on a connection without having been asked for them.
  *
  * @param position where they were found
- * @param bytes number of bytes that had been received when they were found
+ * @param bytes number of bytes that had been received and not decoded when they were found
  */
 public record UnsolicitedBytes(Position position, int bytes) {
 
@@ -25,10 +25,10 @@
     /** They were received together with the end of a response. */
     AFTER_RESPONSE,
 
-    /** They are a response to another request and precede the awaited one. */
+    /** They precede the awaited response, as one to another request or as other bytes. */
     BEFORE_RESPONSE,
 
-    /** They are another copy of a response, within that response's body. */
+    /** They are a head within the body of a response, which is not whole then. */
     WITHIN_RESPONSE
   }
 }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/UnsolicitedBytesTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/UnsolicitedBytesTests.java
@@ -101,7 +101,18 @@
     try (RawServer server = new RawServer(responder)) {
       HttpClient client = clientOf(server);
       assertThat(send(client, "1"), instanceOf(ClientResponse.class));
-      Thread.sleep(RECEIVE_MILLIS);
+      return send(client, "2");
+    }
+  }
+
+  /** Sends the second request when the client has noticed the bytes behind the first response. */
+  private Object endOfSecondAfterUnsolicitedBytes(Responder responder) throws Exception {
+    try (RawServer server = new RawServer(responder)) {
+      HttpClient client = clientOf(server);
+      CompletableFuture<UnsolicitedBytes> unsolicited = new CompletableFuture<>();
+      client.listenForUnsolicitedBytes(unsolicited::complete);
+      assertThat(send(client, "1"), instanceOf(ClientResponse.class));
+      unsolicited.get(WAIT_SECONDS, TimeUnit.SECONDS);
       return send(client, "2");
     }
   }
@@ -127,11 +138,11 @@
       for (int cut = 1; cut <= FIRST.length(); cut++) {
         String piece = FIRST.substring(0, cut);
         Object end =
-            endOfSecond(
+            endOfSecondAfterUnsolicitedBytes(
                 (id, connection) -> {
                   connection.write(id.equals("1") ? FIRST : FAILURE);
                   if (id.equals("1")) {
-                    Thread.sleep(RECEIVE_MILLIS / 3);
+                    Thread.sleep(1);
                     connection.write(piece);
                   }
                 });
@@ -145,7 +156,7 @@
       for (int cut = 1; cut <= FIRST.length(); cut++) {
         String piece = FIRST.substring(0, cut);
         Object end =
-            endOfSecond(
+            endOfSecondAfterUnsolicitedBytes(
                 (id, connection) -> connection.write(id.equals("1") ? FIRST + piece : FAILURE));
         assertThat("after " + cut + " bytes", textOrFailure(end), failureOfTheServer());
       }
@@ -172,10 +183,39 @@
     @ValueSource(strings = {"\r\n", "x", "no answer", "HTTP/1.1 200 OK\r\n\r\n"})
     void areNotTakenForTheStartOfTheNextResponse(String bytes) throws Exception {
       Object end =
-          endOfSecond(
+          endOfSecondAfterUnsolicitedBytes(
               (id, connection) -> connection.write(id.equals("1") ? FIRST + bytes : FAILURE));
       assertThat(textOrFailure(end), failureOfTheServer());
     }
+
+    // guards against reusing a connection whose input the event loop has not read yet
+    @Test
+    void doNotBecomePartOfItsResponseIfTheyAreUnread() throws Exception {
+      CompletableFuture<RawServer.Connection> first = new CompletableFuture<>();
+      Responder responder =
+          (id, connection) -> {
+            connection.write(id.equals("1") ? FIRST : FAILURE);
+            first.complete(connection);
+          };
+      try (RawServer server = new RawServer(responder)) {
+        HttpClient client = clientOf(server);
+        send(client, "1");
+        CompletableFuture<Object> end = new CompletableFuture<>();
+        Runnable sendWhileUnread =
+            () -> {
+              try {
+                first.get().write(FIRST.substring(0, 30));
+                Thread.sleep(RECEIVE_MILLIS);
+                send(client, "2", end::complete);
+              } catch (Exception unexpected) {
+                end.completeExceptionally(unexpected);
+              }
+            };
+        group.next().execute(sendWhileUnread);
+        assertThat(textOrFailure(end.get(WAIT_SECONDS, TimeUnit.SECONDS)), failureOfTheServer());
+        assertThat(server.connections(), is(2));
+      }
+    }
   }
 
   @Nested
@@ -320,7 +360,6 @@
           (id, connection) -> {
             connection.write(copy.substring(0, copy.length() - missing));
             connection.write(copy.substring(0, missing));
-            Thread.sleep(RECEIVE_MILLIS);
             connection.write(copy.substring(missing)).close();
           };
       try (RawServer server = new RawServer(responder)) {
