Acknowledge a leaving only once the store holds it

The same at a node that is connected to no other.

Cause: an exit that two other nodes remember counted as safe. Any number of nodes may be lost at once and none has a disk, so that the store's record, which still says ready, is all that a restarted node finds.

Weighed: to open the gate after a restart only on a new report costs each restart up to 1.5 s of calls, also in calm, and a late report of readiness would still open it; to ask the target's health check first rests the acknowledgement on the target's answer; readiness that expires in the store needs clocks that don't jump.

Change: only the store's acknowledgement counts, of a write of this node or another one. Until then the report is answered with 503 after 0.8 s, and the target repeats it or ends by itself. The gate closes at once as before, so that callers lose nothing. Nodes still remember exits and write them for nodes that are turned away; they no longer confirm that they remember one (ExitRetention is gone). Two further paths acknowledged an exit that was not stored: a late report of the same start, and the next start's report, which completed the wait of the one before.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/LocalTarget.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/LocalTarget.java
@@ -11,7 +11,6 @@
 import org.cuminlatch.core.error.CuminlatchException;
 import org.cuminlatch.core.error.ErrorCode;
 import org.cuminlatch.core.error.Step;
-import org.cuminlatch.core.target.ExitRetention;
 import org.cuminlatch.core.target.ExitToken;
 import org.cuminlatch.core.target.TargetExit;
 import org.cuminlatch.core.target.TargetLifecycle;
@@ -26,13 +25,14 @@
  * Tracks the state of the local target, also across restarts of the node; used on the control loop.
  *
  * <p>Under the node's address the store holds either the last target that was ready, to which a
- * restarted node sends calls at once, or a target that has reported that it leaves. The latter
- * outlasts this process before the report is acknowledged: it is stored, by this node or by another
- * one, or other nodes remember it if the store can be reached by none.
+ * restarted node sends calls at once, or a target that has reported that it leaves. Such a report
+ * is acknowledged once the store holds it, written by this node or by another one, as nothing else
+ * outlasts the loss of all nodes. The gate is closed at once, whether the store can be reached or
+ * not.
  */
 final class LocalTarget implements TargetReportHandler {
 
-  /** Time after which a report no longer waits for the store; it is repeated after a second. */
+  /** Time after which a report no longer waits for the store; its target repeats it. */
   private static final Duration STORE_TIMEOUT = Duration.ofMillis(800);
 
   /** Time after which other nodes are asked to store an exit in place of this node. */
@@ -51,10 +51,8 @@
   private final CompletableFuture<Void> storedRead = new CompletableFuture<>();
   private TargetStatus statusToStore;
 
-  /** Retention of the last exit in this process; completed once the store holds it. */
-  private Optional<ExitRetention> retention = Optional.empty();
-
-  private CompletableFuture<Void> exitStored = CompletableFuture.completedFuture(null);
+  /** Exit of the last start, empty unless the store may still name that start as ready. */
+  private Optional<PendingExit> pendingExit = Optional.empty();
 
   LocalTarget(String key, EventLoop control, KeyedStore store, EventLog log, GateControl gate) {
     this.key = key;
@@ -75,14 +73,19 @@
 
     /**
      * Tells other nodes whether this one can write the exit of its target to the store; if it
-     * can't, they write it and confirm what they know of it.
+     * can't, they write it and confirm that.
      */
     void announceExitWrites(boolean possible);
-
-    /** Returns the number of other nodes that this node is connected to. */
-    int connectedNodes();
   }
 
+  /**
+   * An exit that is being written to the store.
+   *
+   * @param exit the exit
+   * @param stored completed once the store holds it
+   */
+  private record PendingExit(TargetExit exit, CompletableFuture<Void> stored) {}
+
   /** Reads the status stored before this process started; reports wait for it, up to a timeout. */
   void readStored() {
     control.schedule(
@@ -178,16 +181,17 @@
     return switch (change) {
       case READY -> onReady(report);
       case LEAVES -> onLeave();
-      case NONE ->
-          gate.targetReachable().thenComposeAsync(reachable -> whenExitRetained(), control);
-      default -> CompletableFuture.completedFuture(null);
+      case NONE -> gate.targetReachable().thenComposeAsync(reachable -> whenExitStored(), control);
+      case STALE, LEFT_BEFORE -> whenExitStored();
     };
   }
 
   private CompletionStage<Void> onReady(TargetReport report) {
-    // an exit of an earlier start no longer matters: that start gets no request under its name
-    retention.ifPresent(this::onExitStored);
-    retention = Optional.empty();
+    if (pendingExit.isPresent()) {
+      // the record of this start replaces that of the earlier one, whose exit is not acknowledged
+      pendingExit = Optional.empty();
+      gate.announceExitWrites(true);
+    }
     return gate.open(report);
   }
 
@@ -201,7 +205,7 @@
               .with("born", bornMillis)
               .with("change", change.name())
               .write();
-          return change == TargetLifecycle.Change.LEAVES ? onLeave() : whenExitRetained();
+          return change == TargetLifecycle.Change.LEAVES ? onLeave() : whenExitStored();
         },
         control);
   }
@@ -220,20 +224,16 @@
   }
 
   /**
-   * Handles what another node knows of an exit, which may have been acknowledged by an earlier
-   * process of this node.
+   * Handles what another node knows of an exit: that the store holds it, or that a target left which
+   * this node, restarted since, reports as ready.
    *
    * @param token token of the exit
    * @param peer address of the other node
    */
   void onExitConfirmed(long token, String peer) {
-    retention.ifPresent(
-        retained -> {
-          retained.record(token, peer);
-          if (retained.isStored()) {
-            onExitStored(retained);
-          }
-        });
+    pendingExit
+        .filter(pending -> token == ExitToken.stored(pending.exit()))
+        .ifPresent(this::onExitStored);
     Optional<TargetReport> forgotten =
         lifecycle
             .latest()
@@ -254,71 +254,58 @@
 
   /**
    * Closes the gate and stores that the target leaves; completes when the gate is closed and the
-   * exit outlasts this process.
+   * store holds the exit.
    */
   private CompletionStage<Void> onLeave() {
-    TargetExit exit = lifecycle.exit().orElseThrow();
-    ExitRetention retained = new ExitRetention(exit);
-    retention = Optional.of(retained);
-    exitStored = new CompletableFuture<>();
-    store(exitRecord(exit))
-        .thenRunAsync(
-            () -> {
-              retained.recordStored();
-              onExitStored(retained);
-            },
-            control);
+    PendingExit pending =
+        new PendingExit(lifecycle.exit().orElseThrow(), new CompletableFuture<>());
+    pendingExit = Optional.of(pending);
+    store(exitRecord(pending.exit())).thenRunAsync(() -> onExitStored(pending), control);
     control.schedule(
         () -> {
-          if (isCurrent(retained) && !retained.isStored()) {
+          if (isPending(pending)) {
             gate.announceExitWrites(false);
           }
         },
         OWN_WRITE_TIMEOUT.toMillis(),
         TimeUnit.MILLISECONDS);
-    return gate.close().thenComposeAsync(closed -> whenExitRetained(), control);
+    return gate.close().thenComposeAsync(closed -> whenExitStored(), control);
   }
 
-  private boolean isCurrent(ExitRetention retained) {
-    return retention.filter(current -> current == retained).isPresent();
+  private boolean isPending(PendingExit exit) {
+    return pendingExit.filter(pending -> pending == exit).isPresent();
   }
 
-  private void onExitStored(ExitRetention retained) {
-    if (isCurrent(retained) && !exitStored.isDone()) {
+  private void onExitStored(PendingExit exit) {
+    if (isPending(exit)) {
+      pendingExit = Optional.empty();
       gate.announceExitWrites(true);
-      exitStored.complete(null);
+      exit.stored().complete(null);
     }
   }
 
   /**
-   * Completes when the last exit is stored or, after a timeout, if other nodes remember it; fails
-   * if it would be lost with this process. The target repeats a report that is not acknowledged.
+   * Completes when no exit is pending; fails if the store does not hold it after a timeout. The
+   * target repeats a report that is not acknowledged.
    */
-  private CompletionStage<Void> whenExitRetained() {
-    CompletableFuture<Void> retained = exitStored.copy();
-    if (!retained.isDone()) {
-      control.schedule(() -> endWait(retained), STORE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+  private CompletionStage<Void> whenExitStored() {
+    if (pendingExit.isEmpty()) {
+      return CompletableFuture.completedFuture(null);
     }
-    return retained;
+    PendingExit pending = pendingExit.get();
+    CompletableFuture<Void> waiting = pending.stored().copy();
+    control.schedule(
+        () -> endWait(pending.exit(), waiting), STORE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    return waiting;
   }
 
-  private void endWait(CompletableFuture<Void> waiting) {
-    int nodes = gate.connectedNodes();
-    if (waiting.isDone() || retention.isEmpty()) {
-      return;
-    }
-    boolean retained = retention.get().isRetained(nodes);
-    log.event("exit-not-stored")
-        .with("target", retention.get().exit().instance())
-        .with("retained", String.valueOf(retained))
-        .with("nodes", nodes)
-        .write();
-    if (retained) {
-      waiting.complete(null);
-    } else {
-      waiting.completeExceptionally(
-          CuminlatchException.of(
-              ErrorCode.LOG_UNAVAILABLE, Step.LOG_APPEND, key, "exit would be lost at a restart"));
+  private void endWait(TargetExit exit, CompletableFuture<Void> waiting) {
+    boolean ended =
+        waiting.completeExceptionally(
+            CuminlatchException.of(
+                ErrorCode.LOG_UNAVAILABLE, Step.LOG_APPEND, key, "exit is not stored"));
+    if (ended) {
+      log.event("exit-not-stored").with("target", exit.instance()).write();
     }
   }
 
@@ -340,7 +327,7 @@
 
   /** Retries a write until it succeeds or a newer status is to be stored. */
   private void storeUntilWritten(TargetStatus newStatus, CompletableFuture<Void> stored) {
-    boolean storedByOthers = newStatus.getPhase() == TargetPhase.LEAVING && exitStored.isDone();
+    boolean storedByOthers = newStatus.getPhase() == TargetPhase.LEAVING && pendingExit.isEmpty();
     if (statusToStore != newStatus || storedByOthers) {
       return;
     }
@@ -357,7 +344,7 @@
                   .with("phase", newStatus.getPhase().name())
                   .with("reason", String.valueOf(error))
                   .write();
-              if (newStatus.getPhase() == TargetPhase.LEAVING && !exitStored.isDone()) {
+              if (newStatus.getPhase() == TargetPhase.LEAVING && pendingExit.isPresent()) {
                 gate.announceExitWrites(false);
               }
               control.schedule(
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -193,11 +193,6 @@
       public void announceExitWrites(boolean possible) {
         updateLostStreams(Stream.OWN_TARGETS, !possible);
       }
-
-      @Override
-      public int connectedNodes() {
-        return peerStatuses.size();
-      }
     };
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -134,21 +134,17 @@
   }
 
   /**
-   * Remembers the exit of a node's target and confirms it to a node that can't store it, or that
-   * has forgotten it in a restart. A ping carries the confirmation, as nodes that don't know
-   * confirmations answer it like any other.
+   * Remembers the exit of a node's target and tells it to a node that has forgotten it in a
+   * restart. A ping carries that, as nodes that don't know such pings answer them like any other.
    */
   private void rememberExit(PeerLink link, TargetStatus status) {
     if (status.getInstance().isEmpty()) {
       return;
     }
     TargetExit start = new TargetExit(status.getInstance(), status.getBornMillis());
-    boolean leaves = status.getPhase() == TargetPhase.LEAVING;
-    if (leaves) {
+    if (status.getPhase() == TargetPhase.LEAVING) {
       remember(start);
-    }
-    boolean forgotten = status.getPhase() == TargetPhase.READY && excluded.contains(start);
-    if (forgotten || leaves && status.getStoreLost()) {
+    } else if (status.getPhase() == TargetPhase.READY && excluded.contains(start)) {
       link.send(pingWith(ExitToken.known(start)));
     }
   }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
@@ -28,6 +28,7 @@
   private static final String KEY = "127.0.0.1:7000";
   private static final String INSTANCE = "i-1";
   private static final long BORN = 1000;
+  private static final long LATER_BORN = 2000;
   private static final TargetExit EXIT = new TargetExit(INSTANCE, BORN);
   private static final int WAIT_SECONDS = 20;
 
@@ -49,17 +50,21 @@
   }
 
   private void reportReady() throws Exception {
-    TargetReport ready =
-        new TargetReport(INSTANCE, BORN, 1, "bookings", "v1", 2, true, Duration.ZERO);
-    target.onReport(ready).toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
+    assertThat(isAcknowledged(report(BORN, 1, true)), is(true));
+  }
+
+  private CompletionStage<Void> report(long born, long sequence, boolean ready) {
+    return target.onReport(
+        new TargetReport(INSTANCE, born, sequence, "bookings", "v1", 2, ready, Duration.ZERO));
   }
 
   private boolean isDeregistrationAcknowledged() throws Exception {
+    return isAcknowledged(target.onDeregistration(INSTANCE, BORN));
+  }
+
+  private static boolean isAcknowledged(CompletionStage<Void> report) throws Exception {
     try {
-      target
-          .onDeregistration(INSTANCE, BORN)
-          .toCompletableFuture()
-          .get(WAIT_SECONDS, TimeUnit.SECONDS);
+      report.toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
       return true;
     } catch (ExecutionException notAcknowledged) {
       return false;
@@ -81,15 +86,50 @@
   }
 
   @Test
-  void mayLeaveOnceOtherNodesRememberIt() throws Exception {
+  void isNotToldThatItMayLeaveHoweverManyNodesRememberIt() throws Exception {
     start();
     reportReady();
     assertThat(isDeregistrationAcknowledged(), is(false));
 
     confirm(ExitToken.known(EXIT), "a");
     confirm(ExitToken.known(EXIT), "b");
+    confirm(ExitToken.known(EXIT), "c");
 
-    assertThat(isDeregistrationAcknowledged(), is(true));
+    assertThat(isDeregistrationAcknowledged(), is(false));
+  }
+
+  @Test
+  void isNotToldThatItMayLeaveOnceTheExitOfAnotherStartIsStored() throws Exception {
+    start();
+    reportReady();
+    assertThat(isDeregistrationAcknowledged(), is(false));
+
+    confirm(ExitToken.stored(new TargetExit(INSTANCE, LATER_BORN)), "a");
+
+    assertThat(isDeregistrationAcknowledged(), is(false));
+  }
+
+  @Test
+  void isNotToldThatItMayLeaveByTheAnswerToLateReport() throws Exception {
+    start();
+    reportReady();
+    assertThat(isAcknowledged(report(BORN, 3, false)), is(false));
+
+    assertThat(isAcknowledged(report(BORN, 2, false)), is(false));
+  }
+
+  @Test
+  void isNotToldThatItMayLeaveByTheNextStart() throws Exception {
+    start();
+    reportReady();
+    CompletionStage<Void> deregistration = target.onDeregistration(INSTANCE, BORN);
+    GateFixture.await(() -> gate.asksOthers);
+
+    assertThat(isAcknowledged(report(LATER_BORN, 1, true)), is(true));
+
+    assertThat(isAcknowledged(deregistration), is(false));
+    assertThat(gate.open, is(true));
+    assertThat(gate.asksOthers, is(false));
   }
 
   @Test
@@ -156,7 +196,7 @@
     }
   }
 
-  /** Records the state of the gate; two other nodes are connected. */
+  /** Records the state of the gate. */
   private static final class RecordingGate implements LocalTarget.GateControl {
 
     private volatile boolean open;
@@ -183,10 +223,5 @@
     public void announceExitWrites(boolean possible) {
       asksOthers = !possible;
     }
-
-    @Override
-    public int connectedNodes() {
-      return 2;
-    }
   }
 }
