Write readiness only once the stored exit has been read

A late report of readiness then opened the gate and was written at once, so that it replaced the exit before the node had read it. The next read found the target ready, and nothing closed the gate again.

Change: the record of readiness is written once the store has been read, and only if the gate is still open to that start. In calm that is at once, as reports wait for the read anyway.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/LocalTarget.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/LocalTarget.java
@@ -49,6 +49,7 @@
   private final GateControl gate;
   private final TargetLifecycle lifecycle = new TargetLifecycle();
   private final CompletableFuture<Void> storedRead = new CompletableFuture<>();
+  private final CompletableFuture<Void> storedReadAwaited = new CompletableFuture<>();
   private TargetStatus statusToStore;
 
   /** Exit of the last start, empty unless the store may still name that start as ready. */
@@ -88,8 +89,9 @@
 
   /** Reads the status stored before this process started; reports wait for it, up to a timeout. */
   void readStored() {
+    storedRead.thenRun(() -> storedReadAwaited.complete(null));
     control.schedule(
-        () -> storedRead.complete(null), STORE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        () -> storedReadAwaited.complete(null), STORE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     readStoredUntilRead();
   }
 
@@ -153,18 +155,25 @@
 
   @Override
   public CompletionStage<Void> onReport(TargetReport report) {
-    return storedRead.thenComposeAsync(
+    return storedReadAwaited.thenComposeAsync(
         unused -> {
           Optional<TargetReport> previous = lifecycle.latest();
           CompletionStage<Void> applied = apply(report);
-          if (lifecycle.takesRequests() && !previous.filter(report::isOfSameStart).isPresent()) {
-            store(describe(TargetStatus.newBuilder(), true).build());
+          if (!previous.filter(report::isOfSameStart).isPresent()) {
+            // a late report must not replace an exit that has not been read yet
+            storedRead.thenRun(() -> storeReady(report));
           }
           return applied;
         },
         control);
   }
 
+  private void storeReady(TargetReport report) {
+    if (lifecycle.takesRequests() && lifecycle.latest().filter(report::isOfSameStart).isPresent()) {
+      store(describe(TargetStatus.newBuilder(), true).build());
+    }
+  }
+
   private CompletionStage<Void> apply(TargetReport report) {
     TargetLifecycle.Change change = lifecycle.report(report);
     if (change != TargetLifecycle.Change.NONE) {
@@ -197,7 +206,7 @@
 
   @Override
   public CompletionStage<Void> onDeregistration(String instance, long bornMillis) {
-    return storedRead.thenComposeAsync(
+    return storedReadAwaited.thenComposeAsync(
         unused -> {
           TargetLifecycle.Change change = lifecycle.deregister(instance, bornMillis);
           log.event("target-deregistered")
@@ -224,8 +233,8 @@
   }
 
   /**
-   * Handles what another node knows of an exit: that the store holds it, or that a target left which
-   * this node, restarted since, reports as ready.
+   * Handles what another node knows of an exit: that the store holds it, or that a target left
+   * which this node, restarted since, reports as ready.
    *
    * @param token token of the exit
    * @param peer address of the other node
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
@@ -1,23 +1,30 @@
 package org.cuminlatch.node.mesh;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.cuminlatch.core.target.ExitToken;
 import org.cuminlatch.core.target.TargetExit;
 import org.cuminlatch.core.target.TargetReport;
 import org.cuminlatch.node.event.EventLog;
+import org.cuminlatch.wire.proto.call.TargetPhase;
+import org.cuminlatch.wire.proto.call.TargetStatus;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
@@ -30,6 +37,8 @@
   private static final long BORN = 1000;
   private static final long LATER_BORN = 2000;
   private static final TargetExit EXIT = new TargetExit(INSTANCE, BORN);
+  private static final KeyedStore.Item STORED_EXIT =
+      new KeyedStore.Item(KEY, LocalTarget.exitRecord(EXIT).toByteArray(), 0);
   private static final int WAIT_SECONDS = 20;
 
   private final MultiThreadIoEventLoopGroup group =
@@ -161,23 +170,46 @@
     reportReady();
     assertThat(gate.open, is(true));
 
-    store.stored = true;
+    store.items = Optional.of(List.of(STORED_EXIT));
 
     GateFixture.await(() -> !gate.open);
   }
 
-  /** Fails all calls, except reads of the exit once it is stored. */
+  @Test
+  void doesNotReplaceAnExitThatItsNodeHasNotReadYet() throws Exception {
+    start();
+    reportReady();
+    assertThat(gate.open, is(true));
+
+    store.items = Optional.of(List.of(STORED_EXIT));
+    GateFixture.await(() -> !gate.open);
+
+    assertThat(store.written, not(hasItem(TargetPhase.READY)));
+  }
+
+  @Test
+  void isStoredOnceTheStoreIsReadIfItHoldsNoExit() throws Exception {
+    start();
+    reportReady();
+
+    store.items = Optional.of(List.of());
+
+    GateFixture.await(() -> store.written.contains(TargetPhase.READY));
+    assertThat(gate.open, is(true));
+  }
+
+  /** Fails all calls, except reads once it has items, and records the phases in its writes. */
   private static final class FailingStore implements KeyedStore {
 
-    private volatile boolean stored;
+    private final List<TargetPhase> written = new CopyOnWriteArrayList<>();
+    private volatile Optional<List<Item>> items = Optional.empty();
 
     @Override
     public CompletionStage<Page> newest(Stream stream) {
-      if (!stored) {
-        return failed();
-      }
-      Item item = new Item(KEY, LocalTarget.exitRecord(EXIT).toByteArray(), 0);
-      return CompletableFuture.completedFuture(new Page(List.of(item), 1));
+      return items
+          .<CompletionStage<Page>>map(
+              read -> CompletableFuture.completedFuture(new Page(read, read.size())))
+          .orElseGet(FailingStore::failed);
     }
 
     @Override
@@ -188,6 +220,11 @@
     @Override
     public CompletionStage<Long> append(
         Stream stream, String key, byte[] value, OptionalLong expectedEnd) {
+      try {
+        written.add(TargetStatus.parseFrom(value).getPhase());
+      } catch (InvalidProtocolBufferException unreadable) {
+        throw new AssertionError(unreadable);
+      }
       return failed();
     }
 
