Write waiting exits also once a node regains the store

If no node reached the store at that moment, none wrote the exit after an outage for the node that is still turned away; if the selected nodes lost the store, no other one wrote it for them. Since only the store's record counts, such a leaving stays without acknowledgement until its own node reaches the store.

Change: exits that wait are kept, and the selection is made again when a node loses or regains the store, or its connection is lost. Exits of nodes whose connection is lost are dropped unless a write has begun, as their statuses come again with the next connection.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ExitRelay.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ExitRelay.java
@@ -43,8 +43,8 @@
   private final EventLog log;
   private final StoredListener listener;
 
-  /** Status of each node, by the node's name, that waits for its target's exit to be stored. */
-  private final Map<String, TargetStatus> waiting = new HashMap<>();
+  /** Exits that wait to be stored, by the name of the target's node. */
+  private final Map<String, WaitingExit> waiting = new HashMap<>();
 
   private final Map<TargetExit, Boolean> writtenExits =
       new LinkedHashMap<>() {
@@ -77,16 +77,28 @@
     void onStored(Address node, TargetExit exit);
   }
 
+  /** An exit that its node can't store. */
+  private static final class WaitingExit {
+
+    private final TargetExit exit;
+    private final Address address;
+
+    /** Whether this node writes it or has given up. */
+    private boolean taken;
+
+    WaitingExit(TargetExit exit, Address address) {
+      this.exit = exit;
+      this.address = address;
+    }
+  }
+
   /**
    * Handles the status of another node.
    *
    * @param status the status
    * @param address address of the node, under which its target is stored
-   * @param canWrite whether this node can write; if the store is down for all, none should try
-   * @param otherWriters names of the other nodes that can write
    */
-  void onStatus(
-      TargetStatus status, Address address, boolean canWrite, Collection<String> otherWriters) {
+  void onStatus(TargetStatus status, Address address) {
     if (!needsWriter(status)) {
       waiting.remove(status.getNode());
       return;
@@ -96,12 +108,35 @@
       listener.onStored(address, exit);
       return;
     }
-    TargetStatus known = waiting.get(status.getNode());
-    boolean isNew = known == null || !exitOf(known).equals(exit);
-    if (isNew && canWrite && ExitWriterSelection.isWriter(exit, node, otherWriters)) {
-      waiting.put(status.getNode(), status);
-      write(status, address, 0, System.nanoTime());
+    WaitingExit known = waiting.get(status.getNode());
+    if (known == null || !known.exit.equals(exit)) {
+      waiting.put(status.getNode(), new WaitingExit(exit, address));
+    }
+  }
+
+  /** Handles the loss of the connection to a node; writes that have begun go on. */
+  void onStatusLost(String otherNode) {
+    waiting.computeIfPresent(otherNode, (name, exit) -> exit.taken ? exit : null);
+  }
+
+  /**
+   * Begins to write the waiting exits that this node is selected for; called when the nodes that
+   * can write have changed.
+   *
+   * @param canWrite whether this node can write; if the store is down for all, none should try
+   * @param otherWriters names of the other nodes that can write
+   */
+  void writeWaiting(boolean canWrite, Collection<String> otherWriters) {
+    if (!canWrite) {
+      return;
     }
+    waiting.forEach(
+        (leaver, exit) -> {
+          if (!exit.taken && ExitWriterSelection.isWriter(exit.exit, node, otherWriters)) {
+            exit.taken = true;
+            write(leaver, exit, 0, System.nanoTime());
+          }
+        });
   }
 
   private static boolean needsWriter(TargetStatus status) {
@@ -114,41 +149,39 @@
     return new TargetExit(status.getInstance(), status.getBornMillis());
   }
 
-  private void write(TargetStatus status, Address address, int failures, long firstNanos) {
-    boolean superseded = waiting.get(status.getNode()) != status;
+  private void write(String leaver, WaitingExit waitingExit, int failures, long firstNanos) {
+    boolean superseded = waiting.get(leaver) != waitingExit;
     if (superseded || System.nanoTime() - firstNanos > RETRY_PERIOD.toNanos()) {
       return;
     }
-    TargetExit exit = exitOf(status);
+    TargetExit exit = waitingExit.exit;
     store
         .append(
             Stream.OWN_TARGETS,
-            address.toString(),
+            waitingExit.address.toString(),
             LocalTarget.exitRecord(exit).toByteArray(),
             OptionalLong.empty())
         .whenCompleteAsync(
             (end, error) -> {
               log.event("exit-relayed")
-                  .with("peer", status.getNode())
+                  .with("peer", leaver)
                   .with("target", exit.instance())
                   .with("outcome", error == null ? "stored" : String.valueOf(error))
                   .write();
               if (error == null) {
-                waiting.remove(status.getNode(), status);
+                waiting.remove(leaver, waitingExit);
                 writtenExits.put(exit, true);
-                listener.onStored(address, exit);
+                listener.onStored(waitingExit.address, exit);
               } else {
-                retry(status, address, failures + 1, firstNanos);
+                retry(leaver, waitingExit, failures + 1, firstNanos);
               }
             },
             control);
   }
 
-  private void retry(TargetStatus status, Address address, int failures, long firstNanos) {
+  private void retry(String leaver, WaitingExit exit, int failures, long firstNanos) {
     Duration delay = RetryDelay.after(failures, MIN_RETRY_DELAY, MAX_RETRY_DELAY, random);
     control.schedule(
-        () -> write(status, address, failures, firstNanos),
-        delay.toMillis(),
-        TimeUnit.MILLISECONDS);
+        () -> write(leaver, exit, failures, firstNanos), delay.toMillis(), TimeUnit.MILLISECONDS);
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -288,6 +288,7 @@
       lostStreams.remove(stream);
     }
     publishStatus();
+    writeExitsOfOthers();
   }
 
   /** Returns whether this node reads the operators' records for its zone. */
@@ -315,18 +316,25 @@
   private void onPeerStatus(TargetStatus peer, Address node) {
     peerStatuses.put(peer.getNode(), peer);
     updateObservedNodes();
+    exitRelay.onStatus(peer, node);
+    writeExitsOfOthers();
+  }
+
+  private void writeExitsOfOthers() {
     List<String> otherWriters =
         peerStatuses.values().stream()
             .filter(other -> !other.getStoreLost() && !other.getNodeStops())
             .map(TargetStatus::getNode)
             .toList();
-    exitRelay.onStatus(peer, node, lostStreams.isEmpty(), otherWriters);
+    exitRelay.writeWaiting(lostStreams.isEmpty(), otherWriters);
   }
 
   private void onPeerStatusLost(TargetStatus peer) {
     peerStatuses.remove(peer.getNode(), peer);
     suspectNodes.remove(peer.getNode());
     updateObservedNodes();
+    exitRelay.onStatusLost(peer.getNode());
+    writeExitsOfOthers();
   }
 
   private void tickMoves() {
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/ExitRelayTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/ExitRelayTests.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.core.target.TargetExit;
 import org.cuminlatch.node.event.EventLog;
@@ -63,7 +64,13 @@
   }
 
   private void receive(TargetStatus status, boolean canWrite) throws InterruptedException {
-    loop.submit(() -> relay.onStatus(status, LEAVER, canWrite, List.of())).sync();
+    loop.submit(() -> relay.onStatus(status, LEAVER)).sync();
+    writeWaiting(canWrite, List.of());
+  }
+
+  private void writeWaiting(boolean canWrite, List<String> otherWriters)
+      throws InterruptedException {
+    loop.submit(() -> relay.writeWaiting(canWrite, otherWriters)).sync();
   }
 
   @Test
@@ -102,6 +109,40 @@
     assertThat(store.keys, empty());
   }
 
+  @Test
+  void isWrittenByNodeThatRegainsTheStore() throws InterruptedException {
+    receive(status(TargetPhase.LEAVING, true), false);
+
+    writeWaiting(true, List.of());
+
+    GateFixture.await(() -> confirmed.equals(List.of(EXIT)));
+    assertThat(store.keys, contains(LEAVER.toString()));
+  }
+
+  @Test
+  void isWrittenOnceTheSelectedWritersHaveLostTheStore() throws InterruptedException {
+    List<String> others = IntStream.range(0, 20).mapToObj(number -> "b" + number).toList();
+    loop.submit(() -> relay.onStatus(status(TargetPhase.LEAVING, true), LEAVER)).sync();
+    writeWaiting(true, others);
+    assertThat(store.keys, empty());
+
+    writeWaiting(true, List.of());
+    writeWaiting(true, List.of());
+
+    GateFixture.await(() -> confirmed.equals(List.of(EXIT)));
+    assertThat(store.keys.size(), is(1));
+  }
+
+  @Test
+  void isNotWrittenOnceItsNodeIsLost() throws InterruptedException {
+    receive(status(TargetPhase.LEAVING, true), false);
+    loop.submit(() -> relay.onStatusLost("leaver")).sync();
+
+    writeWaiting(true, List.of());
+
+    assertThat(store.keys, empty());
+  }
+
   @Test
   void isNotWrittenIfItsNodeCanWrite() throws InterruptedException {
     receive(status(TargetPhase.LEAVING, false), true);
