Record the leaving of a start that has not reported yet

- A start that has not reported yet deregisters: taken for an old one if the node knows an earlier start of another instance.
A late report of readiness then opened the gate.
Of the same instance, the exit was stored, but the node went on to report the earlier start as ready.
- A late deregistration of an earlier start, after a restart of the node, replaced the exit that the node had restored.
- A deregistration that is repeated without a start time after a restart replaced the exit by one that matches no report.

Change: starts are compared as for reports. The exit of a later start ends the earlier ones, also if it is read from the store after a late report.

Result: five new cases of TargetLifecycleTests failed before and pass, with all others of the class.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/target/TargetLifecycle.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/target/TargetLifecycle.java
@@ -24,7 +24,7 @@
   public void restore(TargetExit stored) {
     notNull(stored, "stored");
     if (exit.isEmpty() || stored.bornMillis() > exit.get().bornMillis()) {
-      exit = Optional.of(stored);
+      setExit(stored);
     }
   }
 
@@ -58,12 +58,15 @@
    * @return the change that it causes
    */
   public Change deregister(String instance, long bornMillis) {
-    boolean isLatest = latest.map(report -> report.instance().equals(instance)).orElse(false);
-    if (isLatest && bornMillis != 0 && bornMillis < latest.get().bornMillis()) {
-      return Change.STALE;
-    }
-    long born = bornMillis == 0 && isLatest ? latest.get().bornMillis() : bornMillis;
-    if (!isLatest && latest.isPresent()) {
+    long born = bornMillis == 0 ? lastBornMillis(instance) : bornMillis;
+    boolean isLatest =
+        latest
+            .filter(report -> report.instance().equals(instance) && report.bornMillis() == born)
+            .isPresent();
+    boolean beforeLatest =
+        !isLatest && latest.filter(report -> born <= report.bornMillis()).isPresent();
+    boolean beforeExit = born != 0 && exit.filter(last -> born < last.bornMillis()).isPresent();
+    if (beforeLatest || beforeExit) {
       return Change.STALE;
     }
     return leave(new TargetExit(instance, born));
@@ -99,14 +102,29 @@
         .isPresent();
   }
 
+  /** Returns the last known start of an instance, 0 if there is none. */
+  private long lastBornMillis(String instance) {
+    return latest
+        .filter(report -> report.instance().equals(instance))
+        .map(TargetReport::bornMillis)
+        .or(() -> exit.filter(last -> last.instance().equals(instance)).map(TargetExit::bornMillis))
+        .orElse(0L);
+  }
+
   private Change leave(TargetExit newExit) {
     if (exit.isPresent() && exit.get().equals(newExit)) {
       return Change.NONE;
     }
-    exit = Optional.of(newExit);
+    setExit(newExit);
     return Change.LEAVES;
   }
 
+  /** Sets the last exit; an earlier start has ended if a later one has left. */
+  private void setExit(TargetExit newExit) {
+    exit = Optional.of(newExit);
+    latest = latest.filter(report -> report.bornMillis() >= newExit.bornMillis());
+  }
+
   private boolean isStale(TargetReport report) {
     if (latest.isEmpty()) {
       return exit.isPresent() && report.bornMillis() < exit.get().bornMillis();
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/target/TargetLifecycleTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/target/TargetLifecycleTests.java
@@ -83,11 +83,55 @@
       assertThat(lifecycle.deregister("i-1", 100), is(Change.STALE));
       assertThat(lifecycle.takesRequests(), is(true));
     }
+
+    @Test
+    void stopsAcceptingRequestsAfterDeregistrationOfLaterStartThatHasNotReported() {
+      lifecycle.report(report("i-1", 100, 1, true));
+
+      assertThat(lifecycle.deregister("i-2", 200), is(Change.LEAVES));
+      assertThat(lifecycle.takesRequests(), is(false));
+      assertThat(lifecycle.report(report("i-2", 200, 1, true)), is(Change.LEFT_BEFORE));
+      assertThat(lifecycle.report(report("i-1", 100, 2, true)), is(Change.STALE));
+    }
+
+    @Test
+    void stopsAcceptingRequestsAfterDeregistrationOfLaterStartOfSameInstance() {
+      lifecycle.report(report("i-1", 100, 1, true));
+
+      assertThat(lifecycle.deregister("i-1", 200), is(Change.LEAVES));
+      assertThat(lifecycle.takesRequests(), is(false));
+      assertThat(lifecycle.report(report("i-1", 200, 1, true)), is(Change.LEFT_BEFORE));
+    }
   }
 
   @Nested
   class AfterNodeRestart {
 
+    @Test
+    void ignoresLateDeregistrationOfStartBeforeTheOneThatHasLeft() {
+      lifecycle.restore(new TargetExit("i-2", 200));
+
+      assertThat(lifecycle.deregister("i-1", 100), is(Change.STALE));
+      assertThat(lifecycle.report(report("i-2", 200, 1, true)), is(Change.LEFT_BEFORE));
+    }
+
+    @Test
+    void keepsStartThatHasLeftIfItsDeregistrationIsRepeatedWithoutStart() {
+      lifecycle.restore(new TargetExit("i-1", 100));
+
+      assertThat(lifecycle.deregister("i-1", 0), is(Change.NONE));
+      assertThat(lifecycle.report(report("i-1", 100, 5, true)), is(Change.LEFT_BEFORE));
+    }
+
+    @Test
+    void stopsAcceptingRequestsOfStartBeforeTheOneThatIsRestored() {
+      lifecycle.report(report("i-1", 100, 1, true));
+
+      lifecycle.restore(new TargetExit("i-2", 200));
+
+      assertThat(lifecycle.takesRequests(), is(false));
+    }
+
     @Test
     void rejectsReadyReportOfStartThatHasLeft() {
       lifecycle.restore(new TargetExit("i-1", 100));
