Send 100 Continue only once all earlier requests are answered

What callers would see: a caller that sends GET /1 and POST /2 with Expect: 100-continue ahead gets "100 Continue" in front of the answer to /1, as a part of it; if /1 is handled already, it gets none at all and sends the body of /2 only after its own timeout.

Cause: the interim response was tied to the requests that are handled. One that has been read and is started in a later task of the event loop did not count, and nothing sent the interim response later.

Evidence: PipelinedRequestTests.areAnsweredBeforeTheInterimResponse failed before ("byte 72", the H of the status line, where nothing may be sent) and passes now. areAnsweredWithoutBodyOnlyToHead passed before and after.

Why it works: the interim response is sent when the head is read or when an earlier answer ends, whichever comes last, and only if no earlier request is read or handled.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -146,7 +146,19 @@
       reject(HttpResponseStatus.BAD_REQUEST);
     } else if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-    } else if (HttpUtil.is100ContinueExpected(request) && running.isEmpty()) {
+    } else {
+      continueIfExpected();
+    }
+  }
+
+  /**
+   * Sends the interim response that the caller awaits before it sends the body, once all earlier
+   * requests have been answered: before that, it would belong to one of them.
+   */
+  private void continueIfExpected() {
+    boolean expected = head != null && body == null && HttpUtil.is100ContinueExpected(head);
+    if (expected && !rejecting && running.isEmpty() && pipelined.isEmpty()) {
+      startReadTimeout(server.limits().idleTimeout());
       channel.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
@@ -271,6 +283,7 @@
       close(true);
     } else {
       scheduleNext();
+      continueIfExpected();
     }
   }
 
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/PipelinedRequestTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/PipelinedRequestTests.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoopGroup;
@@ -117,6 +118,20 @@
 
   /** Reads one response and returns its head and body. */
   private String readResponse() throws IOException {
+    String head = readHead();
+    String text = head.toLowerCase(java.util.Locale.ROOT);
+    int at = text.indexOf("content-length: ");
+    if (at < 0) {
+      return head;
+    }
+    int from = at + "content-length: ".length();
+    int length = Integer.parseInt(text.substring(from, text.indexOf("\r\n", from)));
+    return head
+        + new String(caller.getInputStream().readNBytes(length), StandardCharsets.ISO_8859_1);
+  }
+
+  /** Reads the head of a response; it is empty at the end of the connection. */
+  private String readHead() throws IOException {
     InputStream in = caller.getInputStream();
     StringBuilder head = new StringBuilder();
     while (!head.toString().endsWith("\r\n\r\n")) {
@@ -126,10 +141,7 @@
       }
       head.append((char) next);
     }
-    String text = head.toString().toLowerCase(java.util.Locale.ROOT);
-    int at = text.indexOf("content-length: ") + "content-length: ".length();
-    int length = Integer.parseInt(text.substring(at, text.indexOf("\r\n", at)));
-    return head + new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+    return head.toString();
   }
 
   private void assertResponses(String... paths) throws IOException {
@@ -209,6 +221,19 @@
       assertResponses("/1", "abcd");
     }
 
+    @Test
+    void areAnsweredWithoutBodyOnlyToHead() throws IOException {
+      write("HEAD /1 HTTP/1.1\r\nHost: shop.example\r\n\r\n");
+      send("/2");
+      awaitHandled("/1", "/2");
+
+      respond("/2");
+      respond("/1");
+
+      assertThat(readHead(), endsWith("content-length: 2\r\n\r\n"));
+      assertResponses("/2");
+    }
+
     @Test
     void areStartedUpToBound() throws IOException {
       String[] paths = new String[ServerConnection.MAX_OVERLAPPING_REQUESTS + 2];
@@ -360,6 +385,26 @@
     }
   }
 
+  @Nested
+  class BeforeOneThatWaitsForInterimResponse {
+
+    @Test
+    void areAnsweredBeforeTheInterimResponse() throws IOException {
+      write(
+          "GET /1 HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+              + "POST /2 HTTP/1.1\r\nHost: shop.example\r\n"
+              + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+      awaitHandled("/1");
+      assertNothingIsSent();
+
+      respond("/1");
+      assertResponses("/1");
+      assertThat(readHead(), startsWith("HTTP/1.1 100 "));
+      write("ab");
+      awaitHandled("/1", "/2");
+    }
+  }
+
   @Nested
   class BeforeMalformedOne {
 
