Deliver no frame behind an unreadable one

What callers would see: a node closes a connection on which a frame can't be read, but still handles the frames that came in the same read behind it: an attempt is begun, or gets the rest of an answer, on a connection that is given up for broken.

Cause: closing a channel does not stop the decoder from passing on what it holds. Frames behind a length out of bounds were not delivered before either.

Evidence: CallTransportTests.deliversNoFrameBehindUnreadableOne failed before (frame 2 was delivered) and passes now; five tests on lengths out of bounds and on a frame that is cut off passed before and after. No case with real nodes is known.

Why it works: frames are passed on only while the connection is open, and closing it takes effect at once on its event loop.

--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallChannelHandler.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/call/CallChannelHandler.java
@@ -4,7 +4,12 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import org.cuminlatch.wire.proto.call.CallFrame;
 
-/** Passes the frames and the state of a TCP connection to a {@link CallFrameHandler}. */
+/**
+ * Passes the frames and the state of a TCP connection to a {@link CallFrameHandler}.
+ *
+ * <p>Frames that have been received behind an unreadable one, or that arrive after this side has
+ * closed the connection, are dropped.
+ */
 final class CallChannelHandler extends SimpleChannelInboundHandler<CallFrame> {
 
   private final NettyCallChannel channel;
@@ -21,7 +26,9 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, CallFrame frame) {
-    handler.onFrame(channel, frame);
+    if (channel.isOpen()) {
+      handler.onFrame(channel, frame);
+    }
   }
 
   @Override
