Read on for a while after a request is rejected

What callers saw: one that is still sending its body when the request is rejected (413 here) gets a broken connection instead of the answer.

Cause: the connection was closed as soon as the rejection was written; closing it with unread bytes resets it. Nothing of these bytes was read as a request.

Why it works: the rejection ends like any other last response, with up to 500 ms in which what the caller sends is read and dropped. A body that takes longer is still reset.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
@@ -267,7 +266,7 @@
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    channel.writeAndFlush(response).addListener(written -> close(true));
   }
 
   /** Ends an exchange whose response was sent; the next one may send its response then. */
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/RequestFramingTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/RequestFramingTests.java
@@ -21,6 +21,7 @@
 import org.cuminlatch.node.event.EventLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -32,6 +33,10 @@
 class RequestFramingTests {
 
   private static final int WAIT_MILLIS = 20_000;
+
+  /** More than the buffers of a connection hold, so that the body is still being written. */
+  private static final int SENT_BYTES = 8 << 20;
+
   private static final String START = "POST /1 HTTP/1.1\r\nHost: shop.example\r\n";
   private static final String CHUNKED = START + "Transfer-Encoding: chunked\r\n\r\n";
   private static final String NEXT =
@@ -100,6 +105,14 @@
     assertThat(handled, empty());
   }
 
+  @RepeatedTest(5)
+  void isAnsweredIfItIsRejectedWhileItsBodyIsSent() throws Exception {
+    long length = CallerLimits.DEFAULT.maxBodyBytes() + 1;
+    String head = START + "Content-Length: " + length + "\r\n\r\n";
+
+    assertThat(exchange(head, "x".repeat(SENT_BYTES)), startsWith("HTTP/1.1 413 "));
+  }
+
   @Test
   void keepsItsTrailersToItself() throws Exception {
     exchange(CHUNKED + "2\r\nab\r\n0\r\nContent-Length: 9\r\nHost: other\r\n\r\n" + NEXT);
