Reject a body with another transfer coding than chunked

What callers would see: a request with "Transfer-Encoding: gzip, chunked" is accepted, and the target gets the compressed body without the header that says so, as if it were the content.

Cause: the framing needs only the last coding, and the header concerns one connection, so it is not forwarded.

Evidence: two cases of RequestFramingTests. isRejectedIfItsBodyHasAnotherTransferCoding failed before (the request and the one behind it were handled) and pass now.

Why it works: 501 is the answer to a coding that a server does not know (RFC 9112, section 6.1).

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -145,11 +145,21 @@
       reject(HttpResponseStatus.BAD_REQUEST);
     } else if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+    } else if (hasOtherTransferCoding(request)) {
+      reject(HttpResponseStatus.NOT_IMPLEMENTED);
     } else {
       continueIfExpected();
     }
   }
 
+  /** Returns whether the body has a transfer coding besides chunked, which is the last one. */
+  private static boolean hasOtherTransferCoding(HttpRequest request) {
+    List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    return codings.size() > 1
+        || codings.stream()
+            .anyMatch(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding));
+  }
+
   /**
    * Sends the interim response that the caller awaits before it sends the body, once all earlier
    * requests have been answered: before that, it would belong to one of them.
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/RequestFramingTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/RequestFramingTests.java
@@ -105,6 +105,15 @@
     assertThat(handled, empty());
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"gzip, chunked", "gzip\r\nTransfer-Encoding: chunked"})
+  void isRejectedIfItsBodyHasAnotherTransferCoding(String codings) throws Exception {
+    String request = START + "Transfer-Encoding: " + codings + "\r\n\r\n0\r\n\r\n";
+
+    assertThat(exchange(request + NEXT), startsWith("HTTP/1.1 501 "));
+    assertThat(handled, empty());
+  }
+
   @RepeatedTest(5)
   void isAnsweredIfItIsRejectedWhileItsBodyIsSent() throws Exception {
     long length = CallerLimits.DEFAULT.maxBodyBytes() + 1;
