--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/PipelinedRequestTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/PipelinedRequestTests.java
@@ -388,21 +388,36 @@
   @Nested
   class BeforeOneThatWaitsForInterimResponse {
 
-    @Test
-    void areAnsweredBeforeTheInterimResponse() throws IOException {
-      write(
-          "GET /1 HTTP/1.1\r\nHost: shop.example\r\n\r\n"
-              + "POST /2 HTTP/1.1\r\nHost: shop.example\r\n"
-              + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
-      awaitHandled("/1");
-      assertNothingIsSent();
+    private static final String FIRST = "GET /1 HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+    private static final String WAITING =
+        "POST /2 HTTP/1.1\r\nHost: shop.example\r\n"
+            + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n";
 
+    private void assertIsContinuedAfterFirst() throws IOException {
+      assertNothingIsSent();
       respond("/1");
       assertResponses("/1");
       assertThat(readHead(), startsWith("HTTP/1.1 100 "));
       write("ab");
       awaitHandled("/1", "/2");
     }
+
+    @Test
+    void areAnsweredBeforeTheInterimResponse() throws IOException {
+      write(FIRST + WAITING);
+      awaitHandled("/1");
+
+      assertIsContinuedAfterFirst();
+    }
+
+    @Test
+    void doNotPreventTheInterimResponse() throws IOException {
+      write(FIRST);
+      awaitHandled("/1");
+      write(WAITING);
+
+      assertIsContinuedAfterFirst();
+    }
   }
 
   @Nested
