--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
@@ -146,7 +145,29 @@
       reject(HttpResponseStatus.BAD_REQUEST);
     } else if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-    } else if (HttpUtil.is100ContinueExpected(request) && running.isEmpty()) {
+    } else if (hasOtherTransferCoding(request)) {
+      reject(HttpResponseStatus.NOT_IMPLEMENTED);
+    } else {
+      continueIfExpected();
+    }
+  }
+
+  /** Returns whether the body has a transfer coding besides chunked, which is the last one. */
+  private static boolean hasOtherTransferCoding(HttpRequest request) {
+    List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    return codings.size() > 1
+        || codings.stream()
+            .anyMatch(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding));
+  }
+
+  /**
+   * Sends the interim response that the caller awaits before it sends the body, once all earlier
+   * requests have been answered: before that, it would belong to one of them.
+   */
+  private void continueIfExpected() {
+    boolean expected = head != null && body == null && HttpUtil.is100ContinueExpected(head);
+    if (expected && !rejecting && running.isEmpty() && pipelined.isEmpty()) {
+      startReadTimeout(server.limits().idleTimeout());
       channel.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
@@ -255,7 +276,7 @@
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    channel.writeAndFlush(response).addListener(written -> close(true));
   }
 
   /** Ends an exchange whose response was sent; the next one may send its response then. */
@@ -271,6 +292,7 @@
       close(true);
     } else {
       scheduleNext();
+      continueIfExpected();
     }
   }
 
