--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/TargetReportHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/TargetReportHandler.java
@@ -10,7 +10,8 @@
    * Takes a report.
    *
    * @param report the report
-   * @return completes when the report is in effect and may be acknowledged
+   * @return completes when the report is in effect and may be acknowledged; fails if the target
+   *     must repeat it, as the store does not hold the exit yet
    */
   CompletionStage<Void> onReport(TargetReport report);
 
@@ -19,7 +20,8 @@
    *
    * @param instance name of the target
    * @param bornMillis start of the target in milliseconds since 1970, 0 if not reported
-   * @return completes when this may be acknowledged
+   * @return completes when this may be acknowledged; fails if the target must repeat it, as the
+   *     store does not hold the exit yet
    */
   CompletionStage<Void> onDeregistration(String instance, long bornMillis);
 }
