--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -38,9 +38,6 @@
   /** Maximum number of interim responses and responses to others before that to a request. */
   private static final int MAX_SKIPPED_RESPONSES = 32;
 
-  /** Length of the start of a status line that a body without a length does not end with. */
-  private static final int MIN_CUT_STATUS_LINE_LENGTH = "HTTP/1.".length();
-
   /** Time for which a response whose body contains the head of a response is held back. */
   private static final Duration HOLD_TIME = Duration.ofMillis(100);
 
@@ -61,8 +58,8 @@
   private boolean hasReceivedResponse;
   private int skippedResponses;
 
-  /** Whether a response is held back whose body contains the head of a response. */
-  private boolean mayHaveBegunAgain;
+  /** Whether the response is held back because its body contains the head of a response. */
+  private boolean held;
 
   ClientConnection(HttpClient client, ProbedSocketChannel channel, int maxBodyBytes) {
     this.client = client;
@@ -87,7 +84,7 @@
     request = newRequest;
     listener = newListener;
     skippedResponses = 0;
-    mayHaveBegunAgain = false;
+    held = false;
     decoder.awaitResponse(hasReceivedResponse);
     DefaultFullHttpRequest message =
         new DefaultFullHttpRequest(
@@ -205,7 +202,7 @@
       fail("response body is larger than " + maxBodyBytes + " bytes");
     } else if (body != null && content instanceof LastHttpContent) {
       if (channel.isActive()) {
-        completeUnlessBegunAgain();
+        completeIfWhole();
       } else {
         // the decoder ends a body without a length at any close of the channel, also by this side
         fail("connection failed before the end of a response without a length");
@@ -230,60 +227,41 @@
     fail("responses of the server that are being received need too much memory");
   }
 
-  /**
-   * Completes the response unless it begins again within its body: the server has broken it off
-   * then, or has sent another response meanwhile, and the end of the body is not its own. A body
-   * that only quotes a head is followed by nothing.
-   */
-  private void completeUnlessBegunAgain() {
+  /** Completes the response unless its body contains bytes of another one. */
+  private void completeIfWhole() {
     if (ownerOf(head) == ResponseOwner.UNSPECIFIED) {
       complete();
       return;
     }
-    ByteBuf unread = decoder.unread();
-    ByteBuf received =
-        body.isReadable() && unread.isReadable()
-            ? Unpooled.wrappedBuffer(body.slice(), unread)
-            : body;
-    int begun = ResponseHeads.indexOfHead(received, body.readableBytes());
-    int cut = ResponseHeads.lengthOfCutStatusLine(body, 0, body.readableBytes());
-    boolean followed = unread.isReadable() || !hasFraming(head);
-    if (begun >= 0 && (followed || isOwnHead(received, begun))) {
-      failAsBegunAgain();
-    } else if (cut >= MIN_CUT_STATUS_LINE_LENGTH && !hasFraming(head)) {
-      failAsBegunAgain();
-    } else if (begun >= 0 || cut > 1) {
-      hold();
-    } else {
-      complete();
+    switch (BodyInspection.inspect(body, decoder.unread(), hasFraming(head), this::isOwnHead)) {
+      case WHOLE -> complete();
+      case WHOLE_IF_LAST -> hold();
+      default -> failAsMixed();
     }
   }
 
-  private boolean isOwnHead(ByteBuf received, int start) {
-    int end = ResponseHeads.endOfHeadLines(received, start, received.readableBytes());
-    return ResponseHeads.decode(received.slice(start, end - start))
-        .filter(repeated -> ownerOf(repeated) == ResponseOwner.THIS_REQUEST)
-        .isPresent();
+  private boolean isOwnHead(HttpResponse other) {
+    return ownerOf(other) == ResponseOwner.THIS_REQUEST;
   }
 
   /** Completes the response after some time unless further bytes are received. */
   private void hold() {
-    mayHaveBegunAgain = true;
-    ClientRequest held = request;
+    held = true;
+    ClientRequest heldRequest = request;
     channel
         .eventLoop()
-        .schedule(() -> completeIfHeld(held), HOLD_TIME.toMillis(), TimeUnit.MILLISECONDS);
+        .schedule(() -> completeIfHeld(heldRequest), HOLD_TIME.toMillis(), TimeUnit.MILLISECONDS);
   }
 
-  private void completeIfHeld(ClientRequest held) {
-    if (mayHaveBegunAgain && request == held) {
+  private void completeIfHeld(ClientRequest heldRequest) {
+    if (held && request == heldRequest) {
       complete();
     }
   }
 
-  private void failAsBegunAgain() {
+  private void failAsMixed() {
     client.onUnsolicitedBytes(Position.WITHIN_RESPONSE, body.readableBytes());
-    fail("response begins again within its body");
+    fail("body contains the head of a response");
   }
 
   private void complete() {
@@ -292,7 +270,7 @@
         new ClientResponse(
             responseHead.status().code(), headersOf(responseHead), ByteBufUtil.getBytes(body));
     discardResponse();
-    mayHaveBegunAgain = false;
+    held = false;
     if (responseHead.status().code() < 200) {
       countSkippedResponse(); // an interim response
       return;
@@ -376,7 +354,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     client.onClosed(this);
-    if (mayHaveBegunAgain && request != null) {
+    if (held && request != null) {
       complete();
     } else if (request != null) {
       fail(
@@ -424,9 +402,9 @@
         client.onUnsolicitedBytes(Position.IDLE, ((ByteBuf) message).readableBytes());
         ReferenceCountUtil.release(message);
         close();
-      } else if (mayHaveBegunAgain) {
+      } else if (held) {
         ReferenceCountUtil.release(message);
-        failAsBegunAgain();
+        failAsMixed();
       } else {
         context.fireChannelRead(message);
       }
