--- a/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/EventDescription.java
+++ b/cuminlatch-cli/src/main/java/org/cuminlatch/cli/request/EventDescription.java
@@ -65,6 +65,9 @@
           Map.entry(
               "target-left-before", "learns that target {target} left before the node's restart"),
           Map.entry("target-limit", "limits target {target} to {perSecond} requests per second"),
+          Map.entry(
+              "unsolicited-bytes",
+              "receives {bytes} bytes from {from} that no request has asked for ({position})"),
           Map.entry("target-lost", "marks target {target} as unreachable: {reason}"),
           Map.entry(
               "peer-status",
