--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -85,7 +85,7 @@
     listener = newListener;
     skippedResponses = 0;
     held = false;
-    decoder.awaitResponse(hasReceivedResponse);
+    decoder.awaitResponse();
     DefaultFullHttpRequest message =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -175,7 +175,10 @@
   private void begin(HttpResponse response) {
     boolean interim = response.status().code() < 200;
     ResponseOwner owner = interim ? ResponseOwner.THIS_REQUEST : ownerOf(response);
-    if (owner == ResponseOwner.OTHER_REQUEST) {
+    if (decoder.isHeadAmbiguous() && (hasReceivedResponse || owner != ResponseOwner.THIS_REQUEST)) {
+      client.onUnsolicitedBytes(Position.WITHIN_RESPONSE, decoder.unread().readableBytes());
+      fail("head of a response holds another status line");
+    } else if (owner == ResponseOwner.OTHER_REQUEST) {
       client.onUnsolicitedBytes(Position.BEFORE_RESPONSE, decoder.unread().readableBytes());
       hasReceivedResponse = true;
       decoder.skipResponse(HttpUtil.getContentLength(response, -1));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseDecoder.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseDecoder.java
@@ -14,9 +14,8 @@
 /**
  * Decodes responses from their status line on, whatever precedes it.
  *
- * <p>A head is decoded when it is complete. On a connection that has carried another response, it
- * must hold a single status line; otherwise it could consist of parts of two responses. A response
- * to HEAD has no body whatever its headers state.
+ * <p>A head is decoded when it is complete. If it holds a second status line, it may consist of
+ * parts of two responses. A response to HEAD has no body whatever its headers state.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
@@ -27,7 +26,7 @@
   private final int maxSkippedBytes;
   private final IntConsumer skippedListener;
   private boolean awaitsHead = true;
-  private boolean mayFollowOther;
+  private boolean headIsAmbiguous;
   private boolean skipsResponse;
   private int skippedBytes;
 
@@ -44,13 +43,8 @@
     this.skippedListener = skippedListener;
   }
 
-  /**
-   * Prepares for the response to a new request.
-   *
-   * @param mayFollowOther whether a late response to an earlier request may precede it
-   */
-  void awaitResponse(boolean mayFollowOther) {
-    this.mayFollowOther = mayFollowOther;
+  /** Prepares for the response to a new request. */
+  void awaitResponse() {
     skipsResponse = false;
     skippedBytes = 0;
   }
@@ -76,6 +70,11 @@
     }
   }
 
+  /** Returns whether the last head may consist of parts of two responses. */
+  boolean isHeadAmbiguous() {
+    return headIsAmbiguous;
+  }
+
   /** Returns the bytes that have been received and not decoded, valid until the next read. */
   ByteBuf unread() {
     return internalBuffer().slice();
@@ -112,9 +111,7 @@
       int limit = Math.min(in.writerIndex(), start + MAX_HEAD_BYTES);
       int end = ResponseHeads.indexOfHeadEnd(in, start, limit);
       if (end >= 0) {
-        if (mayFollowOther) {
-          requireSingleStatusLine(in, end);
-        }
+        headIsAmbiguous = ResponseHeads.indexOfStatusLine(in, start + 1, end) >= 0;
         skipsResponse = false;
         return true;
       }
@@ -172,10 +169,4 @@
           "more than " + maxSkippedBytes + " bytes precede a response");
     }
   }
-
-  private static void requireSingleStatusLine(ByteBuf in, int end) {
-    if (ResponseHeads.indexOfStatusLine(in, in.readerIndex() + 1, end) >= 0) {
-      throw new IllegalArgumentException("head of a response holds another status line");
-    }
-  }
 }
