Read the headers of a response once

They were copied up to three times a response: to find its request, to inspect its body and to complete it. No change of behaviour: UnsolicitedBytesTests, HttpClientTests, ForwardedHeadersTests and SilentTargetTests pass. What it saves is not measured.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -35,6 +35,8 @@
   /** Fraction of the server's announced idle timeout after which a connection is not reused. */
   private static final double IDLE_TIMEOUT_FRACTION = 0.6;
 
+  private static final byte[] EMPTY_BODY = new byte[0];
+
   /** Maximum number of interim responses and responses to others before that to a request. */
   private static final int MAX_SKIPPED_RESPONSES = 32;
 
@@ -52,6 +54,8 @@
   private ClientListener listener;
   private ChannelFuture writeFuture;
   private HttpResponse head;
+  private ClientResponse bodiless;
+  private ResponseOwner owner;
   private ByteBuf body;
   private Duration idleTimeout = MAX_IDLE_TIMEOUT;
   private long idleSinceNanos;
@@ -173,8 +177,9 @@
   }
 
   private void begin(HttpResponse response) {
+    bodiless = withoutBody(response);
     boolean interim = response.status().code() < 200;
-    ResponseOwner owner = interim ? ResponseOwner.THIS_REQUEST : ownerOf(response);
+    owner = interim ? ResponseOwner.THIS_REQUEST : request.ownerOfResponse().apply(bodiless);
     if (decoder.isHeadAmbiguous() && (hasReceivedResponse || owner != ResponseOwner.THIS_REQUEST)) {
       client.onUnsolicitedBytes(Position.WITHIN_RESPONSE, decoder.unread().readableBytes());
       fail("head of a response holds another status line");
@@ -191,10 +196,10 @@
     }
   }
 
-  private ResponseOwner ownerOf(HttpResponse response) {
-    ClientResponse named =
-        new ClientResponse(response.status().code(), headersOf(response), new byte[0]);
-    return request.ownerOfResponse().apply(named);
+  private static ClientResponse withoutBody(HttpResponse response) {
+    List<Map.Entry<String, String>> headers = new ArrayList<>(response.headers().size());
+    response.headers().forEach(entry -> headers.add(Map.entry(entry.getKey(), entry.getValue())));
+    return new ClientResponse(response.status().code(), headers, EMPTY_BODY);
   }
 
   private void append(HttpContent content) {
@@ -222,6 +227,7 @@
   private void discardResponse() {
     client.onBuffered(-bufferedBytes());
     head = null;
+    bodiless = null;
     body = null;
   }
 
@@ -232,7 +238,7 @@
 
   /** Completes the response unless its body contains bytes of another one. */
   private void completeIfWhole() {
-    if (ownerOf(head) == ResponseOwner.UNSPECIFIED) {
+    if (owner == ResponseOwner.UNSPECIFIED) {
       complete();
       return;
     }
@@ -244,7 +250,7 @@
   }
 
   private boolean isOwnHead(HttpResponse other) {
-    return ownerOf(other) == ResponseOwner.THIS_REQUEST;
+    return request.ownerOfResponse().apply(withoutBody(other)) == ResponseOwner.THIS_REQUEST;
   }
 
   /** Completes the response after some time unless further bytes are received. */
@@ -270,8 +276,7 @@
   private void complete() {
     HttpResponse responseHead = head;
     final ClientResponse response =
-        new ClientResponse(
-            responseHead.status().code(), headersOf(responseHead), ByteBufUtil.getBytes(body));
+        new ClientResponse(bodiless.status(), bodiless.headers(), ByteBufUtil.getBytes(body));
     discardResponse();
     held = false;
     if (responseHead.status().code() < 200) {
@@ -330,12 +335,6 @@
     return Duration.ofMillis(Math.min(millis, MAX_IDLE_TIMEOUT.toMillis()));
   }
 
-  private static List<Map.Entry<String, String>> headersOf(HttpResponse response) {
-    List<Map.Entry<String, String>> headers = new ArrayList<>(response.headers().size());
-    response.headers().forEach(entry -> headers.add(Map.entry(entry.getKey(), entry.getValue())));
-    return headers;
-  }
-
   private void fail(String reason) {
     final ClientListener endedListener = listener;
     request = null;
