Identify callers by the API keys of client accounts

The configuration now holds the accounts. A request on a route that is not public needs a key that one of them holds, or is rejected with 401. Targets are told the account in a header of the mesh, in place of whatever the caller sent, and never see the key. The account's priority goes before that of the route. Deployments without accounts are served as before.

--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/account/package-info.java
@@ -0,0 +1,2 @@
+/** Client accounts: who sends a call, and what the account may use. */
+package org.cuminlatch.core.account;
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RoutePolicy.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RoutePolicy.java
@@ -15,13 +15,18 @@
  * @param goal time within which an answer is worth most to the caller
  * @param priority priority of the route, 0 is the highest
  * @param split services that share the calls by weight; empty if the route has one service
+ * @param publicAccess whether callers need no key although the configuration has client accounts
  */
 public record RoutePolicy(
-    Repeatability repeatability, Duration goal, int priority, List<Share> split) {
+    Repeatability repeatability,
+    Duration goal,
+    int priority,
+    List<Share> split,
+    boolean publicAccess) {
 
   /** Policy of a route that sets none: the method decides, no goal, the highest priority. */
   public static final RoutePolicy DEFAULT =
-      new RoutePolicy(Repeatability.BY_METHOD, CallLimits.MAX_TIMEOUT, 0, List.of());
+      new RoutePolicy(Repeatability.BY_METHOD, CallLimits.MAX_TIMEOUT, 0, List.of(), false);
 
   /** Validates the components and copies the split. */
   public RoutePolicy {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
@@ -16,6 +16,8 @@
  * @param moves moves by name, including ended ones that are still kept
  * @param resources version and readability of each resource on the log
  * @param callerLimits limits on the requests that a caller sends
+ * @param accounts client accounts by name; if there are any, callers of routes that are not public
+ *     need a key
  */
 public record Snapshot(
     long version,
@@ -24,7 +26,8 @@
     Map<String, ServiceState> services,
     Map<String, MoveState> moves,
     Map<ResourceKey, ResourceStatus> resources,
-    CallerLimits callerLimits) {
+    CallerLimits callerLimits,
+    Map<String, ClientAccount> accounts) {
 
   /** Validates the components and copies the maps. */
   public Snapshot {
@@ -35,10 +38,11 @@
     moves = Map.copyOf(notNull(moves, "moves"));
     resources = Map.copyOf(notNull(resources, "resources"));
     notNull(callerLimits, "callerLimits");
+    accounts = Map.copyOf(notNull(accounts, "accounts"));
   }
 
   /**
-   * Creates a snapshot with the default limits for callers.
+   * Creates a snapshot without client accounts and with the default limits for callers.
    *
    * @param version configuration version
    * @param stateHash hash over the state
@@ -54,7 +58,7 @@
       Map<String, ServiceState> services,
       Map<String, MoveState> moves,
       Map<ResourceKey, ResourceStatus> resources) {
-    this(version, stateHash, routes, services, moves, resources, CallerLimits.DEFAULT);
+    this(version, stateHash, routes, services, moves, resources, CallerLimits.DEFAULT, Map.of());
   }
 
   /**
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/RouteTable.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/RouteTable.java
@@ -9,6 +9,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
+import org.cuminlatch.core.account.AccountDirectory;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.Snapshot;
 
@@ -27,11 +29,16 @@
           .thenComparing(route -> -route.headers().size())
           .thenComparing(Route::name);
 
+  /** Differs from process to process, so that callers can't know it. */
+  private static final String ACCOUNT_SECRET = Long.toHexString(new SplittableRandom().nextLong());
+
   private final Snapshot snapshot;
+  private final AccountDirectory accounts;
   private final Map<String, Map<String, List<Route>>> routesByHostAndPrefix = new HashMap<>();
 
   private RouteTable(Snapshot snapshot) {
     this.snapshot = snapshot;
+    this.accounts = AccountDirectory.of(snapshot.accounts().values(), ACCOUNT_SECRET);
     snapshot.routes().values().stream().sorted(MOST_SPECIFIC_FIRST).forEach(this::add);
   }
 
@@ -65,6 +72,15 @@
     return snapshot;
   }
 
+  /**
+   * Returns the client accounts of the configuration.
+   *
+   * @return the accounts, found by their keys
+   */
+  public AccountDirectory accounts() {
+    return accounts;
+  }
+
   /**
    * Finds the route of a request.
    *
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -68,6 +68,7 @@
   private final ServerExchange exchange;
   private final String id;
   private final Route route;
+  private final CallerIdentity caller;
   private final String service;
   private final boolean idempotent;
   private final Instant startedAt;
@@ -105,12 +106,14 @@
       ServerExchange exchange,
       String id,
       Route route,
+      CallerIdentity caller,
       String service,
       Times times) {
     this.entry = entry;
     this.exchange = exchange;
     this.id = id;
     this.route = route;
+    this.caller = caller;
     this.service = service;
     this.startedAt = times.arrivedAt();
     this.goal = times.goal();
@@ -218,7 +221,9 @@
         .setTargetVersion(target.targetVersion())
         .setMethod(exchange.method())
         .setPath(exchange.requestTarget())
-        .addAllHeaders(ForwardedHeaders.fromCaller(exchange, entry.settings().headers()))
+        .addAllHeaders(
+            ForwardedHeaders.fromCaller(
+                exchange, entry.settings().headers(), caller.hidesCredentials()))
         .setDeadlineMicros(timeLeft().toNanos() / 1000)
         .setRetried(targetAttempts > 0)
         .setIdempotent(idempotent)
@@ -228,7 +233,8 @@
         .setRequestId(id)
         .setOriginService(entry.settings().service())
         .setExpectedInstance(target.instance())
-        .setPriority(route.policy().priority())
+        .setPriority(caller.priorityOn(route))
+        .setAccount(caller.accountName())
         .setGoalMicros(Duration.between(entry.now(), goal).toNanos() / 1000)
         .build();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -57,6 +57,7 @@
   /** Weight of the latest answer in the mean answer size of a route. */
   private static final double ANSWER_SIZE_SMOOTHING = 0.1;
 
+  private static final String AUTHORIZATION = "authorization";
   private static final int MAX_REQUEST_ID_CHARS = 128;
   private static final double DEFAULT_RETRY_AFTER_SECONDS = 0.5;
 
@@ -123,8 +124,15 @@
       reject(exchange, id, 404, "no route in configuration " + current.version());
       return;
     }
+    CallerIdentity caller =
+        CallerIdentity.of(
+            exchange.headers(AUTHORIZATION), current.table().get().accounts(), route.get());
+    if (caller == CallerIdentity.UNKNOWN) {
+      reject(exchange, id, 401, "no client account holds the key of the request");
+      return;
+    }
     Optional<Duration> retryAfter =
-        LagLimit.retryAfter(route.get().policy().priority(), lag.value());
+        LagLimit.retryAfter(caller.priorityOn(route.get()), lag.value());
     if (retryAfter.isPresent()) {
       refuse(exchange, id, "node is behind", retryAfter.get().toMillis() / 1000.0);
       return;
@@ -152,6 +160,7 @@
             exchange,
             id,
             route.get(),
+            caller,
             selectService(route.get()),
             new EntryCall.Times(arrivedAt, goal, deadline));
     calls.add(call);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
@@ -34,16 +34,27 @@
           "expect",
           "content-length");
 
+  private static final String AUTHORIZATION = "authorization";
   private static final String LEAVING_VALUE = "1";
 
   private ForwardedHeaders() {}
 
-  /** Returns the caller's headers without those of its connection and those that the mesh sets. */
-  static List<Header> fromCaller(ServerExchange exchange, HeaderNames names) {
+  /**
+   * Returns the caller's headers without those of its connection and those that the mesh sets.
+   *
+   * @param hideCredentials whether to leave out the caller's key and the name of a client account,
+   *     as the mesh identifies the caller in its place
+   */
+  static List<Header> fromCaller(
+      ServerExchange exchange, HeaderNames names, boolean hideCredentials) {
     Set<String> dropped = listedNames(exchange.headers("connection"));
     dropped.add(names.deadlineMillis().toLowerCase(Locale.ROOT));
     dropped.add(names.expectedInstance().toLowerCase(Locale.ROOT));
     dropped.add(names.originService().toLowerCase(Locale.ROOT));
+    if (hideCredentials) {
+      dropped.add(AUTHORIZATION);
+      dropped.add(names.account().toLowerCase(Locale.ROOT));
+    }
     List<Header> headers = new ArrayList<>();
     for (Map.Entry<String, String> entry : exchange.headers()) {
       String name = entry.getKey().toLowerCase(Locale.ROOT);
@@ -63,6 +74,9 @@
     headers.add(Map.entry(names.deadlineMillis(), Long.toString(Math.max(1, timeLeft.toMillis()))));
     headers.add(Map.entry(names.expectedInstance(), begin.getExpectedInstance()));
     headers.add(Map.entry(names.originService(), begin.getOriginService()));
+    if (!begin.getAccount().isEmpty()) {
+      headers.add(Map.entry(names.account(), begin.getAccount()));
+    }
     return headers;
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/HeaderNames.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/HeaderNames.java
@@ -13,6 +13,7 @@
  * @param instance target that answered
  * @param requestLimit requests per second that the target accepts from all nodes together
  * @param leaving 1 if the target leaves and must get no further requests
+ * @param account name of the client account that sent the request
  */
 public record HeaderNames(
     String requestId,
@@ -22,7 +23,8 @@
     String notRun,
     String instance,
     String requestLimit,
-    String leaving) {
+    String leaving,
+    String account) {
 
   /** Checks the fields. */
   public HeaderNames {
@@ -34,5 +36,6 @@
     notBlank(instance, "instance");
     notBlank(requestLimit, "requestLimit");
     notBlank(leaving, "leaving");
+    notBlank(account, "account");
   }
 }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -41,7 +41,15 @@
 
   static final HeaderNames HEADERS =
       new HeaderNames(
-          "id", "deadline", "expect", "origin", "not-run", "instance", "limit", "leaving");
+          "id",
+          "deadline",
+          "expect",
+          "origin",
+          "not-run",
+          "instance",
+          "limit",
+          "leaving",
+          "account");
 
   private static final int WAIT_SECONDS = 20;
   private static final String INSTANCE = "i-1";
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
@@ -43,6 +43,7 @@
     requestId_ = "";
     originService_ = "";
     expectedInstance_ = "";
+    account_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -610,7 +611,7 @@
   private int priority_ = 0;
   /**
    * <pre>
-   * Priority of the route; 0 is the highest.
+   * Priority of the client account, or of the route if it sets none; 0 is the highest.
    * </pre>
    *
    * <code>int32 priority = 19;</code>
@@ -636,6 +637,53 @@
     return goalMicros_;
   }
 
+  public static final int ACCOUNT_FIELD_NUMBER = 21;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object account_ = "";
+  /**
+   * <pre>
+   * Client account that sent the request; empty if there is none.
+   * </pre>
+   *
+   * <code>string account = 21;</code>
+   * @return The account.
+   */
+  @java.lang.Override
+  public java.lang.String getAccount() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      account_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Client account that sent the request; empty if there is none.
+   * </pre>
+   *
+   * <code>string account = 21;</code>
+   * @return The bytes for account.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAccountBytes() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      account_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -710,6 +758,9 @@
     if (goalMicros_ != 0L) {
       output.writeInt64(20, goalMicros_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 21, account_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -790,6 +841,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(20, goalMicros_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(21, account_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -845,6 +899,8 @@
         != other.getPriority()) return false;
     if (getGoalMicros()
         != other.getGoalMicros()) return false;
+    if (!getAccount()
+        .equals(other.getAccount())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -904,6 +960,8 @@
     hash = (37 * hash) + GOAL_MICROS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getGoalMicros());
+    hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
+    hash = (53 * hash) + getAccount().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1065,6 +1123,7 @@
       expectedInstance_ = "";
       priority_ = 0;
       goalMicros_ = 0L;
+      account_ = "";
       return this;
     }
 
@@ -1168,6 +1227,9 @@
       if (((from_bitField0_ & 0x00080000) != 0)) {
         result.goalMicros_ = goalMicros_;
       }
+      if (((from_bitField0_ & 0x00100000) != 0)) {
+        result.account_ = account_;
+      }
     }
 
     @java.lang.Override
@@ -1283,6 +1345,11 @@
       if (other.getGoalMicros() != 0L) {
         setGoalMicros(other.getGoalMicros());
       }
+      if (!other.getAccount().isEmpty()) {
+        account_ = other.account_;
+        bitField0_ |= 0x00100000;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1417,6 +1484,11 @@
               bitField0_ |= 0x00080000;
               break;
             } // case 160
+            case 170: {
+              account_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00100000;
+              break;
+            } // case 170
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2765,7 +2837,7 @@
     private int priority_ ;
     /**
      * <pre>
-     * Priority of the route; 0 is the highest.
+     * Priority of the client account, or of the route if it sets none; 0 is the highest.
      * </pre>
      *
      * <code>int32 priority = 19;</code>
@@ -2777,7 +2849,7 @@
     }
     /**
      * <pre>
-     * Priority of the route; 0 is the highest.
+     * Priority of the client account, or of the route if it sets none; 0 is the highest.
      * </pre>
      *
      * <code>int32 priority = 19;</code>
@@ -2793,7 +2865,7 @@
     }
     /**
      * <pre>
-     * Priority of the route; 0 is the highest.
+     * Priority of the client account, or of the route if it sets none; 0 is the highest.
      * </pre>
      *
      * <code>int32 priority = 19;</code>
@@ -2850,6 +2922,98 @@
       return this;
     }
 
+    private java.lang.Object account_ = "";
+    /**
+     * <pre>
+     * Client account that sent the request; empty if there is none.
+     * </pre>
+     *
+     * <code>string account = 21;</code>
+     * @return The account.
+     */
+    public java.lang.String getAccount() {
+      java.lang.Object ref = account_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        account_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Client account that sent the request; empty if there is none.
+     * </pre>
+     *
+     * <code>string account = 21;</code>
+     * @return The bytes for account.
+     */
+    public com.google.protobuf.ByteString
+        getAccountBytes() {
+      java.lang.Object ref = account_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        account_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Client account that sent the request; empty if there is none.
+     * </pre>
+     *
+     * <code>string account = 21;</code>
+     * @param value The account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccount(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      account_ = value;
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Client account that sent the request; empty if there is none.
+     * </pre>
+     *
+     * <code>string account = 21;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccount() {
+      account_ = getDefaultInstance().getAccount();
+      bitField0_ = (bitField0_ & ~0x00100000);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Client account that sent the request; empty if there is none.
+     * </pre>
+     *
+     * <code>string account = 21;</code>
+     * @param value The bytes for account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      account_ = value;
+      bitField0_ |= 0x00100000;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.Begin)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/BeginOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/BeginOrBuilder.java
@@ -260,7 +260,7 @@
 
   /**
    * <pre>
-   * Priority of the route; 0 is the highest.
+   * Priority of the client account, or of the route if it sets none; 0 is the highest.
    * </pre>
    *
    * <code>int32 priority = 19;</code>
@@ -277,4 +277,24 @@
    * @return The goalMicros.
    */
   long getGoalMicros();
+
+  /**
+   * <pre>
+   * Client account that sent the request; empty if there is none.
+   * </pre>
+   *
+   * <code>string account = 21;</code>
+   * @return The account.
+   */
+  java.lang.String getAccount();
+  /**
+   * <pre>
+   * Client account that sent the request; empty if there is none.
+   * </pre>
+   *
+   * <code>string account = 21;</code>
+   * @return The bytes for account.
+   */
+  com.google.protobuf.ByteString
+      getAccountBytes();
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
@@ -155,7 +155,7 @@
       "uminlatch.call.ConfigPullH\000\0226\n\rconfig_re" +
       "cord\030\021 \001(\0132\035.cuminlatch.call.ConfigRecor" +
       "dH\000B\006\n\004kind\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005v" +
-      "alue\030\002 \001(\t\"\250\003\n\005Begin\022\r\n\005route\030\001 \001(\t\022\017\n\007s" +
+      "alue\030\002 \001(\t\"\271\003\n\005Begin\022\r\n\005route\030\001 \001(\t\022\017\n\007s" +
       "ervice\030\002 \001(\t\022\026\n\016target_version\030\003 \001(\t\022\016\n\006" +
       "method\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007headers\030\006 " +
       "\003(\0132\027.cuminlatch.call.Header\022\027\n\017deadline" +
@@ -165,59 +165,60 @@
       "e\030\r \001(\010\022\026\n\016content_length\030\016 \001(\003\022\016\n\006credi" +
       "t\030\017 \001(\005\022\022\n\nrequest_id\030\020 \001(\t\022\026\n\016origin_se" +
       "rvice\030\021 \001(\t\022\031\n\021expected_instance\030\022 \001(\t\022\020" +
-      "\n\010priority\030\023 \001(\005\022\023\n\013goal_micros\030\024 \001(\003\"J\n" +
-      "\004Body\022\017\n\007content\030\001 \001(\014\022\014\n\004last\030\002 \001(\010\022#\n\004" +
-      "load\030\003 \001(\0132\025.cuminlatch.call.Load\"\027\n\006Cre" +
-      "dit\022\r\n\005bytes\030\001 \001(\005\"\034\n\006Cancel\022\022\n\nage_micr" +
-      "os\030\001 \001(\003\"\034\n\006Rejoin\022\022\n\nage_micros\030\001 \001(\003\"\034" +
-      "\n\tCancelled\022\017\n\007not_run\030\001 \001(\010\"G\n\004Load\022\014\n\004" +
-      "busy\030\001 \001(\005\022\016\n\006queued\030\002 \001(\005\022\r\n\005limit\030\003 \001(" +
-      "\005\022\022\n\nlag_micros\030\004 \001(\003\"\233\001\n\006Answer\022\016\n\006stat" +
-      "us\030\001 \001(\005\022(\n\007headers\030\002 \003(\0132\027.cuminlatch.c" +
-      "all.Header\022\026\n\016content_length\030\003 \001(\003\022\014\n\004bo" +
-      "dy\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022#\n\004load\030\006 \001(\0132\025.c" +
-      "uminlatch.call.Load\"v\n\007Refusal\022.\n\006reason" +
-      "\030\001 \001(\0162\036.cuminlatch.call.RefusalReason\022#" +
-      "\n\004load\030\002 \001(\0132\025.cuminlatch.call.Load\022\026\n\016f" +
-      "ree_in_micros\030\003 \001(\003\"^\n\007Failure\022.\n\006reason" +
-      "\030\001 \001(\0162\036.cuminlatch.call.FailureReason\022#" +
-      "\n\004load\030\002 \001(\0132\025.cuminlatch.call.Load\"\025\n\004P" +
-      "ing\022\r\n\005nonce\030\001 \001(\006\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(" +
-      "\006\"\224\002\n\014TargetStatus\022\014\n\004node\030\001 \001(\t\022\016\n\006regi" +
-      "on\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022+\n\005phase\030\004 \001(\0162\034." +
-      "cuminlatch.call.TargetPhase\022\020\n\010instance\030" +
-      "\005 \001(\t\022\023\n\013born_millis\030\006 \001(\003\022\017\n\007service\030\007 " +
-      "\001(\t\022\017\n\007version\030\010 \001(\t\022\r\n\005slots\030\t \001(\005\022\023\n\013c" +
-      "old_micros\030\n \001(\003\022\022\n\nnode_stops\030\013 \001(\010\022\026\n\016" +
-      "config_version\030\014 \001(\003\022\022\n\nstore_lost\030\r \001(\010" +
-      "\"\245\001\n\010MoveFact\022\017\n\007service\030\001 \001(\t\022\r\n\005order\030" +
-      "\002 \001(\003\022)\n\005phase\030\003 \001(\0162\032.cuminlatch.call.M" +
-      "ovePhase\022\026\n\016elapsed_micros\030\004 \001(\003\022\016\n\006stat" +
-      "ed\030\005 \001(\010\022\017\n\007version\030\006 \001(\t\022\025\n\rlength_micr" +
-      "os\030\007 \001(\003\"\014\n\nConfigPull\":\n\014ConfigRecord\022\013" +
-      "\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\016\n\006offset\030\003 \001" +
-      "(\003\"\234\001\n\014MoveEvidence\022\020\n\010instance\030\001 \001(\t\022\017\n" +
-      "\007service\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\022.\n\006count" +
-      "s\030\002 \003(\0132\036.cuminlatch.call.EvidenceCount\022" +
-      "(\n\005moves\030\005 \003(\0132\031.cuminlatch.call.MoveFac" +
-      "t\"}\n\rEvidenceCount\022\r\n\005route\030\001 \001(\t\022\r\n\005cal" +
-      "ls\030\002 \001(\003\022\020\n\010failures\030\003 \001(\003\022\022\n\ncold_calls" +
-      "\030\004 \001(\003\022\025\n\rcold_failures\030\005 \001(\003\022\021\n\tlatenci" +
-      "es\030\006 \003(\003*\350\001\n\rRefusalReason\022\027\n\023REFUSAL_UN" +
-      "SPECIFIED\020\000\022\014\n\010DRAINING\020\001\022\016\n\nQUEUE_FULL\020" +
-      "\002\022\014\n\010DEADLINE\020\003\022\021\n\rWRONG_VERSION\020\004\022\017\n\013NO" +
-      "T_SERVING\020\005\022\026\n\022TARGET_UNREACHABLE\020\006\022\017\n\013T" +
-      "ARGET_SHED\020\007\022\r\n\tWITHDRAWN\020\010\022\021\n\rNOT_KEY_O" +
-      "WNER\020\t\022\016\n\nUNSENDABLE\020\n\022\023\n\017TARGET_REPLACE" +
-      "D\020\013*\232\001\n\rFailureReason\022\027\n\023FAILURE_UNSPECI" +
-      "FIED\020\000\022\021\n\rTARGET_BROKEN\020\001\022\022\n\016TARGET_TIME" +
-      "OUT\020\002\022\025\n\021CONNECTION_SILENT\020\003\022\022\n\016ANSWER_C" +
-      "ROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014KEY_IN_DOUBT\020\006" +
-      "*1\n\013TargetPhase\022\n\n\006ABSENT\020\000\022\t\n\005READY\020\001\022\013" +
-      "\n\007LEAVING\020\002*[\n\tMovePhase\022\020\n\014MOVE_RUNNING" +
-      "\020\000\022\022\n\016MOVE_FOUND_BAD\020\001\022\024\n\020MOVE_ROLLED_BA" +
-      "CK\020\002\022\022\n\016MOVE_COMPLETED\020\003B\"\n\036org.cuminlat" +
-      "ch.wire.proto.callP\001b\006proto3"
+      "\n\010priority\030\023 \001(\005\022\023\n\013goal_micros\030\024 \001(\003\022\017\n" +
+      "\007account\030\025 \001(\t\"J\n\004Body\022\017\n\007content\030\001 \001(\014\022" +
+      "\014\n\004last\030\002 \001(\010\022#\n\004load\030\003 \001(\0132\025.cuminlatch" +
+      ".call.Load\"\027\n\006Credit\022\r\n\005bytes\030\001 \001(\005\"\034\n\006C" +
+      "ancel\022\022\n\nage_micros\030\001 \001(\003\"\034\n\006Rejoin\022\022\n\na" +
+      "ge_micros\030\001 \001(\003\"\034\n\tCancelled\022\017\n\007not_run\030" +
+      "\001 \001(\010\"G\n\004Load\022\014\n\004busy\030\001 \001(\005\022\016\n\006queued\030\002 " +
+      "\001(\005\022\r\n\005limit\030\003 \001(\005\022\022\n\nlag_micros\030\004 \001(\003\"\233" +
+      "\001\n\006Answer\022\016\n\006status\030\001 \001(\005\022(\n\007headers\030\002 \003" +
+      "(\0132\027.cuminlatch.call.Header\022\026\n\016content_l" +
+      "ength\030\003 \001(\003\022\014\n\004body\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022" +
+      "#\n\004load\030\006 \001(\0132\025.cuminlatch.call.Load\"v\n\007" +
+      "Refusal\022.\n\006reason\030\001 \001(\0162\036.cuminlatch.cal" +
+      "l.RefusalReason\022#\n\004load\030\002 \001(\0132\025.cuminlat" +
+      "ch.call.Load\022\026\n\016free_in_micros\030\003 \001(\003\"^\n\007" +
+      "Failure\022.\n\006reason\030\001 \001(\0162\036.cuminlatch.cal" +
+      "l.FailureReason\022#\n\004load\030\002 \001(\0132\025.cuminlat" +
+      "ch.call.Load\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(\006\"\025\n\004P" +
+      "ong\022\r\n\005nonce\030\001 \001(\006\"\224\002\n\014TargetStatus\022\014\n\004n" +
+      "ode\030\001 \001(\t\022\016\n\006region\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022" +
+      "+\n\005phase\030\004 \001(\0162\034.cuminlatch.call.TargetP" +
+      "hase\022\020\n\010instance\030\005 \001(\t\022\023\n\013born_millis\030\006 " +
+      "\001(\003\022\017\n\007service\030\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\r\n" +
+      "\005slots\030\t \001(\005\022\023\n\013cold_micros\030\n \001(\003\022\022\n\nnod" +
+      "e_stops\030\013 \001(\010\022\026\n\016config_version\030\014 \001(\003\022\022\n" +
+      "\nstore_lost\030\r \001(\010\"\245\001\n\010MoveFact\022\017\n\007servic" +
+      "e\030\001 \001(\t\022\r\n\005order\030\002 \001(\003\022)\n\005phase\030\003 \001(\0162\032." +
+      "cuminlatch.call.MovePhase\022\026\n\016elapsed_mic" +
+      "ros\030\004 \001(\003\022\016\n\006stated\030\005 \001(\010\022\017\n\007version\030\006 \001" +
+      "(\t\022\025\n\rlength_micros\030\007 \001(\003\"\014\n\nConfigPull\"" +
+      ":\n\014ConfigRecord\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 " +
+      "\001(\014\022\016\n\006offset\030\003 \001(\003\"\234\001\n\014MoveEvidence\022\020\n\010" +
+      "instance\030\001 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007versi" +
+      "on\030\004 \001(\t\022.\n\006counts\030\002 \003(\0132\036.cuminlatch.ca" +
+      "ll.EvidenceCount\022(\n\005moves\030\005 \003(\0132\031.cuminl" +
+      "atch.call.MoveFact\"}\n\rEvidenceCount\022\r\n\005r" +
+      "oute\030\001 \001(\t\022\r\n\005calls\030\002 \001(\003\022\020\n\010failures\030\003 " +
+      "\001(\003\022\022\n\ncold_calls\030\004 \001(\003\022\025\n\rcold_failures" +
+      "\030\005 \001(\003\022\021\n\tlatencies\030\006 \003(\003*\350\001\n\rRefusalRea" +
+      "son\022\027\n\023REFUSAL_UNSPECIFIED\020\000\022\014\n\010DRAINING" +
+      "\020\001\022\016\n\nQUEUE_FULL\020\002\022\014\n\010DEADLINE\020\003\022\021\n\rWRON" +
+      "G_VERSION\020\004\022\017\n\013NOT_SERVING\020\005\022\026\n\022TARGET_U" +
+      "NREACHABLE\020\006\022\017\n\013TARGET_SHED\020\007\022\r\n\tWITHDRA" +
+      "WN\020\010\022\021\n\rNOT_KEY_OWNER\020\t\022\016\n\nUNSENDABLE\020\n\022" +
+      "\023\n\017TARGET_REPLACED\020\013*\232\001\n\rFailureReason\022\027" +
+      "\n\023FAILURE_UNSPECIFIED\020\000\022\021\n\rTARGET_BROKEN" +
+      "\020\001\022\022\n\016TARGET_TIMEOUT\020\002\022\025\n\021CONNECTION_SIL" +
+      "ENT\020\003\022\022\n\016ANSWER_CROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022" +
+      "\020\n\014KEY_IN_DOUBT\020\006*1\n\013TargetPhase\022\n\n\006ABSE" +
+      "NT\020\000\022\t\n\005READY\020\001\022\013\n\007LEAVING\020\002*[\n\tMovePhas" +
+      "e\022\020\n\014MOVE_RUNNING\020\000\022\022\n\016MOVE_FOUND_BAD\020\001\022" +
+      "\024\n\020MOVE_ROLLED_BACK\020\002\022\022\n\016MOVE_COMPLETED\020" +
+      "\003B\"\n\036org.cuminlatch.wire.proto.callP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -240,7 +241,7 @@
     internal_static_cuminlatch_call_Begin_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_Begin_descriptor,
-        new java.lang.String[] { "Route", "Service", "TargetVersion", "Method", "Path", "Headers", "DeadlineMicros", "Depth", "Retried", "Idempotent", "IdempotencyKey", "Body", "BodyComplete", "ContentLength", "Credit", "RequestId", "OriginService", "ExpectedInstance", "Priority", "GoalMicros", });
+        new java.lang.String[] { "Route", "Service", "TargetVersion", "Method", "Path", "Headers", "DeadlineMicros", "Depth", "Retried", "Idempotent", "IdempotencyKey", "Body", "BodyComplete", "ContentLength", "Credit", "RequestId", "OriginService", "ExpectedInstance", "Priority", "GoalMicros", "Account", });
     internal_static_cuminlatch_call_Body_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_cuminlatch_call_Body_fieldAccessorTable = new
