Run calls only in the home regions of their route and account

Operators must be able to keep the calls of a route or of a client account, and the bodies of those calls, in named regions.

HomeRegions combines both lists; an empty intersection allows no region. ServiceBalancer chooses only among targets there, for first attempts, retries and refused placements. The regions are those of the configuration in force at each placement, so that a call that is retried after a change follows it. A call without any target there is refused at once with 503.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/ClientAccount.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/ClientAccount.java
@@ -16,9 +16,14 @@
  * @param priority priority of the account's calls, 0 is the highest; empty if that of the route
  *     applies
  * @param quota limit on the account's calls at all nodes together; empty if there is none
+ * @param homeRegions regions in which the account's calls may run; empty if they may run in any
  */
 public record ClientAccount(
-    String name, Set<String> apiKeys, OptionalInt priority, Optional<Quota> quota) {
+    String name,
+    Set<String> apiKeys,
+    OptionalInt priority,
+    Optional<Quota> quota,
+    Set<String> homeRegions) {
 
   /** Validates the components and copies the keys. */
   public ClientAccount {
@@ -27,6 +32,7 @@
     notNull(priority, "priority");
     check(priority.orElse(0) >= 0, "priority", "must not be negative");
     notNull(quota, "quota");
+    homeRegions = Set.copyOf(notNull(homeRegions, "homeRegions"));
   }
 
   /**
@@ -47,6 +53,14 @@
   /** Omits the keys, which must not appear in logs. */
   @Override
   public String toString() {
-    return "ClientAccount[name=" + name + ", priority=" + priority + ", quota=" + quota + "]";
+    return "ClientAccount[name="
+        + name
+        + ", priority="
+        + priority
+        + ", quota="
+        + quota
+        + ", homeRegions="
+        + homeRegions
+        + "]";
   }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RoutePolicy.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/RoutePolicy.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Rules for the calls of a route, in addition to its {@link CallLimits}.
@@ -16,17 +17,20 @@
  * @param priority priority of the route, 0 is the highest
  * @param split services that share the calls by weight; empty if the route has one service
  * @param publicAccess whether callers need no key although the configuration has client accounts
+ * @param homeRegions regions in which the calls may run; empty if they may run in any
  */
 public record RoutePolicy(
     Repeatability repeatability,
     Duration goal,
     int priority,
     List<Share> split,
-    boolean publicAccess) {
+    boolean publicAccess,
+    Set<String> homeRegions) {
 
   /** Policy of a route that sets none: the method decides, no goal, the highest priority. */
   public static final RoutePolicy DEFAULT =
-      new RoutePolicy(Repeatability.BY_METHOD, CallLimits.MAX_TIMEOUT, 0, List.of(), false);
+      new RoutePolicy(
+          Repeatability.BY_METHOD, CallLimits.MAX_TIMEOUT, 0, List.of(), false, Set.of());
 
   /** Validates the components and copies the split. */
   public RoutePolicy {
@@ -34,6 +38,7 @@
     notNull(goal, "goal");
     notNegative(priority, "priority");
     split = List.copyOf(notNull(split, "split"));
+    homeRegions = Set.copyOf(notNull(homeRegions, "homeRegions"));
   }
 
   /** Whether a call may be executed more than once. */
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/RouteTable.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/RouteTable.java
@@ -9,8 +9,10 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.cuminlatch.core.account.AccountDirectory;
+import org.cuminlatch.core.config.ClientAccount;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.Snapshot;
 
@@ -81,6 +83,23 @@
     return accounts;
   }
 
+  /**
+   * Returns the regions in which a call may run. A call that waits or is retried follows a change
+   * of the configuration, as its body must not go to a region that is no longer a home.
+   *
+   * @param route route of the call in the configuration that was in force when it arrived
+   * @param account client account of the call in that configuration; empty if it has none
+   * @return the regions by this configuration, or by the earlier one for what this one lacks
+   */
+  public HomeRegions homeRegions(Route route, Optional<ClientAccount> account) {
+    Route currentRoute = snapshot.routes().getOrDefault(route.name(), route);
+    Set<String> ofAccount =
+        account
+            .map(known -> snapshot.accounts().getOrDefault(known.name(), known).homeRegions())
+            .orElse(Set.of());
+    return HomeRegions.of(currentRoute.policy().homeRegions(), ofAccount);
+  }
+
   /**
    * Finds the route of a request.
    *
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceBalancer.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceBalancer.java
@@ -52,7 +52,8 @@
       Optional<VersionRule> rule,
       Context context,
       RandomGenerator random) {
-    for (List<Member> group : versionGroups(index.serving(service), rule, random)) {
+    List<Member> members = index.serving(service);
+    for (List<Member> group : versionGroups(members, rule, context.homeRegions(), random)) {
       Optional<TargetChooser.Choice> choice =
           inNearestLocality(group, context, random).or(() -> inAnyLocality(group, context, random));
       if (choice.isPresent()) {
@@ -90,13 +91,16 @@
   }
 
   private static List<List<Member>> versionGroups(
-      List<Member> members, Optional<VersionRule> rule, RandomGenerator random) {
+      List<Member> members,
+      Optional<VersionRule> rule,
+      HomeRegions homeRegions,
+      RandomGenerator random) {
     if (rule.isEmpty()) {
-      return List.of(withEarliestVersion(members));
+      return List.of(homeRegions.allowedOf(withEarliestVersion(members)));
     }
     List<Member> ruleVersion = new ArrayList<>();
     List<Member> others = new ArrayList<>();
-    for (Member member : members) {
+    for (Member member : homeRegions.allowedOf(members)) {
       (member.targetVersion().equals(rule.get().version()) ? ruleVersion : others).add(member);
     }
     if (random.nextDouble() >= rule.get().share()) {
@@ -141,15 +145,21 @@
    * @param preferNearest whether to use the nearest locality that has an untried target unless it
    *     is overloaded, and another region only if the own region has no target, as for large
    *     answers
+   * @param homeRegions regions in which the call may run
    * @param now current time
    */
   public record Context(
-      Locality ownLocality, Set<String> triedInstances, boolean preferNearest, Instant now) {
+      Locality ownLocality,
+      Set<String> triedInstances,
+      boolean preferNearest,
+      HomeRegions homeRegions,
+      Instant now) {
 
     /** Validates the components. */
     public Context {
       notNull(ownLocality, "ownLocality");
       notNull(triedInstances, "triedInstances");
+      notNull(homeRegions, "homeRegions");
       notNull(now, "now");
     }
 
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/account/AccountDirectoryTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/account/AccountDirectoryTests.java
@@ -23,7 +23,7 @@
       AccountDirectory.of(List.of(MUSEUM, SURVEY), "secret of this process");
 
   private static ClientAccount account(String name, String... keys) {
-    return new ClientAccount(name, Set.of(keys), OptionalInt.empty(), Optional.empty());
+    return new ClientAccount(name, Set.of(keys), OptionalInt.empty(), Optional.empty(), Set.of());
   }
 
   @Test
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/route/ServiceBalancerTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/route/ServiceBalancerTests.java
@@ -21,6 +21,7 @@
 import org.cuminlatch.core.route.ServiceBalancer.Context;
 import org.cuminlatch.core.route.TargetLoads.AttemptEnd;
 import org.cuminlatch.core.route.VersionRule.Fallback;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -39,6 +40,7 @@
       new ServiceBalancer(loads, new LinkBudget(1_000_000, now));
   private final SplittableRandom random = new SplittableRandom(5);
   private final List<Member> members = new ArrayList<>();
+  private HomeRegions homes = HomeRegions.ANY;
 
   private void addMember(String instance, String version, long incarnation, Locality locality) {
     Address address = new Address("10.0.0." + (members.size() + 1), 7000);
@@ -61,7 +63,7 @@
 
   private Optional<String> choose(
       Optional<VersionRule> rule, boolean preferNearest, String... triedInstances) {
-    Context context = new Context(OWN_ZONE, Set.of(triedInstances), preferNearest, now);
+    Context context = new Context(OWN_ZONE, Set.of(triedInstances), preferNearest, homes, now);
     return balancer
         .chooseTarget(ServiceIndex.of(members), "orders", rule, context, random)
         .map(choice -> choice.member().instance());
@@ -190,6 +192,43 @@
     }
   }
 
+  /** Guards against bodies that are sent to a region in which the call must not run. */
+  @Nested
+  class OfCallsThatMayRunInOneRegionOnly {
+
+    @BeforeEach
+    void restrictToOtherRegion() {
+      homes = new HomeRegions(Optional.of(Set.of(OTHER_REGION.region())));
+      addMember("home-1", "v1", 1, OWN_ZONE);
+      addMember("next-1", "v1", 1, NEIGHBOR_ZONE);
+    }
+
+    @Test
+    void choosesNoTargetElsewhereAlsoAfterRefusals() {
+      addMember("far-1", "v1", 1, OTHER_REGION);
+
+      assertThat(choose(Optional.empty(), false), is(Optional.of("far-1")));
+      assertThat(choose(Optional.empty(), true), is(Optional.of("far-1")));
+      assertThat(choose(Optional.empty(), false, "far-1"), is(Optional.empty()));
+    }
+
+    @Test
+    void choosesNoTargetElsewhereForEitherVersionOfMove() {
+      addMember("new-1", "v2", 2, OWN_ZONE);
+      Optional<VersionRule> rule = Optional.of(new VersionRule("v2", 0.5, Fallback.OTHER_VERSIONS));
+
+      assertThat(chooseMany(rule), everyItem(is("none")));
+    }
+
+    /** A version without a move gets no calls, even if its targets are the only ones at home. */
+    @Test
+    void choosesNoTargetOfNewVersionWhenNoMoveIsKnown() {
+      addMember("far-1", "v2", 2, OTHER_REGION);
+
+      assertThat(choose(Optional.empty(), false), is(Optional.empty()));
+    }
+  }
+
   /** The own region has lost targets and the rest have a queue; the other region has free slots. */
   @Nested
   class WhenRegionIsShortOfTargets {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -19,6 +19,7 @@
 import org.cuminlatch.core.membership.Member;
 import org.cuminlatch.core.retry.AttemptId;
 import org.cuminlatch.core.retry.CallTreePosition;
+import org.cuminlatch.core.route.HomeRegions;
 import org.cuminlatch.core.route.ReportedLoad;
 import org.cuminlatch.core.route.ServiceBalancer.ChosenTarget;
 import org.cuminlatch.core.route.TargetLoads.AttemptEnd;
@@ -160,7 +161,8 @@
       endUnanswered();
       return;
     }
-    Optional<ChosenTarget> placed = entry.place(service, triedInstances, prefersNearest());
+    Optional<ChosenTarget> placed =
+        entry.place(service, homeRegions(), triedInstances, prefersNearest());
     if (placed.isEmpty()) {
       endUnanswered();
       return;
@@ -175,6 +177,10 @@
     begin(placed.get(), foundLink.get());
   }
 
+  private HomeRegions homeRegions() {
+    return entry.homeRegions(route, caller);
+  }
+
   /** Returns true for first attempts of routes with large answers; a retry may go anywhere. */
   private boolean prefersNearest() {
     return targetAttempts == 0 && entry.answersAreLarge(route.name());
@@ -395,7 +401,7 @@
         && attemptsUsed < route.limits().maxAttempts()
         && placements < MAX_PLACEMENTS
         && timeLeft().compareTo(MIN_TIME_LEFT) >= 0
-        && entry.place(service, triedInstances, false).isPresent()
+        && entry.place(service, homeRegions(), triedInstances, false).isPresent()
         && entry.retryBudget(service).tryWithdraw();
   }
 
@@ -480,7 +486,8 @@
       entry.metrics().countFailed(lastReason);
       exchange.respond(status, List.of(), (lastReason + "\n").getBytes(StandardCharsets.UTF_8));
     } else {
-      String reason = entry.hasTargetOf(service) ? lastReason : "no target of " + service;
+      String reason =
+          entry.hasTargetOf(service, homeRegions()) ? lastReason : "no target of " + service;
       entry.refuse(exchange, id, reason, retryAfterSeconds());
     }
     finish();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -20,6 +20,7 @@
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.RoutePolicy;
 import org.cuminlatch.core.retry.RetryBudget;
+import org.cuminlatch.core.route.HomeRegions;
 import org.cuminlatch.core.route.LinkBudget;
 import org.cuminlatch.core.route.LoadPolicy;
 import org.cuminlatch.core.route.RequestHead;
@@ -60,6 +61,7 @@
   private static final String AUTHORIZATION = "authorization";
   private static final int MAX_REQUEST_ID_CHARS = 128;
   private static final double DEFAULT_RETRY_AFTER_SECONDS = 0.5;
+  private static final String NO_HOME_TARGET = "no target in the home regions of ";
 
   private final EventLoop loop;
   private final MeshSettings settings;
@@ -154,6 +156,12 @@
       refuse(exchange, id, "node stops", DEFAULT_RETRY_AFTER_SECONDS);
       return;
     }
+    String service = selectService(route.get());
+    HomeRegions homeRegions = homeRegions(route.get(), caller);
+    if (homeRegions.isRestricted() && !hasTargetOf(service, homeRegions)) {
+      refuse(exchange, id, NO_HOME_TARGET + service, DEFAULT_RETRY_AFTER_SECONDS);
+      return;
+    }
     EntryCall call =
         new EntryCall(
             this,
@@ -161,7 +169,7 @@
             id,
             route.get(),
             caller,
-            selectService(route.get()),
+            service,
             new EntryCall.Times(arrivedAt, goal, deadline));
     calls.add(call);
     call.start();
@@ -263,17 +271,27 @@
   }
 
   Optional<ServiceBalancer.ChosenTarget> place(
-      String service, Set<String> triedInstances, boolean preferNearest) {
+      String service, HomeRegions homeRegions, Set<String> triedInstances, boolean preferNearest) {
     return balancer.chooseTarget(
         links.index(),
         service,
         Optional.ofNullable(view.get().rules().get(service)),
-        new ServiceBalancer.Context(settings.locality(), triedInstances, preferNearest, now()),
+        new ServiceBalancer.Context(
+            settings.locality(), triedInstances, preferNearest, homeRegions, now()),
         random);
   }
 
-  boolean hasTargetOf(String service) {
-    return !links.index().serving(service).isEmpty();
+  /** Returns the regions in which a call may run by the configuration in force. */
+  HomeRegions homeRegions(Route route, CallerIdentity caller) {
+    return view.get()
+        .table()
+        .map(table -> table.homeRegions(route, caller.account()))
+        .orElse(HomeRegions.ANY);
+  }
+
+  boolean hasTargetOf(String service, HomeRegions homeRegions) {
+    return links.index().serving(service).stream()
+        .anyMatch(target -> homeRegions.allows(target.locality()));
   }
 
   Instant now() {
