Take targets of evacuated zones out of service

Operators evacuate an availability zone with a record evacuate/ZONE and return it to service by deleting the record. Five seconds after the store's response, nothing may go to a target there from a node in touch.

ZoneStates holds the latest state of each zone, ordered by the era of the store and then by the end of the stream after the record. A read of the newest records that lacks a zone counts as a later state, so that a node that was restarted does not take an ended evacuation from an old status. The era is 0 until the store names one.

Nodes learn of a change from the store and from TargetStatus.zones, which the readers of the zones send at once and every node sends to those that connect. Entry nodes leave the targets of the zone out of their index; gates refuse waiting and new attempts and complete those that run.

--- /dev/null
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/evacuation/package-info.java
@@ -0,0 +1,2 @@
+/** Availability zones that operators take out of service and return to it. */
+package org.cuminlatch.core.evacuation;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -32,6 +32,7 @@
 import org.cuminlatch.core.target.TargetReport;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Item;
+import org.cuminlatch.node.mesh.KeyedStore.Page;
 import org.cuminlatch.node.mesh.KeyedStore.Stream;
 import org.cuminlatch.wire.proto.call.Begin;
 import org.cuminlatch.wire.proto.call.CallFrame;
@@ -97,6 +98,7 @@
   private final LocalTarget target;
   private final ExitRelay exitRelay;
   private final MoveControl moves;
+  private final EvacuationControl evacuations;
   private final Map<String, TargetStatus> peerStatuses = new HashMap<>();
 
   /** Nodes whose connections are silent, so that they may have ended. */
@@ -120,6 +122,7 @@
   private volatile RoutingView view = RoutingView.EMPTY;
   private volatile boolean stopping;
   private volatile TargetStatus status;
+  private TargetStatus sentStatus;
 
   MeshControl(
       MeshSettings settings,
@@ -139,6 +142,7 @@
     this.store = store;
     this.recordCodec = recordCodec;
     this.status = TargetStatus.getDefaultInstance();
+    this.sentStatus = status;
     this.target = new LocalTarget(settings.peers().toString(), control, store, log, gateControl());
     this.exitRelay =
         new ExitRelay(
@@ -158,6 +162,31 @@
             log,
             this::allStatuses,
             rules -> view = view.withRules(rules));
+    this.evacuations =
+        new EvacuationControl(clock, log, recordCodec, this::readsForZone, evacuationListener());
+  }
+
+  private EvacuationControl.Listener evacuationListener() {
+    return new EvacuationControl.Listener() {
+      @Override
+      public void onEvacuatedZones(Set<String> zones) {
+        traffic.execute(
+            () -> {
+              links.setEvacuatedZones(zones);
+              gate.setEvacuated(zones.contains(settings.locality().zone()));
+            });
+      }
+
+      @Override
+      public void onStatusChange() {
+        status = describe();
+      }
+
+      @Override
+      public void tellAll() {
+        sendStatus();
+      }
+    };
   }
 
   /** Returns the handler of the local target's reports. */
@@ -207,6 +236,7 @@
     links = peerLinks;
     localLink = link;
     status = describe();
+    sentStatus = status;
   }
 
   void start() {
@@ -214,11 +244,11 @@
         () -> {
           target.readStored();
           moves.readStatements();
-          newFollower(operatorSubscription(), this::onOperatorRecord, () -> {}).start();
+          newFollower(operatorSubscription(), this::onStoredOperatorRecord, () -> {}).start();
           newFollower(nodeSubscription(), this::onNodeRecord, this::onNodesRead).start();
         });
     control.scheduleWithFixedDelay(
-        this::pullIfBehind,
+        this::checkPeers,
         PULL_CHECK_INTERVAL.toMillis(),
         PULL_CHECK_INTERVAL.toMillis(),
         TimeUnit.MILLISECONDS);
@@ -268,6 +298,13 @@
             itemConsumer.accept(item);
           }
 
+          @Override
+          public void onNewestRead(Page page) {
+            if (subscription.stream() == Stream.OPERATOR) {
+              evacuations.onNewestRead(page);
+            }
+          }
+
           @Override
           public void onPageRead() {
             afterPage.run();
@@ -315,6 +352,7 @@
 
   private void onPeerStatus(TargetStatus peer, Address node) {
     peerStatuses.put(peer.getNode(), peer);
+    evacuations.onStatus(peer);
     updateObservedNodes();
     exitRelay.onStatus(peer, node);
     writeExitsOfOthers();
@@ -389,6 +427,12 @@
     }
   }
 
+  private void onStoredOperatorRecord(Item item) {
+    if (!evacuations.onRecord(item)) {
+      onOperatorRecord(item);
+    }
+  }
+
   private void onOperatorRecord(Item item) {
     Optional<OperatorRecordCodec.Decoded> decoded = recordCodec.decode(item);
     if (decoded.isEmpty()) {
@@ -422,6 +466,11 @@
     }
   }
 
+  private void checkPeers() {
+    evacuations.tick();
+    pullIfBehind();
+  }
+
   /** Requests a configuration that the store has not delivered from the nearest node with it. */
   private void pullIfBehind() {
     long own = view.version();
@@ -503,16 +552,21 @@
             .setNodeStops(stopping)
             .setConfigVersion(view.version())
             .setStoreLost(!lostStreams.isEmpty());
+    evacuations.describe(built);
     return target.describe(built, !gate.isAbsent()).build();
   }
 
   /** Publishes the status of node and target to the traffic loop and all connected nodes. */
   private void publishStatus() {
-    TargetStatus described = describe();
-    if (described.equals(status)) {
-      return;
+    status = describe();
+    if (!status.equals(sentStatus)) {
+      sendStatus();
     }
-    status = described;
+  }
+
+  private void sendStatus() {
+    TargetStatus described = status;
+    sentStatus = described;
     traffic.execute(
         () -> {
           // a stopping node still sends calls of its own callers to its local target
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -42,6 +42,10 @@
     registry.counter("attempts_withdrawn{state=\"" + state + "\"}").inc();
   }
 
+  void countEvacuated() {
+    registry.counter("attempts_refused_evacuated").inc();
+  }
+
   void countRepeated(String service) {
     registry.counter("attempts_repeated{service=\"" + service + "\"}").inc();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -252,6 +252,7 @@
     gauge("gate_waiting", gate::waiting);
     gauge("target_limit_per_second", () -> gate.limitPerSecond().orElse(-1));
     gauge("links_open", links::openLinks);
+    gauge("zones_evacuated", links::evacuatedZones);
     gauge("loop_lag_seconds", () -> lag.value().toNanos() / 1e9);
     gauge("entry_oldest_call_seconds", () -> entry.oldestCall().toMillis() / 1000.0);
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/OperatorRecordCodec.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/OperatorRecordCodec.java
@@ -16,6 +16,15 @@
    */
   Optional<Decoded> decode(KeyedStore.Item item);
 
+  /**
+   * Returns the availability zone that a record evacuates if it has a value, and returns to service
+   * otherwise.
+   *
+   * @param key key of the record
+   * @return name of the zone; empty if the record is of another kind
+   */
+  Optional<String> evacuatedZone(String key);
+
   /**
    * Decodes a statement of the mesh.
    *
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -69,6 +69,7 @@
   private TargetLink localLink;
   private Set<String> observedNodes = Set.of();
   private final Set<TargetExit> excluded = new LinkedHashSet<>();
+  private Set<String> evacuatedZones = Set.of();
   private ServiceIndex index = ServiceIndex.of(List.of());
 
   PeerLinks(CallTransport transport, RandomGenerator random, EventLog log, PeerListener listener) {
@@ -102,6 +103,16 @@
     rebuild();
   }
 
+  /** Sends no more calls to targets in evacuated zones. */
+  void setEvacuatedZones(Set<String> zones) {
+    evacuatedZones = zones;
+    rebuild();
+  }
+
+  int evacuatedZones() {
+    return evacuatedZones.size();
+  }
+
   /**
    * Sends no more calls to a target that leaves. It stays excluded also if its node, which may have
    * been restarted since, reports it as ready.
@@ -298,7 +309,7 @@
   }
 
   private static TargetStatus targetFields(TargetStatus status) {
-    return status.toBuilder().clearConfigVersion().clearStoreLost().build();
+    return status.toBuilder().clearConfigVersion().clearStoreLost().clearZones().build();
   }
 
   @Override
@@ -336,7 +347,8 @@
   }
 
   private void addMember(Member target, TargetLink link, List<Member> members) {
-    if (!excluded.contains(startOf(target))) {
+    boolean evacuated = evacuatedZones.contains(target.locality().zone());
+    if (!evacuated && !excluded.contains(startOf(target))) {
       members.add(target);
       linkByInstance.put(target.instance(), link);
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -95,6 +95,7 @@
   private Optional<StopAdmission> stop = Optional.empty();
   private boolean open;
   private boolean absent;
+  private boolean evacuated;
   private int connectFailures;
   private int running;
   private Instant lastAnswerAt;
@@ -183,6 +184,17 @@
     stop = Optional.of(admission);
   }
 
+  /**
+   * Refuses waiting and new attempts while the zone of the target is evacuated; those that the
+   * target executes continue.
+   */
+  void setEvacuated(boolean newEvacuated) {
+    evacuated = newEvacuated;
+    if (evacuated) {
+      refuseWaiting(RefusalReason.DRAINING);
+    }
+  }
+
   /** Called on a report of the target, which shows that it may be reachable again. */
   void markReachable() {
     connectFailures = 0;
@@ -337,6 +349,10 @@
     if (!begin.getExpectedInstance().equals(report.get().instance())) {
       return Optional.of(RefusalReason.TARGET_REPLACED);
     }
+    if (evacuated) {
+      metrics.countEvacuated();
+      return Optional.of(RefusalReason.DRAINING);
+    }
     if (!open || mayOutlastNode(attempt)) {
       return Optional.of(RefusalReason.DRAINING);
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -71,6 +71,9 @@
 
     void onItem(Item item);
 
+    /** Called with the newest record of each key before they are passed to {@link #onItem}. */
+    void onNewestRead(Page page);
+
     /** Called after the last record of each page. */
     void onPageRead();
 
@@ -130,10 +133,13 @@
       failures = 0;
       listener.onStoreChange(false);
     }
+    if (nextOffset < 0) {
+      notifyOfPage(() -> listener.onNewestRead(page));
+    }
     nextOffset = page.end();
     lastReadNanos = System.nanoTime();
     page.items().forEach(this::deliver);
-    endPage();
+    notifyOfPage(listener::onPageRead);
     boolean firstRead = !hasRead;
     hasRead = true;
     if (firstRead && page.items().isEmpty()) {
@@ -145,10 +151,10 @@
     }
   }
 
-  /** Ends a page; the stream is followed further also if its listener fails. */
-  private void endPage() {
+  /** Runs a notification; the stream is followed further also if the listener fails. */
+  private void notifyOfPage(Runnable notification) {
     try {
-      listener.onPageRead();
+      notification.run();
     } catch (RuntimeException error) {
       log.event("task-failed")
           .with("task", "page of " + subscription.stream().name())
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
@@ -101,6 +101,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cuminlatch_call_TargetStatus_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cuminlatch_call_ZoneState_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cuminlatch_call_ZoneState_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_cuminlatch_call_MoveFact_descriptor;
   static final 
@@ -183,42 +188,44 @@
       "Failure\022.\n\006reason\030\001 \001(\0162\036.cuminlatch.cal" +
       "l.FailureReason\022#\n\004load\030\002 \001(\0132\025.cuminlat" +
       "ch.call.Load\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(\006\"\025\n\004P" +
-      "ong\022\r\n\005nonce\030\001 \001(\006\"\224\002\n\014TargetStatus\022\014\n\004n" +
+      "ong\022\r\n\005nonce\030\001 \001(\006\"\277\002\n\014TargetStatus\022\014\n\004n" +
       "ode\030\001 \001(\t\022\016\n\006region\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022" +
       "+\n\005phase\030\004 \001(\0162\034.cuminlatch.call.TargetP" +
       "hase\022\020\n\010instance\030\005 \001(\t\022\023\n\013born_millis\030\006 " +
       "\001(\003\022\017\n\007service\030\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\r\n" +
       "\005slots\030\t \001(\005\022\023\n\013cold_micros\030\n \001(\003\022\022\n\nnod" +
       "e_stops\030\013 \001(\010\022\026\n\016config_version\030\014 \001(\003\022\022\n" +
-      "\nstore_lost\030\r \001(\010\"\245\001\n\010MoveFact\022\017\n\007servic" +
-      "e\030\001 \001(\t\022\r\n\005order\030\002 \001(\003\022)\n\005phase\030\003 \001(\0162\032." +
-      "cuminlatch.call.MovePhase\022\026\n\016elapsed_mic" +
-      "ros\030\004 \001(\003\022\016\n\006stated\030\005 \001(\010\022\017\n\007version\030\006 \001" +
-      "(\t\022\025\n\rlength_micros\030\007 \001(\003\"\014\n\nConfigPull\"" +
-      ":\n\014ConfigRecord\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 " +
-      "\001(\014\022\016\n\006offset\030\003 \001(\003\"\234\001\n\014MoveEvidence\022\020\n\010" +
-      "instance\030\001 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007versi" +
-      "on\030\004 \001(\t\022.\n\006counts\030\002 \003(\0132\036.cuminlatch.ca" +
-      "ll.EvidenceCount\022(\n\005moves\030\005 \003(\0132\031.cuminl" +
-      "atch.call.MoveFact\"}\n\rEvidenceCount\022\r\n\005r" +
-      "oute\030\001 \001(\t\022\r\n\005calls\030\002 \001(\003\022\020\n\010failures\030\003 " +
-      "\001(\003\022\022\n\ncold_calls\030\004 \001(\003\022\025\n\rcold_failures" +
-      "\030\005 \001(\003\022\021\n\tlatencies\030\006 \003(\003*\350\001\n\rRefusalRea" +
-      "son\022\027\n\023REFUSAL_UNSPECIFIED\020\000\022\014\n\010DRAINING" +
-      "\020\001\022\016\n\nQUEUE_FULL\020\002\022\014\n\010DEADLINE\020\003\022\021\n\rWRON" +
-      "G_VERSION\020\004\022\017\n\013NOT_SERVING\020\005\022\026\n\022TARGET_U" +
-      "NREACHABLE\020\006\022\017\n\013TARGET_SHED\020\007\022\r\n\tWITHDRA" +
-      "WN\020\010\022\021\n\rNOT_KEY_OWNER\020\t\022\016\n\nUNSENDABLE\020\n\022" +
-      "\023\n\017TARGET_REPLACED\020\013*\232\001\n\rFailureReason\022\027" +
-      "\n\023FAILURE_UNSPECIFIED\020\000\022\021\n\rTARGET_BROKEN" +
-      "\020\001\022\022\n\016TARGET_TIMEOUT\020\002\022\025\n\021CONNECTION_SIL" +
-      "ENT\020\003\022\022\n\016ANSWER_CROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022" +
-      "\020\n\014KEY_IN_DOUBT\020\006*1\n\013TargetPhase\022\n\n\006ABSE" +
-      "NT\020\000\022\t\n\005READY\020\001\022\013\n\007LEAVING\020\002*[\n\tMovePhas" +
-      "e\022\020\n\014MOVE_RUNNING\020\000\022\022\n\016MOVE_FOUND_BAD\020\001\022" +
-      "\024\n\020MOVE_ROLLED_BACK\020\002\022\022\n\016MOVE_COMPLETED\020" +
-      "\003B\"\n\036org.cuminlatch.wire.proto.callP\001b\006p" +
-      "roto3"
+      "\nstore_lost\030\r \001(\010\022)\n\005zones\030\016 \003(\0132\032.cumin" +
+      "latch.call.ZoneState\"F\n\tZoneState\022\014\n\004zon" +
+      "e\030\001 \001(\t\022\021\n\tevacuated\030\002 \001(\010\022\013\n\003era\030\003 \001(\003\022" +
+      "\013\n\003end\030\004 \001(\003\"\245\001\n\010MoveFact\022\017\n\007service\030\001 \001" +
+      "(\t\022\r\n\005order\030\002 \001(\003\022)\n\005phase\030\003 \001(\0162\032.cumin" +
+      "latch.call.MovePhase\022\026\n\016elapsed_micros\030\004" +
+      " \001(\003\022\016\n\006stated\030\005 \001(\010\022\017\n\007version\030\006 \001(\t\022\025\n" +
+      "\rlength_micros\030\007 \001(\003\"\014\n\nConfigPull\":\n\014Co" +
+      "nfigRecord\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\016" +
+      "\n\006offset\030\003 \001(\003\"\234\001\n\014MoveEvidence\022\020\n\010insta" +
+      "nce\030\001 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007version\030\004 " +
+      "\001(\t\022.\n\006counts\030\002 \003(\0132\036.cuminlatch.call.Ev" +
+      "idenceCount\022(\n\005moves\030\005 \003(\0132\031.cuminlatch." +
+      "call.MoveFact\"}\n\rEvidenceCount\022\r\n\005route\030" +
+      "\001 \001(\t\022\r\n\005calls\030\002 \001(\003\022\020\n\010failures\030\003 \001(\003\022\022" +
+      "\n\ncold_calls\030\004 \001(\003\022\025\n\rcold_failures\030\005 \001(" +
+      "\003\022\021\n\tlatencies\030\006 \003(\003*\350\001\n\rRefusalReason\022\027" +
+      "\n\023REFUSAL_UNSPECIFIED\020\000\022\014\n\010DRAINING\020\001\022\016\n" +
+      "\nQUEUE_FULL\020\002\022\014\n\010DEADLINE\020\003\022\021\n\rWRONG_VER" +
+      "SION\020\004\022\017\n\013NOT_SERVING\020\005\022\026\n\022TARGET_UNREAC" +
+      "HABLE\020\006\022\017\n\013TARGET_SHED\020\007\022\r\n\tWITHDRAWN\020\010\022" +
+      "\021\n\rNOT_KEY_OWNER\020\t\022\016\n\nUNSENDABLE\020\n\022\023\n\017TA" +
+      "RGET_REPLACED\020\013*\232\001\n\rFailureReason\022\027\n\023FAI" +
+      "LURE_UNSPECIFIED\020\000\022\021\n\rTARGET_BROKEN\020\001\022\022\n" +
+      "\016TARGET_TIMEOUT\020\002\022\025\n\021CONNECTION_SILENT\020\003" +
+      "\022\022\n\016ANSWER_CROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014KE" +
+      "Y_IN_DOUBT\020\006*1\n\013TargetPhase\022\n\n\006ABSENT\020\000\022" +
+      "\t\n\005READY\020\001\022\013\n\007LEAVING\020\002*[\n\tMovePhase\022\020\n\014" +
+      "MOVE_RUNNING\020\000\022\022\n\016MOVE_FOUND_BAD\020\001\022\024\n\020MO" +
+      "VE_ROLLED_BACK\020\002\022\022\n\016MOVE_COMPLETED\020\003B\"\n\036" +
+      "org.cuminlatch.wire.proto.callP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -313,33 +320,39 @@
     internal_static_cuminlatch_call_TargetStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_TargetStatus_descriptor,
-        new java.lang.String[] { "Node", "Region", "Zone", "Phase", "Instance", "BornMillis", "Service", "Version", "Slots", "ColdMicros", "NodeStops", "ConfigVersion", "StoreLost", });
-    internal_static_cuminlatch_call_MoveFact_descriptor =
+        new java.lang.String[] { "Node", "Region", "Zone", "Phase", "Instance", "BornMillis", "Service", "Version", "Slots", "ColdMicros", "NodeStops", "ConfigVersion", "StoreLost", "Zones", });
+    internal_static_cuminlatch_call_ZoneState_descriptor =
       getDescriptor().getMessageType(15);
+    internal_static_cuminlatch_call_ZoneState_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cuminlatch_call_ZoneState_descriptor,
+        new java.lang.String[] { "Zone", "Evacuated", "Era", "End", });
+    internal_static_cuminlatch_call_MoveFact_descriptor =
+      getDescriptor().getMessageType(16);
     internal_static_cuminlatch_call_MoveFact_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_MoveFact_descriptor,
         new java.lang.String[] { "Service", "Order", "Phase", "ElapsedMicros", "Stated", "Version", "LengthMicros", });
     internal_static_cuminlatch_call_ConfigPull_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_cuminlatch_call_ConfigPull_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_ConfigPull_descriptor,
         new java.lang.String[] { });
     internal_static_cuminlatch_call_ConfigRecord_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_cuminlatch_call_ConfigRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_ConfigRecord_descriptor,
         new java.lang.String[] { "Key", "Value", "Offset", });
     internal_static_cuminlatch_call_MoveEvidence_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_cuminlatch_call_MoveEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_MoveEvidence_descriptor,
         new java.lang.String[] { "Instance", "Service", "Version", "Counts", "Moves", });
     internal_static_cuminlatch_call_EvidenceCount_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_cuminlatch_call_EvidenceCount_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_EvidenceCount_descriptor,
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatus.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatus.java
@@ -39,6 +39,7 @@
     instance_ = "";
     service_ = "";
     version_ = "";
+    zones_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -392,6 +393,67 @@
     return storeLost_;
   }
 
+  public static final int ZONES_FIELD_NUMBER = 14;
+  @SuppressWarnings("serial")
+  private java.util.List<org.cuminlatch.wire.proto.call.ZoneState> zones_;
+  /**
+   * <pre>
+   * Latest known state of each zone that operators have evacuated or returned to service.
+   * </pre>
+   *
+   * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.cuminlatch.wire.proto.call.ZoneState> getZonesList() {
+    return zones_;
+  }
+  /**
+   * <pre>
+   * Latest known state of each zone that operators have evacuated or returned to service.
+   * </pre>
+   *
+   * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.cuminlatch.wire.proto.call.ZoneStateOrBuilder> 
+      getZonesOrBuilderList() {
+    return zones_;
+  }
+  /**
+   * <pre>
+   * Latest known state of each zone that operators have evacuated or returned to service.
+   * </pre>
+   *
+   * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+   */
+  @java.lang.Override
+  public int getZonesCount() {
+    return zones_.size();
+  }
+  /**
+   * <pre>
+   * Latest known state of each zone that operators have evacuated or returned to service.
+   * </pre>
+   *
+   * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.ZoneState getZones(int index) {
+    return zones_.get(index);
+  }
+  /**
+   * <pre>
+   * Latest known state of each zone that operators have evacuated or returned to service.
+   * </pre>
+   *
+   * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.ZoneStateOrBuilder getZonesOrBuilder(
+      int index) {
+    return zones_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -445,6 +507,9 @@
     if (storeLost_ != false) {
       output.writeBool(13, storeLost_);
     }
+    for (int i = 0; i < zones_.size(); i++) {
+      output.writeMessage(14, zones_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -500,6 +565,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(13, storeLost_);
     }
+    for (int i = 0; i < zones_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, zones_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -540,6 +609,8 @@
         != other.getConfigVersion()) return false;
     if (getStoreLost()
         != other.getStoreLost()) return false;
+    if (!getZonesList()
+        .equals(other.getZonesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -582,6 +653,10 @@
     hash = (37 * hash) + STORE_LOST_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getStoreLost());
+    if (getZonesCount() > 0) {
+      hash = (37 * hash) + ZONES_FIELD_NUMBER;
+      hash = (53 * hash) + getZonesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -730,6 +805,13 @@
       nodeStops_ = false;
       configVersion_ = 0L;
       storeLost_ = false;
+      if (zonesBuilder_ == null) {
+        zones_ = java.util.Collections.emptyList();
+      } else {
+        zones_ = null;
+        zonesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00002000);
       return this;
     }
 
@@ -756,11 +838,24 @@
     @java.lang.Override
     public org.cuminlatch.wire.proto.call.TargetStatus buildPartial() {
       org.cuminlatch.wire.proto.call.TargetStatus result = new org.cuminlatch.wire.proto.call.TargetStatus(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.cuminlatch.wire.proto.call.TargetStatus result) {
+      if (zonesBuilder_ == null) {
+        if (((bitField0_ & 0x00002000) != 0)) {
+          zones_ = java.util.Collections.unmodifiableList(zones_);
+          bitField0_ = (bitField0_ & ~0x00002000);
+        }
+        result.zones_ = zones_;
+      } else {
+        result.zones_ = zonesBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.cuminlatch.wire.proto.call.TargetStatus result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -867,6 +962,32 @@
       if (other.getStoreLost() != false) {
         setStoreLost(other.getStoreLost());
       }
+      if (zonesBuilder_ == null) {
+        if (!other.zones_.isEmpty()) {
+          if (zones_.isEmpty()) {
+            zones_ = other.zones_;
+            bitField0_ = (bitField0_ & ~0x00002000);
+          } else {
+            ensureZonesIsMutable();
+            zones_.addAll(other.zones_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.zones_.isEmpty()) {
+          if (zonesBuilder_.isEmpty()) {
+            zonesBuilder_.dispose();
+            zonesBuilder_ = null;
+            zones_ = other.zones_;
+            bitField0_ = (bitField0_ & ~0x00002000);
+            zonesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetZonesFieldBuilder() : null;
+          } else {
+            zonesBuilder_.addAllMessages(other.zones_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -958,6 +1079,19 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 104
+            case 114: {
+              org.cuminlatch.wire.proto.call.ZoneState m =
+                  input.readMessage(
+                      org.cuminlatch.wire.proto.call.ZoneState.parser(),
+                      extensionRegistry);
+              if (zonesBuilder_ == null) {
+                ensureZonesIsMutable();
+                zones_.add(m);
+              } else {
+                zonesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1710,6 +1844,318 @@
       return this;
     }
 
+    private java.util.List<org.cuminlatch.wire.proto.call.ZoneState> zones_ =
+      java.util.Collections.emptyList();
+    private void ensureZonesIsMutable() {
+      if (!((bitField0_ & 0x00002000) != 0)) {
+        zones_ = new java.util.ArrayList<org.cuminlatch.wire.proto.call.ZoneState>(zones_);
+        bitField0_ |= 0x00002000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cuminlatch.wire.proto.call.ZoneState, org.cuminlatch.wire.proto.call.ZoneState.Builder, org.cuminlatch.wire.proto.call.ZoneStateOrBuilder> zonesBuilder_;
+
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public java.util.List<org.cuminlatch.wire.proto.call.ZoneState> getZonesList() {
+      if (zonesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(zones_);
+      } else {
+        return zonesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public int getZonesCount() {
+      if (zonesBuilder_ == null) {
+        return zones_.size();
+      } else {
+        return zonesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public org.cuminlatch.wire.proto.call.ZoneState getZones(int index) {
+      if (zonesBuilder_ == null) {
+        return zones_.get(index);
+      } else {
+        return zonesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public Builder setZones(
+        int index, org.cuminlatch.wire.proto.call.ZoneState value) {
+      if (zonesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureZonesIsMutable();
+        zones_.set(index, value);
+        onChanged();
+      } else {
+        zonesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public Builder setZones(
+        int index, org.cuminlatch.wire.proto.call.ZoneState.Builder builderForValue) {
+      if (zonesBuilder_ == null) {
+        ensureZonesIsMutable();
+        zones_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        zonesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public Builder addZones(org.cuminlatch.wire.proto.call.ZoneState value) {
+      if (zonesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureZonesIsMutable();
+        zones_.add(value);
+        onChanged();
+      } else {
+        zonesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public Builder addZones(
+        int index, org.cuminlatch.wire.proto.call.ZoneState value) {
+      if (zonesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureZonesIsMutable();
+        zones_.add(index, value);
+        onChanged();
+      } else {
+        zonesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public Builder addZones(
+        org.cuminlatch.wire.proto.call.ZoneState.Builder builderForValue) {
+      if (zonesBuilder_ == null) {
+        ensureZonesIsMutable();
+        zones_.add(builderForValue.build());
+        onChanged();
+      } else {
+        zonesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public Builder addZones(
+        int index, org.cuminlatch.wire.proto.call.ZoneState.Builder builderForValue) {
+      if (zonesBuilder_ == null) {
+        ensureZonesIsMutable();
+        zones_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        zonesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public Builder addAllZones(
+        java.lang.Iterable<? extends org.cuminlatch.wire.proto.call.ZoneState> values) {
+      if (zonesBuilder_ == null) {
+        ensureZonesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, zones_);
+        onChanged();
+      } else {
+        zonesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public Builder clearZones() {
+      if (zonesBuilder_ == null) {
+        zones_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00002000);
+        onChanged();
+      } else {
+        zonesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public Builder removeZones(int index) {
+      if (zonesBuilder_ == null) {
+        ensureZonesIsMutable();
+        zones_.remove(index);
+        onChanged();
+      } else {
+        zonesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public org.cuminlatch.wire.proto.call.ZoneState.Builder getZonesBuilder(
+        int index) {
+      return internalGetZonesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public org.cuminlatch.wire.proto.call.ZoneStateOrBuilder getZonesOrBuilder(
+        int index) {
+      if (zonesBuilder_ == null) {
+        return zones_.get(index);  } else {
+        return zonesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public java.util.List<? extends org.cuminlatch.wire.proto.call.ZoneStateOrBuilder> 
+         getZonesOrBuilderList() {
+      if (zonesBuilder_ != null) {
+        return zonesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(zones_);
+      }
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public org.cuminlatch.wire.proto.call.ZoneState.Builder addZonesBuilder() {
+      return internalGetZonesFieldBuilder().addBuilder(
+          org.cuminlatch.wire.proto.call.ZoneState.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public org.cuminlatch.wire.proto.call.ZoneState.Builder addZonesBuilder(
+        int index) {
+      return internalGetZonesFieldBuilder().addBuilder(
+          index, org.cuminlatch.wire.proto.call.ZoneState.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Latest known state of each zone that operators have evacuated or returned to service.
+     * </pre>
+     *
+     * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+     */
+    public java.util.List<org.cuminlatch.wire.proto.call.ZoneState.Builder> 
+         getZonesBuilderList() {
+      return internalGetZonesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.cuminlatch.wire.proto.call.ZoneState, org.cuminlatch.wire.proto.call.ZoneState.Builder, org.cuminlatch.wire.proto.call.ZoneStateOrBuilder> 
+        internalGetZonesFieldBuilder() {
+      if (zonesBuilder_ == null) {
+        zonesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.cuminlatch.wire.proto.call.ZoneState, org.cuminlatch.wire.proto.call.ZoneState.Builder, org.cuminlatch.wire.proto.call.ZoneStateOrBuilder>(
+                zones_,
+                ((bitField0_ & 0x00002000) != 0),
+                getParentForChildren(),
+                isClean());
+        zones_ = null;
+      }
+      return zonesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.TargetStatus)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatusOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatusOrBuilder.java
@@ -148,4 +148,48 @@
    * @return The storeLost.
    */
   boolean getStoreLost();
+
+  /**
+   * <pre>
+   * Latest known state of each zone that operators have evacuated or returned to service.
+   * </pre>
+   *
+   * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+   */
+  java.util.List<org.cuminlatch.wire.proto.call.ZoneState> 
+      getZonesList();
+  /**
+   * <pre>
+   * Latest known state of each zone that operators have evacuated or returned to service.
+   * </pre>
+   *
+   * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+   */
+  org.cuminlatch.wire.proto.call.ZoneState getZones(int index);
+  /**
+   * <pre>
+   * Latest known state of each zone that operators have evacuated or returned to service.
+   * </pre>
+   *
+   * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+   */
+  int getZonesCount();
+  /**
+   * <pre>
+   * Latest known state of each zone that operators have evacuated or returned to service.
+   * </pre>
+   *
+   * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+   */
+  java.util.List<? extends org.cuminlatch.wire.proto.call.ZoneStateOrBuilder> 
+      getZonesOrBuilderList();
+  /**
+   * <pre>
+   * Latest known state of each zone that operators have evacuated or returned to service.
+   * </pre>
+   *
+   * <code>repeated .cuminlatch.call.ZoneState zones = 14;</code>
+   */
+  org.cuminlatch.wire.proto.call.ZoneStateOrBuilder getZonesOrBuilder(
+      int index);
 }
