Let only the readers of the zones follow the stream of nodes

Every node followed the stream of node addresses: each new address cost a call of each node, and a quiet one two of each. A node now tells its address on each connection that it opens, so that others learn of it without the store. As nodes that start together might all read before any has written, a node that is new to the store writes its address first and then reads again. Readers of the zones still follow the stream, and any node without connections.

Statements on moves are read when the first order arrives, not at each start.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -1,8 +1,6 @@
 package org.cuminlatch.node.mesh;
 
 import io.netty.channel.EventLoop;
-import io.netty.util.NetUtil;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -13,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -37,6 +34,7 @@
 import org.cuminlatch.wire.proto.call.Begin;
 import org.cuminlatch.wire.proto.call.CallFrame;
 import org.cuminlatch.wire.proto.call.ConfigRecord;
+import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.MoveEvidence;
 import org.cuminlatch.wire.proto.call.MoveFact;
 import org.cuminlatch.wire.proto.call.TargetStatus;
@@ -85,8 +83,6 @@
   /** Period of the evidence of targets of old versions, in ticks of the moves. */
   private static final int OLD_VERSION_EVIDENCE_TICKS = 2;
 
-  private static final Duration REGISTER_RETRY_DELAY = Duration.ofMillis(500);
-
   private final MeshSettings settings;
   private final EventLoop control;
   private final EventLoop traffic;
@@ -94,7 +90,7 @@
   private final EventLog log;
   private final KeyedStore store;
   private final OperatorRecordCodec recordCodec;
-  private final Set<Address> nodeAddresses = new HashSet<>();
+  private final NodeDirectory nodes;
   private final LocalTarget target;
   private final ExitRelay exitRelay;
   private final MoveControl moves;
@@ -110,7 +106,6 @@
   private final ConfigurationPullSchedule pullSchedule = new ConfigurationPullSchedule();
   private boolean versionUpdateScheduled;
   private final Set<Stream> lostStreams = EnumSet.noneOf(Stream.class);
-  private boolean registered;
   private int evidenceTicks;
   private volatile Instant coldUntil = Instant.MIN;
   private volatile boolean movesActive;
@@ -144,6 +139,15 @@
     this.status = TargetStatus.getDefaultInstance();
     this.sentStatus = status;
     this.target = new LocalTarget(settings.peers().toString(), control, store, log, gateControl());
+    this.nodes =
+        new NodeDirectory(
+            settings.peers(),
+            settings.node(),
+            control,
+            store,
+            log,
+            peerStatuses::containsKey,
+            known -> traffic.execute(() -> links.setNodes(known)));
     this.exitRelay =
         new ExitRelay(
             settings.node(),
@@ -243,9 +247,8 @@
     control.execute(
         () -> {
           target.readStored();
-          moves.readStatements();
           newFollower(operatorSubscription(), this::onStoredOperatorRecord, () -> {}).start();
-          newFollower(nodeSubscription(), this::onNodeRecord, this::onNodesRead).start();
+          newFollower(nodeSubscription(), nodes::onRecord, nodes::onPageRead).start();
         });
     control.scheduleWithFixedDelay(
         this::checkPeers,
@@ -286,7 +289,7 @@
 
   private StoreFollower.Subscription nodeSubscription() {
     return new StoreFollower.Subscription(
-        Stream.NODES, NODES_WAIT_TIMEOUT, NODES_FIRST_DELAY, NODES_BATCH_DELAY, () -> true);
+        Stream.NODES, NODES_WAIT_TIMEOUT, NODES_FIRST_DELAY, NODES_BATCH_DELAY, this::readsForZone);
   }
 
   private StoreFollower newFollower(
@@ -497,48 +500,6 @@
     return distance(peer) == Distance.SAME_ZONE;
   }
 
-  private void onNodeRecord(Item item) {
-    Address address = Address.parse(item.key());
-    if (!NetUtil.isValidIpV4Address(address.host())
-        && !NetUtil.isValidIpV6Address(address.host())) {
-      // a name would have to be looked up on the traffic loop
-      throw new IllegalArgumentException("address of a node must have a numeric host");
-    }
-    if (address.equals(settings.peers())) {
-      registered = item.value().length > 0;
-    } else if (item.value().length == 0) {
-      nodeAddresses.remove(address);
-    } else {
-      nodeAddresses.add(address);
-    }
-  }
-
-  private void onNodesRead() {
-    if (!registered) {
-      registered = true;
-      register();
-    }
-    Set<Address> known = Set.copyOf(nodeAddresses);
-    traffic.execute(() -> links.setNodes(known));
-  }
-
-  /** Stores the node's address, only once because it stays the same across restarts. */
-  private void register() {
-    store
-        .append(
-            Stream.NODES,
-            settings.peers().toString(),
-            settings.node().getBytes(StandardCharsets.UTF_8),
-            OptionalLong.empty())
-        .whenComplete(
-            (end, error) -> {
-              if (error != null) {
-                control.schedule(
-                    this::register, REGISTER_RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
-              }
-            });
-  }
-
   private CompletableFuture<Void> onTraffic(Runnable task) {
     return CompletableFuture.runAsync(task, traffic);
   }
@@ -600,6 +561,11 @@
         control.execute(() -> target.onExitConfirmed(token, peer));
       }
 
+      @Override
+      public void onHello(Hello hello) {
+        control.execute(() -> nodes.onHello(hello));
+      }
+
       @Override
       public void onTargetReplaced() {
         evidence.clear();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -29,6 +29,7 @@
 import org.cuminlatch.node.http.HttpServer;
 import org.cuminlatch.node.http.ServerExchange;
 import org.cuminlatch.wire.call.CallTransport;
+import org.cuminlatch.wire.proto.call.Hello;
 
 /**
  * Runs a node on an operator's platform, with traffic on one event loop and control state on
@@ -111,7 +112,7 @@
             metrics,
             control.gateCallback());
     CallTransport transport = CallTransport.withGroup(trafficGroup);
-    this.links = new PeerLinks(transport, random, log, control.peerListener());
+    this.links = new PeerLinks(transport, hello(settings), random, log, control.peerListener());
     this.entry =
         new EntryHandler(traffic, settings, clock, random, links, control::view, lag, log, metrics);
     control.connect(gate, links, new LocalLink(traffic, gate));
@@ -204,6 +205,13 @@
     return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   }
 
+  private static Hello hello(MeshSettings settings) {
+    return Hello.newBuilder()
+        .setAddress(settings.peers().toString())
+        .setNode(settings.node())
+        .build();
+  }
+
   private static InetSocketAddress socketAddress(Address address) {
     return new InetSocketAddress(address.host(), address.port());
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
@@ -63,6 +63,7 @@
   private final Map<String, FollowedMove> moves = new HashMap<>();
   private final Map<String, MoveStatement> statements = new HashMap<>();
   private Map<String, VersionRule> rules = Map.of();
+  private boolean statementsRequested;
   private boolean statementsLoaded;
   private Instant lastWriteAttemptAt = Instant.MIN;
   private boolean writing;
@@ -131,11 +132,15 @@
     if (statement != null) {
       apply(followedMove, statement);
     }
+    if (!statementsRequested) {
+      statementsRequested = true;
+      readStatements();
+    }
     tick();
   }
 
-  /** Reads the statements that were written before this process started. */
-  void readStatements() {
+  /** Reads the statements that were written before the first order reached this process. */
+  private void readStatements() {
     store
         .newest(Stream.STATEMENTS)
         .whenComplete(
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -22,6 +22,7 @@
 import org.cuminlatch.wire.proto.call.CallFrame;
 import org.cuminlatch.wire.proto.call.ConfigPull;
 import org.cuminlatch.wire.proto.call.ConfigRecord;
+import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.Ping;
 import org.cuminlatch.wire.proto.call.TargetPhase;
 import org.cuminlatch.wire.proto.call.TargetStatus;
@@ -59,6 +60,7 @@
   private static final int MAX_EXCLUDED = 1024;
 
   private final CallTransport transport;
+  private final CallFrame hello;
   private final RandomGenerator random;
   private final EventLog log;
   private final PeerListener listener;
@@ -72,8 +74,14 @@
   private Set<String> evacuatedZones = Set.of();
   private ServiceIndex index = ServiceIndex.of(List.of());
 
-  PeerLinks(CallTransport transport, RandomGenerator random, EventLog log, PeerListener listener) {
+  PeerLinks(
+      CallTransport transport,
+      Hello hello,
+      RandomGenerator random,
+      EventLog log,
+      PeerListener listener) {
     this.transport = transport;
+    this.hello = CallFrame.newBuilder().setHello(hello).build();
     this.random = random;
     this.log = log;
     this.listener = listener;
@@ -258,6 +266,7 @@
               } else if (links.get(link.address()) == link) {
                 link.onConnected(channel);
                 linkByChannel.put(channel, link);
+                channel.send(hello);
               } else {
                 channel.close();
               }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -39,6 +39,7 @@
 import org.cuminlatch.wire.proto.call.Cancelled;
 import org.cuminlatch.wire.proto.call.Failure;
 import org.cuminlatch.wire.proto.call.FailureReason;
+import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.Load;
 import org.cuminlatch.wire.proto.call.Pong;
 import org.cuminlatch.wire.proto.call.Refusal;
@@ -142,6 +143,9 @@
      */
     void onExitConfirmed(long token, String peer);
 
+    /** Called when another node opens a connection. */
+    void onHello(Hello hello);
+
     /** Called when the local target was replaced, restarted or given another number of slots. */
     void onTargetReplaced();
 
@@ -253,6 +257,7 @@
       case CANCEL -> cancel(channel, id);
       case CONFIG_PULL -> callback.configurationFrame().ifPresent(channel::send);
       case PING -> onPing(channel, frame.getPing().getNonce());
+      case HELLO -> callback.onHello(frame.getHello());
       default -> channel.close();
     }
   }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -34,6 +34,7 @@
 import org.cuminlatch.wire.proto.call.Cancel;
 import org.cuminlatch.wire.proto.call.Credit;
 import org.cuminlatch.wire.proto.call.Header;
+import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.TargetStatus;
 
 /** Runs a gate with a target on the loopback interface and records the frames that it sends. */
@@ -291,6 +292,9 @@
     @Override
     public void onExitConfirmed(long token, String peer) {}
 
+    @Override
+    public void onHello(Hello hello) {}
+
     @Override
     public void onTargetReplaced() {}
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrame.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrame.java
@@ -8,7 +8,7 @@
 /**
  * <pre>
  * The attempt id is set on frames that belong to an attempt. It is unset on ping, pong, status,
- * evidence, config_pull and config_record frames.
+ * evidence, config_pull, config_record and hello frames.
  * </pre>
  *
  * Protobuf type {@code cuminlatch.call.CallFrame}
@@ -69,6 +69,7 @@
     EVIDENCE(15),
     CONFIG_PULL(16),
     CONFIG_RECORD(17),
+    HELLO(22),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -101,6 +102,7 @@
         case 15: return EVIDENCE;
         case 16: return CONFIG_PULL;
         case 17: return CONFIG_RECORD;
+        case 22: return HELLO;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -603,6 +605,37 @@
     return org.cuminlatch.wire.proto.call.ConfigRecord.getDefaultInstance();
   }
 
+  public static final int HELLO_FIELD_NUMBER = 22;
+  /**
+   * <code>.cuminlatch.call.Hello hello = 22;</code>
+   * @return Whether the hello field is set.
+   */
+  @java.lang.Override
+  public boolean hasHello() {
+    return kindCase_ == 22;
+  }
+  /**
+   * <code>.cuminlatch.call.Hello hello = 22;</code>
+   * @return The hello.
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.Hello getHello() {
+    if (kindCase_ == 22) {
+       return (org.cuminlatch.wire.proto.call.Hello) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.Hello.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminlatch.call.Hello hello = 22;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.HelloOrBuilder getHelloOrBuilder() {
+    if (kindCase_ == 22) {
+       return (org.cuminlatch.wire.proto.call.Hello) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.Hello.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -668,6 +701,9 @@
     if (kindCase_ == 17) {
       output.writeMessage(17, (org.cuminlatch.wire.proto.call.ConfigRecord) kind_);
     }
+    if (kindCase_ == 22) {
+      output.writeMessage(22, (org.cuminlatch.wire.proto.call.Hello) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -745,6 +781,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(17, (org.cuminlatch.wire.proto.call.ConfigRecord) kind_);
     }
+    if (kindCase_ == 22) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(22, (org.cuminlatch.wire.proto.call.Hello) kind_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -826,6 +866,10 @@
         if (!getConfigRecord()
             .equals(other.getConfigRecord())) return false;
         break;
+      case 22:
+        if (!getHello()
+            .equals(other.getHello())) return false;
+        break;
       case 0:
       default:
     }
@@ -907,6 +951,10 @@
         hash = (37 * hash) + CONFIG_RECORD_FIELD_NUMBER;
         hash = (53 * hash) + getConfigRecord().hashCode();
         break;
+      case 22:
+        hash = (37 * hash) + HELLO_FIELD_NUMBER;
+        hash = (53 * hash) + getHello().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1010,7 +1058,7 @@
   /**
    * <pre>
    * The attempt id is set on frames that belong to an attempt. It is unset on ping, pong, status,
-   * evidence, config_pull and config_record frames.
+   * evidence, config_pull, config_record and hello frames.
    * </pre>
    *
    * Protobuf type {@code cuminlatch.call.CallFrame}
@@ -1093,6 +1141,9 @@
       if (configRecordBuilder_ != null) {
         configRecordBuilder_.clear();
       }
+      if (helloBuilder_ != null) {
+        helloBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -1200,6 +1251,10 @@
           configRecordBuilder_ != null) {
         result.kind_ = configRecordBuilder_.build();
       }
+      if (kindCase_ == 22 &&
+          helloBuilder_ != null) {
+        result.kind_ = helloBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1281,6 +1336,10 @@
           mergeConfigRecord(other.getConfigRecord());
           break;
         }
+        case HELLO: {
+          mergeHello(other.getHello());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -1426,6 +1485,13 @@
               kindCase_ = 17;
               break;
             } // case 138
+            case 178: {
+              input.readMessage(
+                  internalGetHelloFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 22;
+              break;
+            } // case 178
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3652,6 +3718,148 @@
       return configRecordBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.Hello, org.cuminlatch.wire.proto.call.Hello.Builder, org.cuminlatch.wire.proto.call.HelloOrBuilder> helloBuilder_;
+    /**
+     * <code>.cuminlatch.call.Hello hello = 22;</code>
+     * @return Whether the hello field is set.
+     */
+    @java.lang.Override
+    public boolean hasHello() {
+      return kindCase_ == 22;
+    }
+    /**
+     * <code>.cuminlatch.call.Hello hello = 22;</code>
+     * @return The hello.
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.Hello getHello() {
+      if (helloBuilder_ == null) {
+        if (kindCase_ == 22) {
+          return (org.cuminlatch.wire.proto.call.Hello) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.Hello.getDefaultInstance();
+      } else {
+        if (kindCase_ == 22) {
+          return helloBuilder_.getMessage();
+        }
+        return org.cuminlatch.wire.proto.call.Hello.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.Hello hello = 22;</code>
+     */
+    public Builder setHello(org.cuminlatch.wire.proto.call.Hello value) {
+      if (helloBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        helloBuilder_.setMessage(value);
+      }
+      kindCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.Hello hello = 22;</code>
+     */
+    public Builder setHello(
+        org.cuminlatch.wire.proto.call.Hello.Builder builderForValue) {
+      if (helloBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        helloBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.Hello hello = 22;</code>
+     */
+    public Builder mergeHello(org.cuminlatch.wire.proto.call.Hello value) {
+      if (helloBuilder_ == null) {
+        if (kindCase_ == 22 &&
+            kind_ != org.cuminlatch.wire.proto.call.Hello.getDefaultInstance()) {
+          kind_ = org.cuminlatch.wire.proto.call.Hello.newBuilder((org.cuminlatch.wire.proto.call.Hello) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 22) {
+          helloBuilder_.mergeFrom(value);
+        } else {
+          helloBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 22;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.Hello hello = 22;</code>
+     */
+    public Builder clearHello() {
+      if (helloBuilder_ == null) {
+        if (kindCase_ == 22) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 22) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        helloBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.Hello hello = 22;</code>
+     */
+    public org.cuminlatch.wire.proto.call.Hello.Builder getHelloBuilder() {
+      return internalGetHelloFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cuminlatch.call.Hello hello = 22;</code>
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.HelloOrBuilder getHelloOrBuilder() {
+      if ((kindCase_ == 22) && (helloBuilder_ != null)) {
+        return helloBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 22) {
+          return (org.cuminlatch.wire.proto.call.Hello) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.Hello.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.Hello hello = 22;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.Hello, org.cuminlatch.wire.proto.call.Hello.Builder, org.cuminlatch.wire.proto.call.HelloOrBuilder> 
+        internalGetHelloFieldBuilder() {
+      if (helloBuilder_ == null) {
+        if (!(kindCase_ == 22)) {
+          kind_ = org.cuminlatch.wire.proto.call.Hello.getDefaultInstance();
+        }
+        helloBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cuminlatch.wire.proto.call.Hello, org.cuminlatch.wire.proto.call.Hello.Builder, org.cuminlatch.wire.proto.call.HelloOrBuilder>(
+                (org.cuminlatch.wire.proto.call.Hello) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 22;
+      onChanged();
+      return helloBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.CallFrame)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrameOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrameOrBuilder.java
@@ -247,5 +247,20 @@
    */
   org.cuminlatch.wire.proto.call.ConfigRecordOrBuilder getConfigRecordOrBuilder();
 
+  /**
+   * <code>.cuminlatch.call.Hello hello = 22;</code>
+   * @return Whether the hello field is set.
+   */
+  boolean hasHello();
+  /**
+   * <code>.cuminlatch.call.Hello hello = 22;</code>
+   * @return The hello.
+   */
+  org.cuminlatch.wire.proto.call.Hello getHello();
+  /**
+   * <code>.cuminlatch.call.Hello hello = 22;</code>
+   */
+  org.cuminlatch.wire.proto.call.HelloOrBuilder getHelloOrBuilder();
+
   org.cuminlatch.wire.proto.call.CallFrame.KindCase getKindCase();
 }
