Decide from the age of proofs whether keys may be accepted

A node that has lost contact serves keys of its configuration for as long as it runs, also if the store has acknowledged a version without them.

KeyValidity records proofs that a version was the newest one and accepts keys only while the latest proof for the version in force is younger than the bound less 5 %. ElapsedTime adds the larger step of the monotonic clock and the time of day, so that a suspension counts. InquirySchedule and InquiryPeers say when to ask whom: nodes of the zone, a node of another zone, the store. Frames ValidityQuery and ValidityAnswer carry the question and the age. Nothing uses them yet.

KeyValidityTests: 400 random runs of 90 s with 6 nodes, held-up, reordered and lost messages, suspensions, steps of the time of day, restarts and cuts; no key accepted later than the bound.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/account/package-info.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/account/package-info.java
@@ -1,2 +1,5 @@
-/** Client accounts: who sends a call, and what the account may use. */
+/**
+ * Client accounts: who sends a call, what the account may use, and whether its keys are known to be
+ * valid.
+ */
 package org.cuminlatch.core.account;
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrame.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrame.java
@@ -8,7 +8,7 @@
 /**
  * <pre>
  * The attempt id is set on frames that belong to an attempt. It is unset on ping, pong, status,
- * evidence, config_pull and config_record frames.
+ * evidence, config_pull, config_record, validity_query and validity_answer frames.
  * </pre>
  *
  * Protobuf type {@code cuminlatch.call.CallFrame}
@@ -69,6 +69,8 @@
     EVIDENCE(15),
     CONFIG_PULL(16),
     CONFIG_RECORD(17),
+    VALIDITY_QUERY(18),
+    VALIDITY_ANSWER(19),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -101,6 +103,8 @@
         case 15: return EVIDENCE;
         case 16: return CONFIG_PULL;
         case 17: return CONFIG_RECORD;
+        case 18: return VALIDITY_QUERY;
+        case 19: return VALIDITY_ANSWER;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -603,6 +607,68 @@
     return org.cuminlatch.wire.proto.call.ConfigRecord.getDefaultInstance();
   }
 
+  public static final int VALIDITY_QUERY_FIELD_NUMBER = 18;
+  /**
+   * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+   * @return Whether the validityQuery field is set.
+   */
+  @java.lang.Override
+  public boolean hasValidityQuery() {
+    return kindCase_ == 18;
+  }
+  /**
+   * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+   * @return The validityQuery.
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.ValidityQuery getValidityQuery() {
+    if (kindCase_ == 18) {
+       return (org.cuminlatch.wire.proto.call.ValidityQuery) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.ValidityQuery.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.ValidityQueryOrBuilder getValidityQueryOrBuilder() {
+    if (kindCase_ == 18) {
+       return (org.cuminlatch.wire.proto.call.ValidityQuery) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.ValidityQuery.getDefaultInstance();
+  }
+
+  public static final int VALIDITY_ANSWER_FIELD_NUMBER = 19;
+  /**
+   * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+   * @return Whether the validityAnswer field is set.
+   */
+  @java.lang.Override
+  public boolean hasValidityAnswer() {
+    return kindCase_ == 19;
+  }
+  /**
+   * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+   * @return The validityAnswer.
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.ValidityAnswer getValidityAnswer() {
+    if (kindCase_ == 19) {
+       return (org.cuminlatch.wire.proto.call.ValidityAnswer) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.ValidityAnswer.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.ValidityAnswerOrBuilder getValidityAnswerOrBuilder() {
+    if (kindCase_ == 19) {
+       return (org.cuminlatch.wire.proto.call.ValidityAnswer) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.ValidityAnswer.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -668,6 +734,12 @@
     if (kindCase_ == 17) {
       output.writeMessage(17, (org.cuminlatch.wire.proto.call.ConfigRecord) kind_);
     }
+    if (kindCase_ == 18) {
+      output.writeMessage(18, (org.cuminlatch.wire.proto.call.ValidityQuery) kind_);
+    }
+    if (kindCase_ == 19) {
+      output.writeMessage(19, (org.cuminlatch.wire.proto.call.ValidityAnswer) kind_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -745,6 +817,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(17, (org.cuminlatch.wire.proto.call.ConfigRecord) kind_);
     }
+    if (kindCase_ == 18) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(18, (org.cuminlatch.wire.proto.call.ValidityQuery) kind_);
+    }
+    if (kindCase_ == 19) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(19, (org.cuminlatch.wire.proto.call.ValidityAnswer) kind_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -826,6 +906,14 @@
         if (!getConfigRecord()
             .equals(other.getConfigRecord())) return false;
         break;
+      case 18:
+        if (!getValidityQuery()
+            .equals(other.getValidityQuery())) return false;
+        break;
+      case 19:
+        if (!getValidityAnswer()
+            .equals(other.getValidityAnswer())) return false;
+        break;
       case 0:
       default:
     }
@@ -907,6 +995,14 @@
         hash = (37 * hash) + CONFIG_RECORD_FIELD_NUMBER;
         hash = (53 * hash) + getConfigRecord().hashCode();
         break;
+      case 18:
+        hash = (37 * hash) + VALIDITY_QUERY_FIELD_NUMBER;
+        hash = (53 * hash) + getValidityQuery().hashCode();
+        break;
+      case 19:
+        hash = (37 * hash) + VALIDITY_ANSWER_FIELD_NUMBER;
+        hash = (53 * hash) + getValidityAnswer().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1010,7 +1106,7 @@
   /**
    * <pre>
    * The attempt id is set on frames that belong to an attempt. It is unset on ping, pong, status,
-   * evidence, config_pull and config_record frames.
+   * evidence, config_pull, config_record, validity_query and validity_answer frames.
    * </pre>
    *
    * Protobuf type {@code cuminlatch.call.CallFrame}
@@ -1093,6 +1189,12 @@
       if (configRecordBuilder_ != null) {
         configRecordBuilder_.clear();
       }
+      if (validityQueryBuilder_ != null) {
+        validityQueryBuilder_.clear();
+      }
+      if (validityAnswerBuilder_ != null) {
+        validityAnswerBuilder_.clear();
+      }
       kindCase_ = 0;
       kind_ = null;
       return this;
@@ -1200,6 +1302,14 @@
           configRecordBuilder_ != null) {
         result.kind_ = configRecordBuilder_.build();
       }
+      if (kindCase_ == 18 &&
+          validityQueryBuilder_ != null) {
+        result.kind_ = validityQueryBuilder_.build();
+      }
+      if (kindCase_ == 19 &&
+          validityAnswerBuilder_ != null) {
+        result.kind_ = validityAnswerBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1281,6 +1391,14 @@
           mergeConfigRecord(other.getConfigRecord());
           break;
         }
+        case VALIDITY_QUERY: {
+          mergeValidityQuery(other.getValidityQuery());
+          break;
+        }
+        case VALIDITY_ANSWER: {
+          mergeValidityAnswer(other.getValidityAnswer());
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -1426,6 +1544,20 @@
               kindCase_ = 17;
               break;
             } // case 138
+            case 146: {
+              input.readMessage(
+                  internalGetValidityQueryFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 18;
+              break;
+            } // case 146
+            case 154: {
+              input.readMessage(
+                  internalGetValidityAnswerFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 19;
+              break;
+            } // case 154
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3652,6 +3784,290 @@
       return configRecordBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.ValidityQuery, org.cuminlatch.wire.proto.call.ValidityQuery.Builder, org.cuminlatch.wire.proto.call.ValidityQueryOrBuilder> validityQueryBuilder_;
+    /**
+     * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+     * @return Whether the validityQuery field is set.
+     */
+    @java.lang.Override
+    public boolean hasValidityQuery() {
+      return kindCase_ == 18;
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+     * @return The validityQuery.
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.ValidityQuery getValidityQuery() {
+      if (validityQueryBuilder_ == null) {
+        if (kindCase_ == 18) {
+          return (org.cuminlatch.wire.proto.call.ValidityQuery) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.ValidityQuery.getDefaultInstance();
+      } else {
+        if (kindCase_ == 18) {
+          return validityQueryBuilder_.getMessage();
+        }
+        return org.cuminlatch.wire.proto.call.ValidityQuery.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+     */
+    public Builder setValidityQuery(org.cuminlatch.wire.proto.call.ValidityQuery value) {
+      if (validityQueryBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        validityQueryBuilder_.setMessage(value);
+      }
+      kindCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+     */
+    public Builder setValidityQuery(
+        org.cuminlatch.wire.proto.call.ValidityQuery.Builder builderForValue) {
+      if (validityQueryBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        validityQueryBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+     */
+    public Builder mergeValidityQuery(org.cuminlatch.wire.proto.call.ValidityQuery value) {
+      if (validityQueryBuilder_ == null) {
+        if (kindCase_ == 18 &&
+            kind_ != org.cuminlatch.wire.proto.call.ValidityQuery.getDefaultInstance()) {
+          kind_ = org.cuminlatch.wire.proto.call.ValidityQuery.newBuilder((org.cuminlatch.wire.proto.call.ValidityQuery) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 18) {
+          validityQueryBuilder_.mergeFrom(value);
+        } else {
+          validityQueryBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+     */
+    public Builder clearValidityQuery() {
+      if (validityQueryBuilder_ == null) {
+        if (kindCase_ == 18) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 18) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        validityQueryBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+     */
+    public org.cuminlatch.wire.proto.call.ValidityQuery.Builder getValidityQueryBuilder() {
+      return internalGetValidityQueryFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.ValidityQueryOrBuilder getValidityQueryOrBuilder() {
+      if ((kindCase_ == 18) && (validityQueryBuilder_ != null)) {
+        return validityQueryBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 18) {
+          return (org.cuminlatch.wire.proto.call.ValidityQuery) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.ValidityQuery.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.ValidityQuery, org.cuminlatch.wire.proto.call.ValidityQuery.Builder, org.cuminlatch.wire.proto.call.ValidityQueryOrBuilder> 
+        internalGetValidityQueryFieldBuilder() {
+      if (validityQueryBuilder_ == null) {
+        if (!(kindCase_ == 18)) {
+          kind_ = org.cuminlatch.wire.proto.call.ValidityQuery.getDefaultInstance();
+        }
+        validityQueryBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cuminlatch.wire.proto.call.ValidityQuery, org.cuminlatch.wire.proto.call.ValidityQuery.Builder, org.cuminlatch.wire.proto.call.ValidityQueryOrBuilder>(
+                (org.cuminlatch.wire.proto.call.ValidityQuery) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 18;
+      onChanged();
+      return validityQueryBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.ValidityAnswer, org.cuminlatch.wire.proto.call.ValidityAnswer.Builder, org.cuminlatch.wire.proto.call.ValidityAnswerOrBuilder> validityAnswerBuilder_;
+    /**
+     * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+     * @return Whether the validityAnswer field is set.
+     */
+    @java.lang.Override
+    public boolean hasValidityAnswer() {
+      return kindCase_ == 19;
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+     * @return The validityAnswer.
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.ValidityAnswer getValidityAnswer() {
+      if (validityAnswerBuilder_ == null) {
+        if (kindCase_ == 19) {
+          return (org.cuminlatch.wire.proto.call.ValidityAnswer) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.ValidityAnswer.getDefaultInstance();
+      } else {
+        if (kindCase_ == 19) {
+          return validityAnswerBuilder_.getMessage();
+        }
+        return org.cuminlatch.wire.proto.call.ValidityAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+     */
+    public Builder setValidityAnswer(org.cuminlatch.wire.proto.call.ValidityAnswer value) {
+      if (validityAnswerBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        validityAnswerBuilder_.setMessage(value);
+      }
+      kindCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+     */
+    public Builder setValidityAnswer(
+        org.cuminlatch.wire.proto.call.ValidityAnswer.Builder builderForValue) {
+      if (validityAnswerBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        validityAnswerBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+     */
+    public Builder mergeValidityAnswer(org.cuminlatch.wire.proto.call.ValidityAnswer value) {
+      if (validityAnswerBuilder_ == null) {
+        if (kindCase_ == 19 &&
+            kind_ != org.cuminlatch.wire.proto.call.ValidityAnswer.getDefaultInstance()) {
+          kind_ = org.cuminlatch.wire.proto.call.ValidityAnswer.newBuilder((org.cuminlatch.wire.proto.call.ValidityAnswer) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 19) {
+          validityAnswerBuilder_.mergeFrom(value);
+        } else {
+          validityAnswerBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+     */
+    public Builder clearValidityAnswer() {
+      if (validityAnswerBuilder_ == null) {
+        if (kindCase_ == 19) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 19) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        validityAnswerBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+     */
+    public org.cuminlatch.wire.proto.call.ValidityAnswer.Builder getValidityAnswerBuilder() {
+      return internalGetValidityAnswerFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.ValidityAnswerOrBuilder getValidityAnswerOrBuilder() {
+      if ((kindCase_ == 19) && (validityAnswerBuilder_ != null)) {
+        return validityAnswerBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 19) {
+          return (org.cuminlatch.wire.proto.call.ValidityAnswer) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.ValidityAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.ValidityAnswer, org.cuminlatch.wire.proto.call.ValidityAnswer.Builder, org.cuminlatch.wire.proto.call.ValidityAnswerOrBuilder> 
+        internalGetValidityAnswerFieldBuilder() {
+      if (validityAnswerBuilder_ == null) {
+        if (!(kindCase_ == 19)) {
+          kind_ = org.cuminlatch.wire.proto.call.ValidityAnswer.getDefaultInstance();
+        }
+        validityAnswerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cuminlatch.wire.proto.call.ValidityAnswer, org.cuminlatch.wire.proto.call.ValidityAnswer.Builder, org.cuminlatch.wire.proto.call.ValidityAnswerOrBuilder>(
+                (org.cuminlatch.wire.proto.call.ValidityAnswer) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 19;
+      onChanged();
+      return validityAnswerBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.CallFrame)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrameOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrameOrBuilder.java
@@ -247,5 +247,35 @@
    */
   org.cuminlatch.wire.proto.call.ConfigRecordOrBuilder getConfigRecordOrBuilder();
 
+  /**
+   * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+   * @return Whether the validityQuery field is set.
+   */
+  boolean hasValidityQuery();
+  /**
+   * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+   * @return The validityQuery.
+   */
+  org.cuminlatch.wire.proto.call.ValidityQuery getValidityQuery();
+  /**
+   * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+   */
+  org.cuminlatch.wire.proto.call.ValidityQueryOrBuilder getValidityQueryOrBuilder();
+
+  /**
+   * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+   * @return Whether the validityAnswer field is set.
+   */
+  boolean hasValidityAnswer();
+  /**
+   * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+   * @return The validityAnswer.
+   */
+  org.cuminlatch.wire.proto.call.ValidityAnswer getValidityAnswer();
+  /**
+   * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+   */
+  org.cuminlatch.wire.proto.call.ValidityAnswerOrBuilder getValidityAnswerOrBuilder();
+
   org.cuminlatch.wire.proto.call.CallFrame.KindCase getKindCase();
 }
