Refuse requests with keys that may have been withdrawn

With the section revocation in the settings, an entry accepts a key only while it has a proof, younger than the bound less 5 %, that the configuration in force is the newest one. Otherwise the request gets 503 with Retry-After, with the reason in log and metrics; public routes go on, without an account.

Proofs come from the reads of the zone's reader, counted from the start of the read and only if the response reached the end of the stream, and from other nodes, counted from the moment of the query. KeyProofs asks as InquirySchedule says; StoreFollower reads once if no node can tell. While the store is slow, the reader shortens its wait so that its proofs do not get older.

WithdrawnKeyTests (two nodes, bound of 2 s): refusals while the store is silent, none at a node that only another one connects to the store, none while the store is slow, no read beside those of the zone's reader in calm, and no 200 later than the bound at a node whose frames are held up.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/account/InquirySchedule.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/account/InquirySchedule.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.cuminlatch.core.account.Inquiry.Source;
 
 /**
@@ -64,6 +65,11 @@
     private Optional<Duration> lastAskedAt = Optional.empty();
     private int attempts;
     private boolean unavailable;
+
+    private void reset() {
+      attempts = 0;
+      unavailable = false;
+    }
   }
 
   /**
@@ -73,21 +79,26 @@
    *     have no better one. Empty if there is none
    * @param ageInForce age of the latest proof for the version in force, empty if there is none
    * @param now the current time
-   * @param role what the node does for its zone
+   * @param roleNow returns what the node does for its zone
    * @return the inquiries, nearest source first
    */
   List<Inquiry> due(
-      Optional<Duration> latestAge, Optional<Duration> ageInForce, Duration now, Role role) {
-    List<Inquiry> due = new ArrayList<>();
-    if (ageInForce.isPresent() && ageInForce.get().compareTo(minAge(Source.ZONE, role)) < 0) {
+      Optional<Duration> latestAge,
+      Optional<Duration> ageInForce,
+      Duration now,
+      Supplier<Role> roleNow) {
+    if (ageInForce.filter(age -> age.compareTo(ageOf(ZONE_SHARE)) < 0).isPresent()) {
       since = Optional.empty();
+      states.values().forEach(State::reset);
+      return List.of();
     }
+    Role role = roleNow.get();
+    List<Inquiry> due = new ArrayList<>();
     for (Source source : Source.values()) {
       State state = states.get(source);
       Optional<Duration> age = source == Source.STORE ? ageInForce : latestAge;
       if (age.isPresent() && age.get().compareTo(minAge(source, role)) < 0) {
-        state.attempts = 0;
-        state.unavailable = false;
+        state.reset();
       } else if (isDue(source, state, now, role)) {
         due.add(new Inquiry(source, state.attempts));
         state.attempts++;
@@ -129,6 +140,10 @@
           case OTHER_ZONE -> OTHER_ZONE_SHARE;
           case STORE -> role == Role.OTHER ? LAST_STORE_SHARE : STORE_SHARE;
         };
+    return ageOf(share);
+  }
+
+  private Duration ageOf(double share) {
     return Duration.ofNanos((long) (bound.toNanos() * share));
   }
 
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/account/KeyValidity.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/account/KeyValidity.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 /**
  * Decides whether a node may accept requests by the keys of its configuration, also while it has no
@@ -170,10 +171,11 @@
    *
    * @param version the version in force
    * @param now the current time
-   * @param role what this node does for its zone
+   * @param role returns what this node does for its zone
    * @return the inquiries, nearest source first
    */
-  public List<Inquiry> dueInquiries(long version, Duration now, InquirySchedule.Role role) {
+  public List<Inquiry> dueInquiries(
+      long version, Duration now, Supplier<InquirySchedule.Role> role) {
     Optional<Duration> latestAge = latestProof().map(proof -> now.minus(proof.provenAt()));
     return inquiries.due(latestAge, age(version, now), now, role);
   }
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/account/KeyValiditySimulation.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/account/KeyValiditySimulation.java
@@ -182,7 +182,7 @@
         long pulled = newestKnown;
         run(2 * messageDelay(), () -> apply(pulled));
       }
-      for (Inquiry inquiry : validity.dueInquiries(inForce, askedAt, role)) {
+      for (Inquiry inquiry : validity.dueInquiries(inForce, askedAt, () -> role)) {
         List<String> asked = InquiryPeers.toAsk(inquiry, self.locality(), peers);
         if (inquiry.source() == Source.STORE) {
           inquiriesToStore++;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -67,6 +67,7 @@
   private final RandomGenerator random;
   private final PeerLinks links;
   private final Supplier<RoutingView> view;
+  private final KeyProofs keyProofs;
   private final LoopLag lag;
   private final EventLog log;
   private final MeshMetrics metrics;
@@ -86,6 +87,7 @@
       RandomGenerator random,
       PeerLinks links,
       Supplier<RoutingView> view,
+      KeyProofs keyProofs,
       LoopLag lag,
       EventLog log,
       MeshMetrics metrics) {
@@ -95,6 +97,7 @@
     this.random = random;
     this.links = links;
     this.view = view;
+    this.keyProofs = keyProofs;
     this.lag = lag;
     this.log = log;
     this.metrics = metrics;
@@ -124,9 +127,17 @@
       reject(exchange, id, 404, "no route in configuration " + current.version());
       return;
     }
+    List<String> authorization = exchange.headers(AUTHORIZATION);
+    boolean keysAreValid = authorization.isEmpty() || keyProofs.cover(current);
+    if (!keysAreValid && !route.get().policy().publicAccess()) {
+      refuse(exchange, id, KeyProofs.REFUSAL, DEFAULT_RETRY_AFTER_SECONDS);
+      return;
+    }
     CallerIdentity caller =
         CallerIdentity.of(
-            exchange.headers(AUTHORIZATION), current.table().get().accounts(), route.get());
+            keysAreValid ? authorization : List.of(),
+            current.table().get().accounts(),
+            route.get());
     if (caller == CallerIdentity.UNKNOWN) {
       reject(exchange, id, 401, "no client account holds the key of the request");
       return;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/KeyedStore.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/KeyedStore.java
@@ -81,13 +81,21 @@
    *
    * @param items the records
    * @param end offset from which to continue
+   * @param streamEnd offset at which the stream ended; greater than {@code end} if there are more
+   *     records
    */
-  record Page(List<Item> items, long end) {
+  record Page(List<Item> items, long end, long streamEnd) {
 
     /** Checks the fields and copies the list. */
     public Page {
       items = List.copyOf(notNull(items, "items"));
       notNegative(end, "end");
+      notNegative(streamEnd, "streamEnd");
+    }
+
+    /** Returns whether the stream had no records behind those that were read. */
+    boolean isComplete() {
+      return end >= streamEnd;
     }
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -18,6 +18,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.ConfigurationPullSchedule;
@@ -32,6 +33,7 @@
 import org.cuminlatch.core.target.TargetReport;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Item;
+import org.cuminlatch.node.mesh.KeyedStore.Page;
 import org.cuminlatch.node.mesh.KeyedStore.Stream;
 import org.cuminlatch.wire.proto.call.Begin;
 import org.cuminlatch.wire.proto.call.CallFrame;
@@ -39,6 +41,8 @@
 import org.cuminlatch.wire.proto.call.MoveEvidence;
 import org.cuminlatch.wire.proto.call.MoveFact;
 import org.cuminlatch.wire.proto.call.TargetStatus;
+import org.cuminlatch.wire.proto.call.ValidityAnswer;
+import org.cuminlatch.wire.proto.call.ValidityQuery;
 
 /**
  * Maintains the control state of a node: the configuration in force, the other nodes and the local
@@ -117,6 +121,8 @@
   private SlotGate gate;
   private PeerLinks links;
   private LocalLink localLink;
+  private KeyProofs keyProofs;
+  private StoreFollower operatorFollower;
   private volatile RoutingView view = RoutingView.EMPTY;
   private volatile boolean stopping;
   private volatile TargetStatus status;
@@ -202,8 +208,9 @@
     return all;
   }
 
-  void connect(SlotGate slotGate, PeerLinks peerLinks, LocalLink link) {
+  void connect(SlotGate slotGate, PeerLinks peerLinks, LocalLink link, KeyProofs proofs) {
     gate = slotGate;
+    keyProofs = proofs;
     links = peerLinks;
     localLink = link;
     status = describe();
@@ -214,8 +221,11 @@
         () -> {
           target.readStored();
           moves.readStatements();
-          newFollower(operatorSubscription(), this::onOperatorRecord, () -> {}).start();
-          newFollower(nodeSubscription(), this::onNodeRecord, this::onNodesRead).start();
+          operatorFollower =
+              newFollower(operatorSubscription(), this::onStoredRecord, keyProofs::onStoreRead);
+          operatorFollower.start();
+          newFollower(nodeSubscription(), this::onNodeRecord, (page, askedAt) -> this.onNodesRead())
+              .start();
         });
     control.scheduleWithFixedDelay(
         this::pullIfBehind,
@@ -248,19 +258,34 @@
   private StoreFollower.Subscription operatorSubscription() {
     return new StoreFollower.Subscription(
         Stream.OPERATOR,
-        CONFIGURATION_WAIT_TIMEOUT,
+        configurationWait(),
         CONFIGURATION_FIRST_DELAY,
         CONFIGURATION_BATCH_DELAY,
+        settings.revocationBound().isPresent(),
         this::readsForZone);
   }
 
+  /**
+   * Returns a shorter wait if keys must be refused sooner, as a read proves what held before it.
+   */
+  private Duration configurationWait() {
+    Duration longest =
+        settings
+            .revocationBound()
+            .map(bound -> bound.multipliedBy(3).dividedBy(10))
+            .orElse(CONFIGURATION_WAIT_TIMEOUT);
+    return longest.compareTo(CONFIGURATION_WAIT_TIMEOUT) < 0 ? longest : CONFIGURATION_WAIT_TIMEOUT;
+  }
+
   private StoreFollower.Subscription nodeSubscription() {
     return new StoreFollower.Subscription(
-        Stream.NODES, NODES_WAIT_TIMEOUT, NODES_FIRST_DELAY, NODES_BATCH_DELAY, () -> true);
+        Stream.NODES, NODES_WAIT_TIMEOUT, NODES_FIRST_DELAY, NODES_BATCH_DELAY, false, () -> true);
   }
 
   private StoreFollower newFollower(
-      StoreFollower.Subscription subscription, Consumer<Item> itemConsumer, Runnable afterPage) {
+      StoreFollower.Subscription subscription,
+      Consumer<Item> itemConsumer,
+      BiConsumer<Page, Duration> afterPage) {
     StoreFollower.ItemListener listener =
         new StoreFollower.ItemListener() {
           @Override
@@ -269,8 +294,8 @@
           }
 
           @Override
-          public void onPageRead() {
-            afterPage.run();
+          public void onPageRead(Page page, Duration askedAt) {
+            afterPage.accept(page, askedAt);
           }
 
           @Override
@@ -278,7 +303,18 @@
             MeshControl.this.updateLostStreams(subscription.stream(), lost);
           }
         };
-    return new StoreFollower(control, store, subscription, random, log, listener);
+    return new StoreFollower(
+        control, store, subscription, random, log, keyProofs.clock(), listener);
+  }
+
+  /** Reads the operators' records once, unless the store is known to be lost. */
+  void readOperatorRecords() {
+    control.execute(
+        () -> {
+          if (lostStreams.isEmpty()) {
+            operatorFollower.readNow();
+          }
+        });
   }
 
   private void updateLostStreams(Stream stream, boolean lost) {
@@ -389,14 +425,21 @@
     }
   }
 
-  private void onOperatorRecord(Item item) {
+  private void onStoredRecord(Item item) {
+    onOperatorRecord(item)
+        .flatMap(OperatorRecordCodec.Decoded::configuration)
+        .ifPresent(snapshot -> keyProofs.onStoredVersion(snapshot.version()));
+  }
+
+  private Optional<OperatorRecordCodec.Decoded> onOperatorRecord(Item item) {
     Optional<OperatorRecordCodec.Decoded> decoded = recordCodec.decode(item);
     if (decoded.isEmpty()) {
       log.event("record-ignored").with("key", item.key()).with("offset", item.offset()).write();
-      return;
+      return decoded;
     }
     decoded.get().configuration().ifPresent(snapshot -> applyConfiguration(snapshot, item));
     decoded.get().order().ifPresent(moves::onOrder);
+    return decoded;
   }
 
   private void applyConfiguration(Snapshot snapshot, Item item) {
@@ -561,6 +604,11 @@
         return moveFacts.isEmpty() ? Optional.empty() : Optional.of(evidenceFrame());
       }
 
+      @Override
+      public Optional<CallFrame> validityAnswer(ValidityQuery query) {
+        return keyProofs.answer(query);
+      }
+
       @Override
       public TargetStatus targetStatus() {
         return status;
@@ -597,6 +645,11 @@
         control.execute(() -> onPeerRecord(record));
       }
 
+      @Override
+      public void onValidityAnswer(ValidityAnswer answer, String node) {
+        keyProofs.onAnswer(answer, node);
+      }
+
       @Override
       public void onEvidence(CallFrame frame) {
         control.execute(() -> moves.onEvidence(frame.getEvidence()));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -46,6 +46,11 @@
     registry.counter("attempts_repeated{service=\"" + service + "\"}").inc();
   }
 
+  /** Counts a question to other nodes or the store after the validity of keys. */
+  void countInquiry(String source) {
+    registry.counter("key_inquiries{source=\"" + source + "\"}").inc();
+  }
+
   void recordAnswer(String route, int status, Duration took) {
     registry.counter("calls_answered{class=\"" + status / 100 + "xx\"}").inc();
     registry.timer("call_seconds{route=\"" + route + "\"}").update(took);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -112,9 +112,13 @@
             control.gateCallback());
     CallTransport transport = CallTransport.withGroup(trafficGroup);
     this.links = new PeerLinks(transport, random, log, control.peerListener());
+    KeyProofs keyProofs =
+        new KeyProofs(
+            settings, traffic, links, control::view, control::readOperatorRecords, log, metrics);
     this.entry =
-        new EntryHandler(traffic, settings, clock, random, links, control::view, lag, log, metrics);
-    control.connect(gate, links, new LocalLink(traffic, gate));
+        new EntryHandler(
+            traffic, settings, clock, random, links, control::view, keyProofs, lag, log, metrics);
+    control.connect(gate, links, new LocalLink(traffic, gate), keyProofs);
     this.callers =
         HttpServer.listen(
             trafficGroup, socketAddress(settings.callers()), configuredLimits(), log, entry);
@@ -127,12 +131,14 @@
     HttpServer.listen(
         controlGroup, socketAddress(settings.metrics()), defaultLimits(), log, this::serveMetrics);
     addGauges();
+    gauge("key_proof_age_seconds", keyProofs::ageSeconds);
     repeat(
         SWEEP_INTERVAL,
         () -> {
           lag.tick();
           logLagChange();
           gate.sweep();
+          keyProofs.tick();
         });
     repeat(LINK_CHECK_INTERVAL, links::check);
     control.start();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshSettings.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshSettings.java
@@ -4,6 +4,7 @@
 import static org.cuminlatch.core.Preconditions.notNull;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.core.membership.Locality;
 
@@ -22,6 +23,8 @@
  * @param store address of the platform's store
  * @param stopPeriod time between the request to stop and the end of the process
  * @param headers names of headers
+ * @param revocationBound time after which a withdrawn key is accepted nowhere, also by nodes that
+ *     have lost contact; empty if no such bound is kept
  */
 public record MeshSettings(
     String node,
@@ -35,7 +38,8 @@
     Address metrics,
     Address store,
     Duration stopPeriod,
-    HeaderNames headers) {
+    HeaderNames headers,
+    Optional<Duration> revocationBound) {
 
   /** Checks the fields. */
   public MeshSettings {
@@ -51,5 +55,6 @@
     notNull(store, "store");
     notNull(stopPeriod, "stopPeriod");
     notNull(headers, "headers");
+    notNull(revocationBound, "revocationBound");
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -25,6 +25,7 @@
 import org.cuminlatch.wire.proto.call.Ping;
 import org.cuminlatch.wire.proto.call.TargetPhase;
 import org.cuminlatch.wire.proto.call.TargetStatus;
+import org.cuminlatch.wire.proto.call.ValidityAnswer;
 
 /**
  * Maintains the connections to the gates of all other nodes; used on the traffic loop.
@@ -93,6 +94,9 @@
 
     /** Called when a node sends the configuration that was requested from it. */
     void onConfiguration(ConfigRecord record);
+
+    /** Called when a node answers a query about the validity of keys. */
+    void onValidityAnswer(ValidityAnswer answer, String node);
   }
 
   /** Sets the local target, empty while it takes no requests. */
@@ -187,6 +191,13 @@
     return Optional.ofNullable(linkByInstance.get(instance));
   }
 
+  /** Returns the links to nodes whose status is known and that are not silent. */
+  List<PeerLink> responsive() {
+    return links.values().stream()
+        .filter(link -> link.isOpen() && !link.isSuspect() && link.status().isPresent())
+        .toList();
+  }
+
   int openLinks() {
     return (int) links.values().stream().filter(PeerLink::isOpen).count();
   }
@@ -269,6 +280,9 @@
       case STATUS -> updateStatus(link, frame.getStatus());
       case EVIDENCE -> listener.onEvidence(frame);
       case CONFIG_RECORD -> listener.onConfiguration(frame.getConfigRecord());
+      case VALIDITY_ANSWER ->
+          listener.onValidityAnswer(
+              frame.getValidityAnswer(), link.status().map(TargetStatus::getNode).orElse(""));
       case PONG -> {}
       default -> link.dispatch(frame, CallFrames.attempt(frame));
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -44,6 +44,7 @@
 import org.cuminlatch.wire.proto.call.Refusal;
 import org.cuminlatch.wire.proto.call.RefusalReason;
 import org.cuminlatch.wire.proto.call.TargetStatus;
+import org.cuminlatch.wire.proto.call.ValidityQuery;
 
 /**
  * Gate of the local target: assigns the target's slots to attempts and sends them to the target.
@@ -150,6 +151,11 @@
     /** Returns the frame with the evidence on moves for a node that connects. */
     Optional<CallFrame> moveEvidenceFrame();
 
+    /**
+     * Returns the frame that answers a query about the validity of keys, empty if there is none.
+     */
+    Optional<CallFrame> validityAnswer(ValidityQuery query);
+
     /** Returns the status that is sent to a node that connects. */
     TargetStatus targetStatus();
   }
@@ -240,6 +246,8 @@
           find(id).ifPresent(attempt -> addCredit(attempt, frame.getCredit().getBytes()));
       case CANCEL -> cancel(channel, id);
       case CONFIG_PULL -> callback.configurationFrame().ifPresent(channel::send);
+      case VALIDITY_QUERY ->
+          callback.validityAnswer(frame.getValidityQuery()).ifPresent(channel::send);
       case PING -> onPing(channel, frame.getPing().getNonce());
       default -> channel.close();
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.error.CuminlatchException;
 import org.cuminlatch.core.error.ErrorCode;
@@ -33,6 +34,9 @@
   /** Consecutive failures after which the store counts as lost. */
   private static final int FAILURES_UNTIL_LOST = 2;
 
+  /** Factor by which the wait is reduced at most; more calls would not help a slow store. */
+  private static final int MAX_WAIT_REDUCTION = 4;
+
   private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(150);
   private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(1600);
 
@@ -41,12 +45,18 @@
   private final Subscription subscription;
   private final RandomGenerator random;
   private final EventLog log;
+  private final Supplier<Duration> clock;
   private final ItemListener listener;
   private long nextOffset = -1;
   private int failures;
   private long lastReadNanos;
   private boolean hasRead;
 
+  /** Time that the store took beyond the wait of the latest read that brought no records. */
+  private Duration storeDelay = Duration.ZERO;
+
+  private Duration lastWait = Duration.ZERO;
+
   /**
    * A stream to follow and how to read it.
    *
@@ -57,6 +67,8 @@
    *     start together store their addresses and connect
    * @param batchDelay time between the arrival of records and the next read, in which changes
    *     accumulate
+   * @param keepsPeriod whether the wait is shortened by the time that the store has lately taken
+   *     beyond it, so that slow responses don't make the proofs of {@link KeyProofs} older
    * @param isReader returns whether this node is one of those that follow the stream
    */
   record Subscription(
@@ -64,6 +76,7 @@
       Duration maxWait,
       Duration firstDelay,
       Duration batchDelay,
+      boolean keepsPeriod,
       BooleanSupplier isReader) {}
 
   /** Receives the records in the order of the stream; called on the control loop. */
@@ -71,8 +84,13 @@
 
     void onItem(Item item);
 
-    /** Called after the last record of each page. */
-    void onPageRead();
+    /**
+     * Called after the last record of each page.
+     *
+     * @param page the page
+     * @param askedAt time of the follower's clock at which the read began
+     */
+    void onPageRead(Page page, Duration askedAt);
 
     /** Called when the store is lost, and when it can be read again. */
     void onStoreChange(boolean lost);
@@ -84,12 +102,14 @@
       Subscription subscription,
       RandomGenerator random,
       EventLog log,
+      Supplier<Duration> clock,
       ItemListener listener) {
     this.loop = loop;
     this.store = store;
     this.subscription = subscription;
     this.random = random;
     this.log = log;
+    this.clock = clock;
     this.listener = listener;
   }
 
@@ -99,16 +119,49 @@
       return;
     }
     Stream stream = subscription.stream();
-    var read =
-        nextOffset < 0
-            ? store.newest(stream)
-            : store.follow(stream, nextOffset, subscription.maxWait());
-    read.whenComplete((page, error) -> loop.execute(() -> onReadEnd(page, error)));
+    Duration askedAt = clock.get();
+    lastWait = nextOffset < 0 ? Duration.ZERO : nextWait();
+    var read = nextOffset < 0 ? store.newest(stream) : store.follow(stream, nextOffset, lastWait);
+    read.whenComplete((page, error) -> loop.execute(() -> onReadEnd(page, error, askedAt)));
+  }
+
+  private Duration nextWait() {
+    Duration longest = subscription.maxWait();
+    Duration shortest = longest.dividedBy(MAX_WAIT_REDUCTION);
+    if (!subscription.keepsPeriod() || storeDelay.isNegative()) {
+      return longest;
+    }
+    Duration reduced = longest.minus(storeDelay);
+    return reduced.compareTo(shortest) < 0 ? shortest : reduced;
+  }
+
+  /**
+   * Reads once, beside the usual reads, what has been stored since the last read. Has no effect
+   * before the first read, which is repeated until it succeeds.
+   */
+  void readNow() {
+    if (nextOffset < 0) {
+      return;
+    }
+    Duration askedAt = clock.get();
+    store
+        .follow(subscription.stream(), nextOffset, Duration.ZERO)
+        .whenComplete((page, error) -> loop.execute(() -> onExtraReadEnd(page, error, askedAt)));
+  }
+
+  private void onExtraReadEnd(Page page, Throwable error, Duration askedAt) {
+    if (error == null) {
+      nextOffset = page.end();
+      deliver(page, askedAt);
+    } else if (isTruncated(error)) {
+      nextOffset = -1;
+    }
   }
 
   /** Waits until the node is a reader or a read is due; both start at the newest records. */
   private void standBy() {
-    if (subscription.isReader().getAsBoolean()
+    if (nextOffset < 0
+        || subscription.isReader().getAsBoolean()
         || System.nanoTime() - lastReadNanos > STANDBY_READ_INTERVAL.toNanos()) {
       nextOffset = -1;
       start();
@@ -117,7 +170,7 @@
     }
   }
 
-  private void onReadEnd(Page page, Throwable error) {
+  private void onReadEnd(Page page, Throwable error, Duration askedAt) {
     if (error != null) {
       onReadFailed(error);
       return;
@@ -132,8 +185,10 @@
     }
     nextOffset = page.end();
     lastReadNanos = System.nanoTime();
-    page.items().forEach(this::deliver);
-    endPage();
+    if (page.items().isEmpty()) {
+      storeDelay = clock.get().minus(askedAt).minus(lastWait);
+    }
+    deliver(page, askedAt);
     boolean firstRead = !hasRead;
     hasRead = true;
     if (firstRead && page.items().isEmpty()) {
@@ -145,10 +200,11 @@
     }
   }
 
-  /** Ends a page; the stream is followed further also if its listener fails. */
-  private void endPage() {
+  /** Delivers a page; the stream is followed further also if its listener fails. */
+  private void deliver(Page page, Duration askedAt) {
+    page.items().forEach(this::deliver);
     try {
-      listener.onPageRead();
+      listener.onPageRead(page, askedAt);
     } catch (RuntimeException error) {
       log.event("task-failed")
           .with("task", "page of " + subscription.stream().name())
@@ -181,13 +237,17 @@
     if (failures == FAILURES_UNTIL_LOST) {
       listener.onStoreChange(true);
     }
-    if (error instanceof CuminlatchException storeError
-        && storeError.code() == ErrorCode.LOG_TRUNCATED) {
+    if (isTruncated(error)) {
       nextOffset = -1;
     }
     schedule(RetryDelay.after(failures, MIN_RETRY_DELAY, MAX_RETRY_DELAY, random));
   }
 
+  private static boolean isTruncated(Throwable error) {
+    return error instanceof CuminlatchException storeError
+        && storeError.code() == ErrorCode.LOG_TRUNCATED;
+  }
+
   private void schedule(Duration delay) {
     loop.schedule(this::start, delay.toMillis(), TimeUnit.MILLISECONDS);
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/settings/TomlSection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/settings/TomlSection.java
@@ -74,7 +74,13 @@
     throw invalid(key, value, "a table");
   }
 
-  boolean has(String key) {
+  /**
+   * Returns whether the table has a value.
+   *
+   * @param key its key
+   * @return true if it has
+   */
+  public boolean has(String key) {
     return table.contains(List.of(key));
   }
 
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/ExitRelayTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/ExitRelayTests.java
@@ -171,12 +171,12 @@
 
     @Override
     public CompletionStage<Page> newest(Stream stream) {
-      return CompletableFuture.completedFuture(new Page(List.of(), 0));
+      return CompletableFuture.completedFuture(new Page(List.of(), 0, 0));
     }
 
     @Override
     public CompletionStage<Page> follow(Stream stream, long from, Duration maxWait) {
-      return CompletableFuture.completedFuture(new Page(List.of(), 0));
+      return CompletableFuture.completedFuture(new Page(List.of(), 0, 0));
     }
 
     @Override
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -35,6 +35,7 @@
 import org.cuminlatch.wire.proto.call.Credit;
 import org.cuminlatch.wire.proto.call.Header;
 import org.cuminlatch.wire.proto.call.TargetStatus;
+import org.cuminlatch.wire.proto.call.ValidityQuery;
 
 /** Runs a gate with a target on the loopback interface and records the frames that it sends. */
 final class GateFixture implements AutoCloseable {
@@ -304,6 +305,11 @@
       return Optional.empty();
     }
 
+    @Override
+    public Optional<CallFrame> validityAnswer(ValidityQuery query) {
+      return Optional.empty();
+    }
+
     @Override
     public TargetStatus targetStatus() {
       return TargetStatus.getDefaultInstance();
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
@@ -208,7 +208,7 @@
     public CompletionStage<Page> newest(Stream stream) {
       return items
           .<CompletionStage<Page>>map(
-              read -> CompletableFuture.completedFuture(new Page(read, read.size())))
+              read -> CompletableFuture.completedFuture(new Page(read, read.size(), read.size())))
           .orElseGet(FailingStore::failed);
     }
 
