--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -101,6 +101,7 @@
   private final LocalTarget target;
   private final ExitRelay exitRelay;
   private final MoveControl moves;
+  private final EvacuationControl evacuations;
   private final Map<String, TargetStatus> peerStatuses = new HashMap<>();
 
   /** Nodes whose connections are silent, so that they may have ended. */
@@ -126,6 +127,7 @@
   private volatile RoutingView view = RoutingView.EMPTY;
   private volatile boolean stopping;
   private volatile TargetStatus status;
+  private TargetStatus sentStatus;
 
   MeshControl(
       MeshSettings settings,
@@ -145,6 +147,7 @@
     this.store = store;
     this.recordCodec = recordCodec;
     this.status = TargetStatus.getDefaultInstance();
+    this.sentStatus = status;
     this.target = new LocalTarget(settings.peers().toString(), control, store, log, gateControl());
     this.exitRelay =
         new ExitRelay(
@@ -164,6 +167,31 @@
             log,
             this::allStatuses,
             rules -> view = view.withRules(rules));
+    this.evacuations =
+        new EvacuationControl(clock, log, recordCodec, this::readsForZone, evacuationListener());
+  }
+
+  private EvacuationControl.Listener evacuationListener() {
+    return new EvacuationControl.Listener() {
+      @Override
+      public void onEvacuatedZones(Set<String> zones) {
+        traffic.execute(
+            () -> {
+              links.setEvacuatedZones(zones);
+              gate.setEvacuated(zones.contains(settings.locality().zone()));
+            });
+      }
+
+      @Override
+      public void onStatusChange() {
+        status = describe();
+      }
+
+      @Override
+      public void tellAll() {
+        sendStatus();
+      }
+    };
   }
 
   /** Returns the handler of the local target's reports. */
@@ -214,6 +242,7 @@
     links = peerLinks;
     localLink = link;
     status = describe();
+    sentStatus = status;
   }
 
   void start() {
@@ -222,13 +251,14 @@
           target.readStored();
           moves.readStatements();
           operatorFollower =
-              newFollower(operatorSubscription(), this::onStoredRecord, keyProofs::onStoreRead);
+              newFollower(
+                  operatorSubscription(), this::onStoredOperatorRecord, keyProofs::onStoreRead);
           operatorFollower.start();
           newFollower(nodeSubscription(), this::onNodeRecord, (page, askedAt) -> this.onNodesRead())
               .start();
         });
     control.scheduleWithFixedDelay(
-        this::pullIfBehind,
+        this::checkPeers,
         PULL_CHECK_INTERVAL.toMillis(),
         PULL_CHECK_INTERVAL.toMillis(),
         TimeUnit.MILLISECONDS);
@@ -293,6 +323,13 @@
             itemConsumer.accept(item);
           }
 
+          @Override
+          public void onNewestRead(Page page) {
+            if (subscription.stream() == Stream.OPERATOR) {
+              evacuations.onNewestRead(page);
+            }
+          }
+
           @Override
           public void onPageRead(Page page, Duration askedAt) {
             afterPage.accept(page, askedAt);
@@ -351,6 +388,7 @@
 
   private void onPeerStatus(TargetStatus peer, Address node) {
     peerStatuses.put(peer.getNode(), peer);
+    evacuations.onStatus(peer);
     updateObservedNodes();
     exitRelay.onStatus(peer, node);
     writeExitsOfOthers();
@@ -425,10 +463,12 @@
     }
   }
 
-  private void onStoredRecord(Item item) {
-    onOperatorRecord(item)
-        .flatMap(OperatorRecordCodec.Decoded::configuration)
-        .ifPresent(snapshot -> keyProofs.onStoredVersion(snapshot.version()));
+  private void onStoredOperatorRecord(Item item) {
+    if (!evacuations.onRecord(item)) {
+      onOperatorRecord(item)
+          .flatMap(OperatorRecordCodec.Decoded::configuration)
+          .ifPresent(snapshot -> keyProofs.onStoredVersion(snapshot.version()));
+    }
   }
 
   private Optional<OperatorRecordCodec.Decoded> onOperatorRecord(Item item) {
@@ -465,6 +505,11 @@
     }
   }
 
+  private void checkPeers() {
+    evacuations.tick();
+    pullIfBehind();
+  }
+
   /** Requests a configuration that the store has not delivered from the nearest node with it. */
   private void pullIfBehind() {
     long own = view.version();
@@ -546,16 +591,21 @@
             .setNodeStops(stopping)
             .setConfigVersion(view.version())
             .setStoreLost(!lostStreams.isEmpty());
+    evacuations.describe(built);
     return target.describe(built, !gate.isAbsent()).build();
   }
 
   /** Publishes the status of node and target to the traffic loop and all connected nodes. */
   private void publishStatus() {
-    TargetStatus described = describe();
-    if (described.equals(status)) {
-      return;
+    status = describe();
+    if (!status.equals(sentStatus)) {
+      sendStatus();
     }
-    status = described;
+  }
+
+  private void sendStatus() {
+    TargetStatus described = status;
+    sentStatus = described;
     traffic.execute(
         () -> {
           // a stopping node still sends calls of its own callers to its local target
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -84,6 +84,9 @@
 
     void onItem(Item item);
 
+    /** Called with the newest record of each key before they are passed to {@link #onItem}. */
+    void onNewestRead(Page page);
+
     /**
      * Called after the last record of each page.
      *
@@ -120,9 +123,10 @@
     }
     Stream stream = subscription.stream();
     Duration askedAt = clock.get();
-    lastWait = nextOffset < 0 ? Duration.ZERO : nextWait();
-    var read = nextOffset < 0 ? store.newest(stream) : store.follow(stream, nextOffset, lastWait);
-    read.whenComplete((page, error) -> loop.execute(() -> onReadEnd(page, error, askedAt)));
+    boolean newest = nextOffset < 0;
+    lastWait = newest ? Duration.ZERO : nextWait();
+    var read = newest ? store.newest(stream) : store.follow(stream, nextOffset, lastWait);
+    read.whenComplete((page, error) -> loop.execute(() -> onReadEnd(page, error, newest, askedAt)));
   }
 
   private Duration nextWait() {
@@ -170,7 +174,7 @@
     }
   }
 
-  private void onReadEnd(Page page, Throwable error, Duration askedAt) {
+  private void onReadEnd(Page page, Throwable error, boolean newest, Duration askedAt) {
     if (error != null) {
       onReadFailed(error);
       return;
@@ -183,6 +187,9 @@
       failures = 0;
       listener.onStoreChange(false);
     }
+    if (newest) {
+      notifyOfPage(() -> listener.onNewestRead(page));
+    }
     nextOffset = page.end();
     lastReadNanos = System.nanoTime();
     if (page.items().isEmpty()) {
@@ -200,11 +207,15 @@
     }
   }
 
-  /** Delivers a page; the stream is followed further also if its listener fails. */
   private void deliver(Page page, Duration askedAt) {
     page.items().forEach(this::deliver);
+    notifyOfPage(() -> listener.onPageRead(page, askedAt));
+  }
+
+  /** Runs a notification; the stream is followed further also if the listener fails. */
+  private void notifyOfPage(Runnable notification) {
     try {
-      listener.onPageRead(page, askedAt);
+      notification.run();
     } catch (RuntimeException error) {
       log.event("task-failed")
           .with("task", "page of " + subscription.stream().name())
