--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -156,7 +156,7 @@
   private void onExtraReadEnd(Page page, Throwable error, Duration askedAt) {
     if (error == null) {
       nextOffset = page.end();
-      deliver(page, askedAt);
+      deliverPage(page, askedAt);
     } else if (isTruncated(error)) {
       nextOffset = -1;
     }
@@ -195,7 +195,7 @@
     if (page.items().isEmpty()) {
       storeDelay = clock.get().minus(askedAt).minus(lastWait);
     }
-    deliver(page, askedAt);
+    deliverPage(page, askedAt);
     boolean firstRead = !hasRead;
     hasRead = true;
     if (firstRead && page.items().isEmpty()) {
@@ -207,7 +207,7 @@
     }
   }
 
-  private void deliver(Page page, Duration askedAt) {
+  private void deliverPage(Page page, Duration askedAt) {
     page.items().forEach(this::deliver);
     notifyOfPage(() -> listener.onPageRead(page, askedAt));
   }
