--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/NodeDirectoryTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/NodeDirectoryTests.java
@@ -134,7 +134,7 @@
     private int calls;
 
     Page page() {
-      return new Page(items, items.size());
+      return new Page(items, items.size(), items.size());
     }
 
     @Override
