--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -34,6 +34,7 @@
 import org.cuminlatch.wire.proto.call.Cancel;
 import org.cuminlatch.wire.proto.call.Credit;
 import org.cuminlatch.wire.proto.call.Header;
+import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.TargetStatus;
 import org.cuminlatch.wire.proto.call.ValidityQuery;
 
@@ -292,6 +293,9 @@
     @Override
     public void onExitConfirmed(long token, String peer) {}
 
+    @Override
+    public void onHello(Hello hello) {}
+
     @Override
     public void onTargetReplaced() {}
 
