Follow the store after it has returned from an older copy

Cause: a store that returns from an older copy assigns offsets again. A reader that went on from its offset missed records, proofs for keys named versions that the store no longer held, and the states of zones knew one era only.

StoreFollower reads the newest records anew at a new era, a 410 or an end before its offset; extra reads of an earlier start are dropped. States of zones carry the real era. Nodes tell the era in their status (field 16); StoreEraControl reports changes.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EvacuationControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EvacuationControl.java
@@ -23,9 +23,6 @@
  */
 final class EvacuationControl {
 
-  /** Era of a store that names none. */
-  private static final long ONLY_ERA = 0;
-
   private final InstantSource clock;
   private final EventLog log;
   private final OperatorRecordCodec codec;
@@ -62,26 +59,29 @@
   }
 
   /** Handles a record of the store; returns false if it is about something else. */
-  boolean onRecord(Item item) {
-    Optional<ZoneState> state = stateOf(item);
+  boolean onRecord(Item item, long era) {
+    Optional<ZoneState> state = stateOf(item, era);
     state.ifPresent(known -> update(zones.apply(known, clock.instant()), "store"));
     return state.isPresent();
   }
 
-  /** Handles a read of the newest records, which also tells which zones have no record. */
+  /**
+   * Handles a read of the newest records, which also tells which zones have no record. Each change
+   * of the store's era begins with such a read.
+   */
   void onNewestRead(Page page) {
     List<ZoneState> states =
         page.items().stream()
-            .flatMap(item -> stateOf(item).stream())
+            .flatMap(item -> stateOf(item, page.eraOrNone()).stream())
             .filter(ZoneState::evacuated)
             .toList();
-    update(zones.applyNewest(states, ONLY_ERA, page.end(), clock.instant()), "store");
+    update(zones.applyNewest(states, page.eraOrNone(), page.end(), clock.instant()), "store");
   }
 
-  private Optional<ZoneState> stateOf(Item item) {
+  private Optional<ZoneState> stateOf(Item item, long era) {
     return codec
         .evacuatedZone(item.key())
-        .map(zone -> new ZoneState(zone, item.value().length > 0, ONLY_ERA, item.offset() + 1));
+        .map(zone -> new ZoneState(zone, item.value().length > 0, era, item.offset() + 1));
   }
 
   /** Handles the status of another node. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/KeyProofs.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/KeyProofs.java
@@ -8,7 +8,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Supplier;
 import org.cuminlatch.core.account.Inquiry;
 import org.cuminlatch.core.account.Inquiry.Source;
@@ -17,6 +16,7 @@
 import org.cuminlatch.core.account.InquirySchedule;
 import org.cuminlatch.core.account.KeyValidity;
 import org.cuminlatch.core.account.KeyValidity.Proof;
+import org.cuminlatch.core.account.StoreReadProofs;
 import org.cuminlatch.core.membership.Locality;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Page;
@@ -67,8 +67,8 @@
   /** Node that has told of the newest version, empty if none has. */
   private String newestAt = "";
 
-  /** Newest version that this process has read from the store; used on the control loop. */
-  private OptionalLong storedVersion = OptionalLong.empty();
+  /** What this process has read from the store; used on the control loop. */
+  private final StoreReadProofs storeProofs = new StoreReadProofs();
 
   KeyProofs(
       MeshSettings settings,
@@ -230,7 +230,18 @@
 
   /** Handles a configuration that was read from the store; called on the control loop. */
   void onStoredVersion(long version) {
-    storedVersion = OptionalLong.of(Math.max(version, storedVersion.orElse(version)));
+    storeProofs.recordVersion(version);
+  }
+
+  /**
+   * Handles the return of the store from an older copy; called on the control loop.
+   *
+   * @return the time after which a reader must read the store for the first proof that counts;
+   *     empty if keys need no proofs
+   */
+  Optional<Duration> onStoreReturned() {
+    storeProofs.recordReturn(clock.get());
+    return validity.map(known -> StoreReadProofs.REWRITE_PERIOD);
   }
 
   /**
@@ -239,9 +250,11 @@
    * awaited may have been decided at any time since.
    */
   void onStoreRead(Page page, Duration askedAt) {
-    if (validity.isPresent() && page.isComplete() && storedVersion.isPresent()) {
-      Proof proof = new Proof(storedVersion.getAsLong(), askedAt);
-      traffic.execute(() -> validity.get().record(proof, view.get().version()));
+    if (validity.isPresent() && page.isComplete()) {
+      storeProofs
+          .prove(askedAt)
+          .ifPresent(
+              proof -> traffic.execute(() -> validity.get().record(proof, view.get().version())));
     }
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/KeyedStore.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/KeyedStore.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
+import java.util.function.LongConsumer;
+import org.cuminlatch.core.store.StoreEras;
 
 /**
  * Client of the platform's store: streams of records that retain the newest record of each key.
@@ -45,7 +47,16 @@
    * @param expectedEnd offset at which the stream must end, empty for no condition
    * @return the offset after the record
    */
-  CompletionStage<Long> append(Stream stream, String key, byte[] value, OptionalLong expectedEnd);
+  CompletionStage<Appended> append(
+      Stream stream, String key, byte[] value, OptionalLong expectedEnd);
+
+  /**
+   * Sets the listener for the era that responses name. It is called on the control loop before the
+   * result of the call completes, also if the call fails. A store that names no era never calls it.
+   *
+   * @param listener receives the era each time that it differs from the one that was named before
+   */
+  default void listenForEra(LongConsumer listener) {}
 
   /** Streams that a node uses. */
   enum Stream {
@@ -76,6 +87,22 @@
     }
   }
 
+  /**
+   * Result of an append.
+   *
+   * @param end offset after the record
+   * @param era era of the store, which it increments when it returns from an older copy of its
+   *     data; empty if it names none
+   */
+  record Appended(long end, OptionalLong era) {
+
+    /** Checks the fields. */
+    public Appended {
+      notNegative(end, "end");
+      notNull(era, "era");
+    }
+  }
+
   /**
    * Records that were read from a stream.
    *
@@ -83,14 +110,21 @@
    * @param end offset from which to continue
    * @param streamEnd offset at which the stream ended; greater than {@code end} if there are more
    *     records
+   * @param era era of the store, empty if it names none
    */
-  record Page(List<Item> items, long end, long streamEnd) {
+  record Page(List<Item> items, long end, long streamEnd, OptionalLong era) {
 
     /** Checks the fields and copies the list. */
     public Page {
       items = List.copyOf(notNull(items, "items"));
       notNegative(end, "end");
       notNegative(streamEnd, "streamEnd");
+      notNull(era, "era");
+    }
+
+    /** Returns the era, {@link StoreEras#NO_ERA} if the store names none. */
+    long eraOrNone() {
+      return era.orElse(StoreEras.NO_ERA);
     }
 
     /** Returns whether the stream had no records behind those that were read. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -16,7 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.ConfigurationPullSchedule;
 import org.cuminlatch.core.config.Snapshot;
@@ -93,6 +93,7 @@
   private final EventLog log;
   private final KeyedStore store;
   private final OperatorRecordCodec recordCodec;
+  private final StoreEraControl eras;
   private final NodeDirectory nodes;
   private final LocalTarget target;
   private final ExitRelay exitRelay;
@@ -119,6 +120,7 @@
   private LocalLink localLink;
   private KeyProofs keyProofs;
   private StoreFollower operatorFollower;
+  private StoreFollower nodeFollower;
   private volatile RoutingView view = RoutingView.EMPTY;
   private volatile boolean stopping;
   private volatile TargetStatus status;
@@ -143,6 +145,7 @@
     this.recordCodec = recordCodec;
     this.status = TargetStatus.getDefaultInstance();
     this.sentStatus = status;
+    this.eras = new StoreEraControl(control, clock, random, log);
     this.target = new LocalTarget(settings.peers().toString(), control, store, log, gateControl());
     this.nodes =
         new NodeDirectory(
@@ -198,6 +201,11 @@
     };
   }
 
+  /** Returns what this node knows of the era of the store. */
+  StoreEraControl eras() {
+    return eras;
+  }
+
   /** Returns the handler of the local target's reports. */
   TargetReportHandler reportHandler() {
     return target;
@@ -250,6 +258,8 @@
   }
 
   void start() {
+    eras.listen(this::onStoreReturned);
+    store.listenForEra(era -> eras.onEra(era, "store"));
     control.execute(
         () -> {
           target.readStored();
@@ -257,8 +267,12 @@
               newFollower(
                   operatorSubscription(), this::onStoredOperatorRecord, keyProofs::onStoreRead);
           operatorFollower.start();
-          newFollower(nodeSubscription(), nodes::onRecord, (page, askedAt) -> nodes.onPageRead())
-              .start();
+          nodeFollower =
+              newFollower(
+                  nodeSubscription(),
+                  (item, era) -> nodes.onRecord(item),
+                  (page, askedAt) -> nodes.onPageRead());
+          nodeFollower.start();
         });
     control.scheduleWithFixedDelay(
         this::checkPeers,
@@ -272,6 +286,31 @@
         TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Reads the streams anew. Other nodes are told by the nodes that read the store for their zone,
+   * as with other changes.
+   */
+  private void onStoreReturned() {
+    operatorFollower.restart();
+    nodeFollower.restart();
+    keyProofs
+        .onStoreReturned()
+        .ifPresent(
+            delay ->
+                control.schedule(this::readForFirstProof, delay.toMillis(), TimeUnit.MILLISECONDS));
+    if (readsForZone()) {
+      publishStatus();
+    } else {
+      status = describe();
+    }
+  }
+
+  private void readForFirstProof() {
+    if (readsForZone()) {
+      readOperatorRecords();
+    }
+  }
+
   RoutingView view() {
     return view;
   }
@@ -322,13 +361,13 @@
 
   private StoreFollower newFollower(
       StoreFollower.Subscription subscription,
-      Consumer<Item> itemConsumer,
+      ObjLongConsumer<Item> itemConsumer,
       BiConsumer<Page, Duration> afterPage) {
     StoreFollower.ItemListener listener =
         new StoreFollower.ItemListener() {
           @Override
-          public void onItem(Item item) {
-            itemConsumer.accept(item);
+          public void onItem(Item item, long era) {
+            itemConsumer.accept(item, era);
           }
 
           @Override
@@ -340,6 +379,7 @@
 
           @Override
           public void onPageRead(Page page, Duration askedAt) {
+            eras.onEra(page.eraOrNone(), "store");
             afterPage.accept(page, askedAt);
           }
 
@@ -396,6 +436,7 @@
 
   private void onPeerStatus(TargetStatus peer, Address node) {
     peerStatuses.put(peer.getNode(), peer);
+    eras.onEra(peer.getStoreEra(), peer.getNode());
     evacuations.onStatus(peer);
     updateObservedNodes();
     exitRelay.onStatus(peer, node);
@@ -471,14 +512,18 @@
     }
   }
 
-  private void onStoredOperatorRecord(Item item) {
-    if (!evacuations.onRecord(item)) {
-      onOperatorRecord(item)
-          .flatMap(OperatorRecordCodec.Decoded::configuration)
-          .ifPresent(snapshot -> keyProofs.onStoredVersion(snapshot.version()));
+  private void onStoredOperatorRecord(Item item, long era) {
+    if (evacuations.onRecord(item, era)) {
+      return;
     }
+    Optional<OperatorRecordCodec.Decoded> decoded = onOperatorRecord(item);
+    decoded
+        .flatMap(OperatorRecordCodec.Decoded::configuration)
+        .ifPresent(snapshot -> keyProofs.onStoredVersion(snapshot.version()));
+    decoded.flatMap(OperatorRecordCodec.Decoded::order).ifPresent(moves::onOrder);
   }
 
+  /** Applies a configuration from the store or another node, which sends nothing else. */
   private Optional<OperatorRecordCodec.Decoded> onOperatorRecord(Item item) {
     Optional<OperatorRecordCodec.Decoded> decoded = recordCodec.decode(item);
     if (decoded.isEmpty()) {
@@ -486,7 +531,6 @@
       return decoded;
     }
     decoded.get().configuration().ifPresent(snapshot -> applyConfiguration(snapshot, item));
-    decoded.get().order().ifPresent(moves::onOrder);
     return decoded;
   }
 
@@ -514,10 +558,20 @@
   }
 
   private void checkPeers() {
+    if (peerStatuses.values().stream().anyMatch(this::confirmsEra)) {
+      eras.recordContact();
+    }
     evacuations.tick();
     pullIfBehind();
   }
 
+  /** Returns whether a connected node can read the store and knows of no later era. */
+  private boolean confirmsEra(TargetStatus peer) {
+    return !peer.getStoreLost()
+        && peer.getStoreEra() == eras.latest()
+        && !suspectNodes.contains(peer.getNode());
+  }
+
   /** Requests a configuration that the store has not delivered from the nearest node with it. */
   private void pullIfBehind() {
     long own = view.version();
@@ -556,7 +610,8 @@
             .setZone(settings.locality().zone())
             .setNodeStops(stopping)
             .setConfigVersion(view.version())
-            .setStoreLost(!lostStreams.isEmpty());
+            .setStoreLost(!lostStreams.isEmpty())
+            .setStoreEra(eras.latest());
     evacuations.describe(built);
     return target.describe(built, !gate.isAbsent()).build();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -332,7 +332,12 @@
   }
 
   private static TargetStatus targetFields(TargetStatus status) {
-    return status.toBuilder().clearConfigVersion().clearStoreLost().clearZones().build();
+    return status.toBuilder()
+        .clearConfigVersion()
+        .clearStoreLost()
+        .clearZones()
+        .clearStoreEra()
+        .build();
   }
 
   @Override
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -2,12 +2,14 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.error.CuminlatchException;
 import org.cuminlatch.core.error.ErrorCode;
+import org.cuminlatch.core.store.StreamCursor;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Item;
 import org.cuminlatch.node.mesh.KeyedStore.Page;
@@ -47,7 +49,20 @@
   private final EventLog log;
   private final Supplier<Duration> clock;
   private final ItemListener listener;
-  private long nextOffset = -1;
+  private final StreamCursor cursor = new StreamCursor();
+
+  /** Number of the read whose result counts; results of earlier ones are dropped. */
+  private int currentRead;
+
+  /** Number of reads of the newest records, each of which starts the stream anew. */
+  private int newestReads;
+
+  private boolean reading;
+  private boolean standingBy;
+
+  /** Consecutive reads that did not continue the one before. */
+  private int breaks;
+
   private int failures;
   private long lastReadNanos;
   private boolean hasRead;
@@ -82,7 +97,13 @@
   /** Receives the records in the order of the stream; called on the control loop. */
   interface ItemListener {
 
-    void onItem(Item item);
+    /**
+     * Called with each record.
+     *
+     * @param item the record
+     * @param era era of the store, {@link org.cuminlatch.core.store.StoreEras#NO_ERA} for none
+     */
+    void onItem(Item item, long era);
 
     /** Called with the newest record of each key before they are passed to {@link #onItem}. */
     void onNewestRead(Page page);
@@ -117,16 +138,36 @@
   }
 
   void start() {
-    if (nextOffset >= 0 && !subscription.isReader().getAsBoolean()) {
+    if (cursor.next().isPresent() && !subscription.isReader().getAsBoolean()) {
       standBy();
       return;
     }
     Stream stream = subscription.stream();
     Duration askedAt = clock.get();
-    boolean newest = nextOffset < 0;
-    lastWait = newest ? Duration.ZERO : nextWait();
-    var read = newest ? store.newest(stream) : store.follow(stream, nextOffset, lastWait);
-    read.whenComplete((page, error) -> loop.execute(() -> onReadEnd(page, error, newest, askedAt)));
+    OptionalLong from = cursor.next();
+    lastWait = from.isEmpty() ? Duration.ZERO : nextWait();
+    reading = true;
+    currentRead++;
+    int read = currentRead;
+    var result =
+        from.isEmpty() ? store.newest(stream) : store.follow(stream, from.getAsLong(), lastWait);
+    result.whenComplete(
+        (page, error) -> loop.execute(() -> onReadEnd(read, page, error, from, askedAt)));
+  }
+
+  /**
+   * Reads the newest records anew and drops the result of the read under way; called when the store
+   * has returned from an older copy. A node that only stands by starts with the newest records
+   * anyway.
+   */
+  void restart() {
+    if (standingBy) {
+      return;
+    }
+    cursor.reset();
+    if (reading) {
+      start();
+    }
   }
 
   private Duration nextWait() {
@@ -144,37 +185,72 @@
    * before the first read, which is repeated until it succeeds.
    */
   void readNow() {
-    if (nextOffset < 0) {
+    OptionalLong from = cursor.next();
+    if (from.isEmpty()) {
       return;
     }
     Duration askedAt = clock.get();
+    int start = newestReads;
     store
-        .follow(subscription.stream(), nextOffset, Duration.ZERO)
-        .whenComplete((page, error) -> loop.execute(() -> onExtraReadEnd(page, error, askedAt)));
+        .follow(subscription.stream(), from.getAsLong(), Duration.ZERO)
+        .whenComplete(
+            (page, error) ->
+                loop.execute(
+                    () -> {
+                      if (start == newestReads && cursor.next().isPresent()) {
+                        onExtraReadEnd(page, error, from, askedAt);
+                      }
+                    }));
   }
 
-  private void onExtraReadEnd(Page page, Throwable error, Duration askedAt) {
-    if (error == null) {
-      nextOffset = page.end();
+  private void onExtraReadEnd(Page page, Throwable error, OptionalLong from, Duration askedAt) {
+    if (error != null) {
+      if (isTruncated(error)) {
+        cursor.reset();
+        restart();
+      }
+    } else if (continues(page, from)) {
       deliverPage(page, askedAt);
-    } else if (isTruncated(error)) {
-      nextOffset = -1;
+    } else {
+      restart();
+    }
+  }
+
+  /** Returns whether a page continues the records read so far; if not, the cursor is reset. */
+  private boolean continues(Page page, OptionalLong from) {
+    boolean continued =
+        cursor.onFollowed(page.era(), from.getAsLong(), page.end(), page.streamEnd());
+    if (!continued) {
+      log.event("store-stream-changed")
+          .with("stream", subscription.stream().name())
+          .with("offset", from.getAsLong())
+          .with("end", page.streamEnd())
+          .with("era", page.eraOrNone())
+          .write();
     }
+    return continued;
   }
 
   /** Waits until the node is a reader or a read is due; both start at the newest records. */
   private void standBy() {
-    if (nextOffset < 0
-        || subscription.isReader().getAsBoolean()
-        || System.nanoTime() - lastReadNanos > STANDBY_READ_INTERVAL.toNanos()) {
-      nextOffset = -1;
-      start();
-    } else {
+    standingBy =
+        cursor.next().isPresent()
+            && !subscription.isReader().getAsBoolean()
+            && System.nanoTime() - lastReadNanos <= STANDBY_READ_INTERVAL.toNanos();
+    if (standingBy) {
       loop.schedule(this::standBy, READER_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+    } else {
+      cursor.reset();
+      start();
     }
   }
 
-  private void onReadEnd(Page page, Throwable error, boolean newest, Duration askedAt) {
+  private void onReadEnd(
+      int read, Page page, Throwable error, OptionalLong from, Duration askedAt) {
+    if (read != currentRead) {
+      return;
+    }
+    reading = false;
     if (error != null) {
       onReadFailed(error);
       return;
@@ -187,10 +263,22 @@
       failures = 0;
       listener.onStoreChange(false);
     }
-    if (newest) {
+    if (from.isPresent() && !continues(page, from)) {
+      breaks++;
+      // one change is followed at once; a store that contradicts itself is not called without pause
+      schedule(
+          breaks == 1
+              ? Duration.ZERO
+              : RetryDelay.after(breaks, MIN_RETRY_DELAY, MAX_RETRY_DELAY, random));
+      return;
+    }
+    if (from.isEmpty()) {
+      cursor.onNewest(page.era(), page.end());
+      newestReads++;
       notifyOfPage(() -> listener.onNewestRead(page));
+    } else {
+      breaks = 0;
     }
-    nextOffset = page.end();
     lastReadNanos = System.nanoTime();
     if (page.items().isEmpty()) {
       storeDelay = clock.get().minus(askedAt).minus(lastWait);
@@ -208,7 +296,7 @@
   }
 
   private void deliverPage(Page page, Duration askedAt) {
-    page.items().forEach(this::deliver);
+    page.items().forEach(item -> deliver(item, page.eraOrNone()));
     notifyOfPage(() -> listener.onPageRead(page, askedAt));
   }
 
@@ -224,9 +312,9 @@
     }
   }
 
-  private void deliver(Item item) {
+  private void deliver(Item item, long era) {
     try {
-      listener.onItem(item);
+      listener.onItem(item, era);
     } catch (RuntimeException | StackOverflowError unusable) {
       log.event("record-unusable")
           .with("stream", subscription.stream().name())
@@ -249,7 +337,7 @@
       listener.onStoreChange(true);
     }
     if (isTruncated(error)) {
-      nextOffset = -1;
+      cursor.reset();
     }
     schedule(RetryDelay.after(failures, MIN_RETRY_DELAY, MAX_RETRY_DELAY, random));
   }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/ExitRelayTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/ExitRelayTests.java
@@ -171,21 +171,21 @@
 
     @Override
     public CompletionStage<Page> newest(Stream stream) {
-      return CompletableFuture.completedFuture(new Page(List.of(), 0, 0));
+      return CompletableFuture.completedFuture(new Page(List.of(), 0, 0, OptionalLong.empty()));
     }
 
     @Override
     public CompletionStage<Page> follow(Stream stream, long from, Duration maxWait) {
-      return CompletableFuture.completedFuture(new Page(List.of(), 0, 0));
+      return CompletableFuture.completedFuture(new Page(List.of(), 0, 0, OptionalLong.empty()));
     }
 
     @Override
-    public CompletionStage<Long> append(
+    public CompletionStage<Appended> append(
         Stream stream, String key, byte[] value, OptionalLong expectedEnd) {
       keys.add(key);
       return failing
           ? CompletableFuture.failedFuture(new IllegalStateException("store is away"))
-          : CompletableFuture.completedFuture(1L);
+          : CompletableFuture.completedFuture(new Appended(1, OptionalLong.empty()));
     }
   }
 }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
@@ -208,7 +208,9 @@
     public CompletionStage<Page> newest(Stream stream) {
       return items
           .<CompletionStage<Page>>map(
-              read -> CompletableFuture.completedFuture(new Page(read, read.size(), read.size())))
+              read ->
+                  CompletableFuture.completedFuture(
+                      new Page(read, read.size(), read.size(), OptionalLong.empty())))
           .orElseGet(FailingStore::failed);
     }
 
@@ -218,7 +220,7 @@
     }
 
     @Override
-    public CompletionStage<Long> append(
+    public CompletionStage<Appended> append(
         Stream stream, String key, byte[] value, OptionalLong expectedEnd) {
       try {
         written.add(TargetStatus.parseFrom(value).getPhase());
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/NodeDirectoryTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/NodeDirectoryTests.java
@@ -134,7 +134,7 @@
     private int calls;
 
     Page page() {
-      return new Page(items, items.size(), items.size());
+      return new Page(items, items.size(), items.size(), OptionalLong.empty());
     }
 
     @Override
@@ -149,11 +149,11 @@
     }
 
     @Override
-    public CompletionStage<Long> append(
+    public CompletionStage<Appended> append(
         Stream stream, String key, byte[] value, OptionalLong expectedEnd) {
       calls++;
       items.add(new Item(key, value, items.size()));
-      return CompletableFuture.completedFuture((long) items.size());
+      return CompletableFuture.completedFuture(new Appended(items.size(), OptionalLong.empty()));
     }
   }
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatus.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatus.java
@@ -454,6 +454,21 @@
     return zones_.get(index);
   }
 
+  public static final int STORE_ERA_FIELD_NUMBER = 16;
+  private long storeEra_ = 0L;
+  /**
+   * <pre>
+   * Latest era of the store that the node knows of; 0 if the store names none.
+   * </pre>
+   *
+   * <code>int64 store_era = 16;</code>
+   * @return The storeEra.
+   */
+  @java.lang.Override
+  public long getStoreEra() {
+    return storeEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -510,6 +525,9 @@
     for (int i = 0; i < zones_.size(); i++) {
       output.writeMessage(14, zones_.get(i));
     }
+    if (storeEra_ != 0L) {
+      output.writeInt64(16, storeEra_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -569,6 +587,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, zones_.get(i));
     }
+    if (storeEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(16, storeEra_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -611,6 +633,8 @@
         != other.getStoreLost()) return false;
     if (!getZonesList()
         .equals(other.getZonesList())) return false;
+    if (getStoreEra()
+        != other.getStoreEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -657,6 +681,9 @@
       hash = (37 * hash) + ZONES_FIELD_NUMBER;
       hash = (53 * hash) + getZonesList().hashCode();
     }
+    hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStoreEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -812,6 +839,7 @@
         zonesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00002000);
+      storeEra_ = 0L;
       return this;
     }
 
@@ -897,6 +925,9 @@
       if (((from_bitField0_ & 0x00001000) != 0)) {
         result.storeLost_ = storeLost_;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.storeEra_ = storeEra_;
+      }
     }
 
     @java.lang.Override
@@ -988,6 +1019,9 @@
           }
         }
       }
+      if (other.getStoreEra() != 0L) {
+        setStoreEra(other.getStoreEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1092,6 +1126,11 @@
               }
               break;
             } // case 114
+            case 128: {
+              storeEra_ = input.readInt64();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 128
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2156,6 +2195,50 @@
       return zonesBuilder_;
     }
 
+    private long storeEra_ ;
+    /**
+     * <pre>
+     * Latest era of the store that the node knows of; 0 if the store names none.
+     * </pre>
+     *
+     * <code>int64 store_era = 16;</code>
+     * @return The storeEra.
+     */
+    @java.lang.Override
+    public long getStoreEra() {
+      return storeEra_;
+    }
+    /**
+     * <pre>
+     * Latest era of the store that the node knows of; 0 if the store names none.
+     * </pre>
+     *
+     * <code>int64 store_era = 16;</code>
+     * @param value The storeEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreEra(long value) {
+
+      storeEra_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest era of the store that the node knows of; 0 if the store names none.
+     * </pre>
+     *
+     * <code>int64 store_era = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreEra() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      storeEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.TargetStatus)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatusOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatusOrBuilder.java
@@ -192,4 +192,14 @@
    */
   org.cuminlatch.wire.proto.call.ZoneStateOrBuilder getZonesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Latest era of the store that the node knows of; 0 if the store names none.
+   * </pre>
+   *
+   * <code>int64 store_era = 16;</code>
+   * @return The storeEra.
+   */
+  long getStoreEra();
 }
