Tell nodes that connect the configuration in force

Cause: a node that does not read the store for its zone put a new version into its status only with the next other change.

Change: the status that a connecting node gets is described anew with each version. It is not sent to connected nodes, as before.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -545,6 +545,8 @@
         .with("version", snapshot.version())
         .with("routes", snapshot.routes().size())
         .write();
+    // what nodes that connect are told; a restarted one may have read an older copy of the store
+    status = describe();
     if (!versionUpdateScheduled && readsForZone()) {
       versionUpdateScheduled = true;
       control.schedule(
