Write a node's address again if the store may have lost it

Cause: the address is written once. After a return from an older copy, nodes that start would not find the node, and its own restart would be the first repair.

Change: NodeDirectory writes the address again within a second if it was stored less than 20 s before the last contact in the earlier era, then reads the others' as at the start. An append that the store answers in an earlier era is repeated.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -153,6 +153,7 @@
             settings.node(),
             control,
             store,
+            eras,
             log,
             peerStatuses::containsKey,
             known -> traffic.execute(() -> links.setNodes(known)));
@@ -269,9 +270,7 @@
           operatorFollower.start();
           nodeFollower =
               newFollower(
-                  nodeSubscription(),
-                  (item, era) -> nodes.onRecord(item),
-                  (page, askedAt) -> nodes.onPageRead());
+                  nodeSubscription(), nodes::onRecord, (page, askedAt) -> nodes.onPageRead());
           nodeFollower.start();
         });
     control.scheduleWithFixedDelay(
@@ -298,6 +297,7 @@
         .ifPresent(
             delay ->
                 control.schedule(this::readForFirstProof, delay.toMillis(), TimeUnit.MILLISECONDS));
+    nodes.onStoreReturned();
     if (readsForZone()) {
       publishStatus();
     } else {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/NodeDirectory.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/NodeDirectory.java
@@ -5,12 +5,15 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.cuminlatch.core.membership.Address;
+import org.cuminlatch.core.store.StoreEras;
+import org.cuminlatch.core.store.StoredMark;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Item;
 import org.cuminlatch.node.mesh.KeyedStore.Page;
@@ -23,7 +26,8 @@
  *
  * <p>A node that is not in the store yet writes its address and then reads the others' again. Of
  * two nodes that start at the same time, the one that writes later therefore finds the other, which
- * learns of it by the connection. Only the readers of the zones follow the stream.
+ * learns of it by the connection. Only the readers of the zones follow the stream. A store that has
+ * returned from an older copy may have lost the address, which is then written as at the start.
  */
 final class NodeDirectory {
 
@@ -33,12 +37,16 @@
   private final String node;
   private final EventLoop control;
   private final KeyedStore store;
+  private final StoreEraControl eras;
   private final EventLog log;
   private final Predicate<String> linkedNodes;
   private final Consumer<Set<Address>> listener;
   private final Set<Address> others = new HashSet<>();
   private boolean registered;
 
+  /** When the store was first known to hold the own address; empty while it is being written. */
+  private Optional<StoredMark> storedMark = Optional.empty();
+
   /**
    * Creates an empty directory.
    *
@@ -52,6 +60,7 @@
       String node,
       EventLoop control,
       KeyedStore store,
+      StoreEraControl eras,
       EventLog log,
       Predicate<String> linkedNodes,
       Consumer<Set<Address>> listener) {
@@ -59,16 +68,20 @@
     this.node = node;
     this.control = control;
     this.store = store;
+    this.eras = eras;
     this.log = log;
     this.linkedNodes = linkedNodes;
     this.listener = listener;
   }
 
-  void onRecord(Item item) {
+  void onRecord(Item item, long era) {
     Address address = parse(item.key());
     boolean present = item.value().length > 0;
     if (address.equals(ownAddress)) {
       registered = present;
+      if (storedMark.isEmpty() || storedMark.get().era() < era) {
+        storedMark = Optional.of(eras.mark(OptionalLong.of(era)));
+      }
     } else if (present) {
       others.add(address);
     } else {
@@ -84,6 +97,21 @@
     listener.accept(Set.copyOf(others));
   }
 
+  /** Writes the own address again if the store may have lost it. */
+  void onStoreReturned() {
+    Optional<StoredMark> lost =
+        storedMark.filter(mark -> eras.mayBeLost(mark, StoreEras.USUAL_COPY_AGE));
+    if (lost.isPresent()) {
+      eras.spread(
+          () -> {
+            if (storedMark.equals(lost)) {
+              eras.onRewrite(Stream.NODES, ownAddress.toString());
+              register();
+            }
+          });
+    }
+  }
+
   /**
    * Adds a node that has opened a connection, unless this node is connected to it already, possibly
    * under another address. The store may not have delivered it yet.
@@ -116,8 +144,9 @@
     return address;
   }
 
-  /** Stores the node's address, only once because it stays the same across restarts. */
+  /** Stores the node's address, which stays the same across restarts. */
   private void register() {
+    storedMark = Optional.empty();
     store
         .append(
             Stream.NODES,
@@ -125,11 +154,12 @@
             node.getBytes(StandardCharsets.UTF_8),
             OptionalLong.empty())
         .whenCompleteAsync(
-            (end, error) -> {
-              if (error == null) {
-                readOthers();
-              } else {
+            (appended, error) -> {
+              if (error != null || eras.isOutdated(appended.era())) {
                 retry(this::register);
+              } else {
+                storedMark = Optional.of(eras.mark(appended.era()));
+                readOthers();
               }
             },
             control);
@@ -152,7 +182,7 @@
   private void onOthersRead(Page page) {
     for (Item item : page.items()) {
       try {
-        onRecord(item);
+        onRecord(item, page.eraOrNone());
       } catch (IllegalArgumentException unusable) {
         log.event("record-unusable")
             .with("stream", Stream.NODES.name())
