Write targets and exits again if the store may have lost them

Cause: a restarted node knows of its target what the store tells it. After a return from an older copy it would serve no target, or open the gate to one whose exit was acknowledged. ExitRelay went on to confirm exits that the store had lost.

An exit is not acknowledged again before the store holds it, and other nodes are asked to write it if this node is turned away. ExitRelay drops what the store may have lost from its list of written exits and writes it again unless the target's node is connected and can reach the store.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ExitRelay.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ExitRelay.java
@@ -8,8 +8,11 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.membership.Address;
+import org.cuminlatch.core.store.StoreEras;
+import org.cuminlatch.core.store.StoredMark;
 import org.cuminlatch.core.target.ExitWriterSelection;
 import org.cuminlatch.core.target.TargetExit;
 import org.cuminlatch.node.event.EventLog;
@@ -23,7 +26,8 @@
  *
  * <p>A node whose target leaves says in its status that it has lost the store until the store holds
  * the exit. A write that is executed late may replace the record of a newer start, which then takes
- * requests only once it has reported to its restarted node.
+ * requests only once it has reported to its restarted node. An exit that a store which has returned
+ * from an older copy may have lost is written again, unless the node of its target does that.
  */
 final class ExitRelay {
 
@@ -39,6 +43,7 @@
   private final String node;
   private final EventLoop control;
   private final KeyedStore store;
+  private final StoreEraControl eras;
   private final RandomGenerator random;
   private final EventLog log;
   private final StoredListener listener;
@@ -46,10 +51,10 @@
   /** Exits that wait to be stored, by the name of the target's node. */
   private final Map<String, WaitingExit> waiting = new HashMap<>();
 
-  private final Map<TargetExit, Boolean> writtenExits =
+  private final Map<TargetExit, WrittenExit> writtenExits =
       new LinkedHashMap<>() {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<TargetExit, Boolean> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<TargetExit, WrittenExit> eldest) {
           return size() > MAX_WRITTEN;
         }
       };
@@ -58,12 +63,14 @@
       String node,
       EventLoop control,
       KeyedStore store,
+      StoreEraControl eras,
       RandomGenerator random,
       EventLog log,
       StoredListener listener) {
     this.node = node;
     this.control = control;
     this.store = store;
+    this.eras = eras;
     this.random = random;
     this.log = log;
     this.listener = listener;
@@ -83,15 +90,47 @@
     private final TargetExit exit;
     private final Address address;
 
+    /** Whether this node has written it before, and so writes it also if others precede it. */
+    private final boolean writtenBefore;
+
     /** Whether this node writes it or has given up. */
     private boolean taken;
 
-    WaitingExit(TargetExit exit, Address address) {
+    WaitingExit(TargetExit exit, Address address, boolean writtenBefore) {
       this.exit = exit;
       this.address = address;
+      this.writtenBefore = writtenBefore;
     }
   }
 
+  /**
+   * An exit that this node has written.
+   *
+   * @param leaver name of the target's node
+   * @param address address of that node
+   * @param mark when and in which era it was written
+   */
+  private record WrittenExit(String leaver, Address address, StoredMark mark) {}
+
+  /**
+   * Prepares that exits which the store may have lost are written again by the next calls of {@link
+   * #writeWaiting}, and no longer confirms them.
+   *
+   * @param writesItself returns whether the node of a name is connected and can reach the store
+   */
+  void onStoreReturned(Predicate<String> writesItself) {
+    Map<TargetExit, WrittenExit> lost = new HashMap<>(writtenExits);
+    lost.values().removeIf(exit -> !eras.mayBeLost(exit.mark(), StoreEras.MAX_COPY_AGE));
+    lost.forEach(
+        (exit, written) -> {
+          writtenExits.remove(exit);
+          if (!writesItself.test(written.leaver())) {
+            eras.onRewrite(Stream.OWN_TARGETS, written.address().toString());
+            waiting.putIfAbsent(written.leaver(), new WaitingExit(exit, written.address(), true));
+          }
+        });
+  }
+
   /**
    * Handles the status of another node.
    *
@@ -110,7 +149,7 @@
     }
     WaitingExit known = waiting.get(status.getNode());
     if (known == null || !known.exit.equals(exit)) {
-      waiting.put(status.getNode(), new WaitingExit(exit, address));
+      waiting.put(status.getNode(), new WaitingExit(exit, address, false));
     }
   }
 
@@ -132,7 +171,9 @@
     }
     waiting.forEach(
         (leaver, exit) -> {
-          if (!exit.taken && ExitWriterSelection.isWriter(exit.exit, node, otherWriters)) {
+          boolean selected =
+              exit.writtenBefore || ExitWriterSelection.isWriter(exit.exit, node, otherWriters);
+          if (!exit.taken && selected) {
             exit.taken = true;
             write(leaver, exit, 0, System.nanoTime());
           }
@@ -162,15 +203,16 @@
             LocalTarget.exitRecord(exit).toByteArray(),
             OptionalLong.empty())
         .whenCompleteAsync(
-            (end, error) -> {
+            (appended, error) -> {
               log.event("exit-relayed")
                   .with("peer", leaver)
                   .with("target", exit.instance())
                   .with("outcome", error == null ? "stored" : String.valueOf(error))
                   .write();
-              if (error == null) {
+              if (error == null && !eras.isOutdated(appended.era())) {
                 waiting.remove(leaver, waitingExit);
-                writtenExits.put(exit, true);
+                writtenExits.put(
+                    exit, new WrittenExit(leaver, waitingExit.address, eras.mark(appended.era())));
                 listener.onStored(waitingExit.address, exit);
               } else {
                 retry(leaver, waitingExit, failures + 1, firstNanos);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/LocalTarget.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/LocalTarget.java
@@ -11,6 +11,8 @@
 import org.cuminlatch.core.error.CuminlatchException;
 import org.cuminlatch.core.error.ErrorCode;
 import org.cuminlatch.core.error.Step;
+import org.cuminlatch.core.store.StoreEras;
+import org.cuminlatch.core.store.StoredMark;
 import org.cuminlatch.core.target.ExitToken;
 import org.cuminlatch.core.target.TargetExit;
 import org.cuminlatch.core.target.TargetLifecycle;
@@ -28,7 +30,7 @@
  * restarted node sends calls at once, or a target that has reported that it leaves. Such a report
  * is acknowledged once the store holds it, written by this node or by another one, as nothing else
  * outlasts the loss of all nodes. The gate is closed at once, whether the store can be reached or
- * not.
+ * not. What a store that has returned from an older copy may have lost is written again.
  */
 final class LocalTarget implements TargetReportHandler {
 
@@ -45,6 +47,7 @@
   private final String key;
   private final EventLoop control;
   private final KeyedStore store;
+  private final StoreEraControl eras;
   private final EventLog log;
   private final GateControl gate;
   private final TargetLifecycle lifecycle = new TargetLifecycle();
@@ -55,10 +58,20 @@
   /** Exit of the last start, empty unless the store may still name that start as ready. */
   private Optional<PendingExit> pendingExit = Optional.empty();
 
-  LocalTarget(String key, EventLoop control, KeyedStore store, EventLog log, GateControl gate) {
+  /** When the store was first known to hold the latest status; empty while it is written. */
+  private Optional<StoredMark> storedMark = Optional.empty();
+
+  LocalTarget(
+      String key,
+      EventLoop control,
+      KeyedStore store,
+      StoreEraControl eras,
+      EventLog log,
+      GateControl gate) {
     this.key = key;
     this.control = control;
     this.store = store;
+    this.eras = eras;
     this.log = log;
     this.gate = gate;
   }
@@ -100,8 +113,10 @@
         .newest(Stream.OWN_TARGETS)
         .whenCompleteAsync(
             (page, error) -> {
-              if (error == null) {
-                page.items().stream().filter(item -> item.key().equals(key)).forEach(this::restore);
+              if (error == null && !eras.isOutdated(page.era())) {
+                page.items().stream()
+                    .filter(item -> item.key().equals(key))
+                    .forEach(item -> restore(item, page.era()));
                 storedRead.complete(null);
                 return;
               }
@@ -114,14 +129,15 @@
             control);
   }
 
-  private void restore(Item item) {
+  private void restore(Item item, OptionalLong era) {
     try {
-      TargetStatus stored = TargetStatus.parseFrom(item.value());
-      if (stored.getPhase() == TargetPhase.LEAVING) {
-        restoreExit(new TargetExit(stored.getInstance(), stored.getBornMillis()));
+      TargetStatus read = TargetStatus.parseFrom(item.value());
+      if (read.getPhase() == TargetPhase.LEAVING) {
+        restoreExit(new TargetExit(read.getInstance(), read.getBornMillis()));
       } else {
-        apply(reportOf(stored));
+        apply(reportOf(read));
       }
+      storedMark = Optional.of(eras.mark(era));
     } catch (InvalidProtocolBufferException | IllegalArgumentException unreadable) {
       log.event("record-unusable")
           .with("stream", Stream.OWN_TARGETS.name())
@@ -266,8 +282,12 @@
    * store holds the exit.
    */
   private CompletionStage<Void> onLeave() {
-    PendingExit pending =
-        new PendingExit(lifecycle.exit().orElseThrow(), new CompletableFuture<>());
+    writeExit(lifecycle.exit().orElseThrow());
+    return gate.close().thenComposeAsync(closed -> whenExitStored(), control);
+  }
+
+  private void writeExit(TargetExit exit) {
+    PendingExit pending = new PendingExit(exit, new CompletableFuture<>());
     pendingExit = Optional.of(pending);
     store(exitRecord(pending.exit())).thenRunAsync(() -> onExitStored(pending), control);
     control.schedule(
@@ -278,7 +298,33 @@
         },
         OWN_WRITE_TIMEOUT.toMillis(),
         TimeUnit.MILLISECONDS);
-    return gate.close().thenComposeAsync(closed -> whenExitStored(), control);
+  }
+
+  /**
+   * Writes the latest status again if the store may have lost it. An exit is not acknowledged again
+   * before the store holds it.
+   */
+  void onStoreReturned() {
+    boolean ready = lifecycle.takesRequests();
+    Duration copyAge = ready ? StoreEras.USUAL_COPY_AGE : StoreEras.MAX_COPY_AGE;
+    Optional<StoredMark> lost = storedMark.filter(mark -> eras.mayBeLost(mark, copyAge));
+    if (lost.isPresent()) {
+      eras.spread(
+          () -> {
+            if (storedMark.equals(lost)) {
+              writeAgain();
+            }
+          });
+    }
+  }
+
+  private void writeAgain() {
+    eras.onRewrite(Stream.OWN_TARGETS, key);
+    if (lifecycle.takesRequests()) {
+      store(describe(TargetStatus.newBuilder(), true).build());
+    } else {
+      lifecycle.exit().ifPresent(this::writeExit);
+    }
   }
 
   private boolean isPending(PendingExit exit) {
@@ -288,6 +334,7 @@
   private void onExitStored(PendingExit exit) {
     if (isPending(exit)) {
       pendingExit = Optional.empty();
+      storedMark = storedMark.or(() -> Optional.of(eras.mark(OptionalLong.of(eras.latest()))));
       gate.announceExitWrites(true);
       exit.stored().complete(null);
     }
@@ -328,14 +375,15 @@
   }
 
   private CompletableFuture<Void> store(TargetStatus newStatus) {
-    CompletableFuture<Void> stored = new CompletableFuture<>();
+    CompletableFuture<Void> written = new CompletableFuture<>();
     statusToStore = newStatus;
-    storeUntilWritten(newStatus, stored);
-    return stored;
+    storedMark = Optional.empty();
+    storeUntilWritten(newStatus, written);
+    return written;
   }
 
   /** Retries a write until it succeeds or a newer status is to be stored. */
-  private void storeUntilWritten(TargetStatus newStatus, CompletableFuture<Void> stored) {
+  private void storeUntilWritten(TargetStatus newStatus, CompletableFuture<Void> written) {
     boolean storedByOthers = newStatus.getPhase() == TargetPhase.LEAVING && pendingExit.isEmpty();
     if (statusToStore != newStatus || storedByOthers) {
       return;
@@ -343,9 +391,12 @@
     store
         .append(Stream.OWN_TARGETS, key, newStatus.toByteArray(), OptionalLong.empty())
         .whenCompleteAsync(
-            (end, error) -> {
-              if (error == null) {
-                stored.complete(null);
+            (appended, error) -> {
+              if (error == null && !eras.isOutdated(appended.era())) {
+                if (statusToStore == newStatus) {
+                  storedMark = Optional.of(eras.mark(appended.era()));
+                }
+                written.complete(null);
                 return;
               }
               log.event("target-not-stored")
@@ -357,7 +408,7 @@
                 gate.announceExitWrites(false);
               }
               control.schedule(
-                  () -> storeUntilWritten(newStatus, stored),
+                  () -> storeUntilWritten(newStatus, written),
                   STORE_RETRY_DELAY.toMillis(),
                   TimeUnit.MILLISECONDS);
             },
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -146,7 +146,8 @@
     this.status = TargetStatus.getDefaultInstance();
     this.sentStatus = status;
     this.eras = new StoreEraControl(control, clock, random, log);
-    this.target = new LocalTarget(settings.peers().toString(), control, store, log, gateControl());
+    this.target =
+        new LocalTarget(settings.peers().toString(), control, store, eras, log, gateControl());
     this.nodes =
         new NodeDirectory(
             settings.peers(),
@@ -162,6 +163,7 @@
             settings.node(),
             control,
             store,
+            eras,
             random,
             log,
             (node, exit) -> traffic.execute(() -> links.confirmExitStored(node, exit)));
@@ -298,6 +300,10 @@
             delay ->
                 control.schedule(this::readForFirstProof, delay.toMillis(), TimeUnit.MILLISECONDS));
     nodes.onStoreReturned();
+    target.onStoreReturned();
+    exitRelay.onStoreReturned(
+        node -> peerStatuses.containsKey(node) && !peerStatuses.get(node).getStoreLost());
+    eras.spread(this::writeExitsOfOthers);
     if (readsForZone()) {
       publishStatus();
     } else {
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/ExitRelayTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/ExitRelayTests.java
@@ -39,11 +39,13 @@
   private final EventLoop loop = (EventLoop) group.next();
   private final AppendingStore store = new AppendingStore();
   private final List<TargetExit> confirmed = new CopyOnWriteArrayList<>();
+  private final StoreEraControl eras = EraFixture.create(loop);
   private final ExitRelay relay =
       new ExitRelay(
           "a",
           loop,
           store,
+          eras,
           new SplittableRandom(1),
           EventLog.start(InstantSource.system(), "a"),
           (node, exit) -> confirmed.add(exit));
@@ -163,11 +165,51 @@
     assertThat(store.keys.size(), is(writes));
   }
 
+  /** Guards against an exit that is confirmed although the store has lost it. */
+  @Test
+  void isWrittenAgainIfTheStoreHasLostItAndItsNodeIsStillTurnedAway() throws InterruptedException {
+    returnAfterWrite(false);
+
+    writeWaiting(true, List.of());
+
+    GateFixture.await(() -> store.keys.size() == 2 && confirmed.size() == 2);
+  }
+
+  /** Guards against an exit that this node does not write as others precede it meanwhile. */
+  @Test
+  void isWrittenAgainByTheNodeThatWroteIt() throws InterruptedException {
+    returnAfterWrite(false);
+
+    writeWaiting(true, IntStream.range(0, 20).mapToObj(number -> "b" + number).toList());
+
+    GateFixture.await(() -> store.keys.size() == 2);
+  }
+
+  @Test
+  void isLeftToItsNodeIfThatCanWriteAfterReturnOfTheStore() throws InterruptedException {
+    returnAfterWrite(true);
+
+    writeWaiting(true, List.of());
+
+    assertThat(store.keys.size(), is(1));
+  }
+
+  private void returnAfterWrite(boolean writesItself) throws InterruptedException {
+    store.era = 1;
+    eras.listen(() -> relay.onStoreReturned(leaver -> writesItself));
+    loop.submit(() -> eras.onEra(1, "store")).sync();
+    receive(status(TargetPhase.LEAVING, true), true);
+    GateFixture.await(() -> confirmed.size() == 1);
+    store.era = 2;
+    loop.submit(() -> eras.onEra(2, "store")).sync();
+  }
+
   /** Records the keys of all writes, which fail on request. */
   private static final class AppendingStore implements KeyedStore {
 
     private final List<String> keys = new CopyOnWriteArrayList<>();
     private volatile boolean failing;
+    private volatile long era;
 
     @Override
     public CompletionStage<Page> newest(Stream stream) {
@@ -185,7 +227,7 @@
       keys.add(key);
       return failing
           ? CompletableFuture.failedFuture(new IllegalStateException("store is away"))
-          : CompletableFuture.completedFuture(new Appended(1, OptionalLong.empty()));
+          : CompletableFuture.completedFuture(new Appended(1, OptionalLong.of(era)));
     }
   }
 }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
@@ -26,7 +26,9 @@
 import org.cuminlatch.wire.proto.call.TargetPhase;
 import org.cuminlatch.wire.proto.call.TargetStatus;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 @DisplayName("A local target whose node can't reach the store")
@@ -46,8 +48,9 @@
   private final EventLoop loop = (EventLoop) group.next();
   private final FailingStore store = new FailingStore();
   private final RecordingGate gate = new RecordingGate();
+  private final StoreEraControl eras = EraFixture.create(loop);
   private final LocalTarget target =
-      new LocalTarget(KEY, loop, store, EventLog.start(InstantSource.system(), "node"), gate);
+      new LocalTarget(KEY, loop, store, eras, EventLog.start(InstantSource.system(), "node"), gate);
 
   @AfterEach
   void stop() {
@@ -198,19 +201,97 @@
     assertThat(gate.open, is(true));
   }
 
-  /** Fails all calls, except reads once it has items, and records the phases in its writes. */
+  @Nested
+  class AfterReturnOfTheStoreFromAnOlderCopy {
+
+    @BeforeEach
+    void storeTargetInFirstEra() throws Exception {
+      store.items = Optional.of(List.of());
+      store.era = OptionalLong.of(1);
+      eras.listen(target::onStoreReturned);
+      loop.submit(() -> eras.onEra(1, "store")).sync();
+      start();
+      reportReady();
+      GateFixture.await(() -> store.written.contains(TargetPhase.READY));
+    }
+
+    private void loseAll() throws InterruptedException {
+      store.written.clear();
+      store.era = OptionalLong.of(2);
+      loop.submit(() -> eras.onEra(2, "store")).sync();
+    }
+
+    /** Guards against a target without calls after a restart of its node. */
+    @Test
+    void isStoredAgain() throws Exception {
+      loseAll();
+
+      GateFixture.await(() -> store.written.equals(List.of(TargetPhase.READY)));
+    }
+
+    /** Guards against calls to a target that was told that it may leave. */
+    @Test
+    void hasItsExitStoredAgain() throws Exception {
+      assertThat(isDeregistrationAcknowledged(), is(true));
+
+      loseAll();
+
+      GateFixture.await(() -> store.written.equals(List.of(TargetPhase.LEAVING)));
+      assertThat(gate.open, is(false));
+    }
+
+    /** Guards against the loss of an exit that only the store told to a restarted node. */
+    @Test
+    void hasItsExitStoredAgainByNodeThatHasReadIt() throws Exception {
+      store.items = Optional.of(List.of(STORED_EXIT));
+      loop.submit(target::readStored).sync();
+      GateFixture.await(() -> !gate.open);
+
+      loseAll();
+
+      GateFixture.await(() -> store.written.equals(List.of(TargetPhase.LEAVING)));
+    }
+
+    /** Guards against an exit that no node stores because its own is turned away meanwhile. */
+    @Test
+    void hasItsExitStoredByOthersIfItsNodeIsTurnedAway() throws Exception {
+      assertThat(isDeregistrationAcknowledged(), is(true));
+      store.era = OptionalLong.empty();
+
+      loop.submit(() -> eras.onEra(2, "other")).sync();
+
+      GateFixture.await(() -> gate.asksOthers);
+      assertThat(isDeregistrationAcknowledged(), is(false));
+    }
+
+    /** Guards against an acknowledgement by a response from before the return. */
+    @Test
+    void isNotToldThatItMayLeaveByAnswerOfAnEarlierEra() throws Exception {
+      loop.submit(() -> eras.onEra(2, "other")).sync();
+
+      assertThat(isDeregistrationAcknowledged(), is(false));
+      store.era = OptionalLong.of(2);
+      GateFixture.await(() -> !gate.asksOthers);
+      assertThat(isDeregistrationAcknowledged(), is(true));
+    }
+  }
+
+  /**
+   * Fails reads until it has items and writes until it has an era, and records the phases in its
+   * writes.
+   */
   private static final class FailingStore implements KeyedStore {
 
     private final List<TargetPhase> written = new CopyOnWriteArrayList<>();
     private volatile Optional<List<Item>> items = Optional.empty();
+    private volatile OptionalLong era = OptionalLong.empty();
 
     @Override
     public CompletionStage<Page> newest(Stream stream) {
       return items
           .<CompletionStage<Page>>map(
               read ->
-                  CompletableFuture.completedFuture(
-                      new Page(read, read.size(), read.size(), OptionalLong.empty())))
+                  CompletableFuture.completedFuture(new Page(read, read.size(), read.size(), era)))
           .orElseGet(FailingStore::failed);
     }
 
@@ -227,7 +308,9 @@
       } catch (InvalidProtocolBufferException unreadable) {
         throw new AssertionError(unreadable);
       }
-      return failed();
+      return era.isPresent()
+          ? CompletableFuture.completedFuture(new Appended(written.size(), era))
+          : failed();
     }
 
     private static <T> CompletionStage<T> failed() {
