Keep moves and their ends when the store has lost them

Cause: an order was known by its offset. After a return from an older copy, an order that the operator writes again looked new and ran a second time, a later order at a lower offset was ignored, and the order before the lost one, which is the newest of the copy, could be followed. A lost end was not stated again, and another end stated since would have replaced it.

Change: the number of an order is its era and offset (OrderPosition). Facts carry the position at which the order was last read, the era in which the statement is stored and the era in which the end was stated first; of two ends the earlier one stands and is written over the other. New ends wait for 3 s after a return. When a move is settled, its nodes send a last fact, so that others need not read the store. Orders are taken from the store and from facts only; nodes send configurations as records, nothing else.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveStatement.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/move/MoveStatement.java
@@ -9,7 +9,8 @@
  * @param service name of the service
  * @param version target version of the move
  * @param state progress of the move
- * @param order order that the statement refers to, see {@link MoveOrder#id}; negative if unknown
+ * @param order order that the statement refers to, see {@link MoveOrder#id} and {@link
+ *     OrderHistory#isStatedBy}; negative if unknown
  * @param startedMillis start of the move in milliseconds since 1970
  */
 public record MoveStatement(
@@ -22,18 +23,6 @@
     notNull(state, "state");
   }
 
-  /**
-   * Returns whether the statement refers to an order.
-   *
-   * @param other the order
-   * @return true if service and version are equal and the statement has the same order or none
-   */
-  public boolean refersTo(MoveOrder other) {
-    return service.equals(other.service())
-        && version.equals(other.version())
-        && (order < 0 || order == other.id());
-  }
-
   /**
    * Returns whether the move has ended.
    *
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -173,6 +173,7 @@
             control,
             clock,
             store,
+            eras,
             recordCodec,
             log,
             this::allStatuses,
@@ -288,8 +289,8 @@
   }
 
   /**
-   * Reads the streams anew. Other nodes are told by the nodes that read the store for their zone,
-   * as with other changes.
+   * Reads the streams anew and writes again what the store may have lost. Other nodes are told by
+   * the nodes that read the store for their zone, as with other changes.
    */
   private void onStoreReturned() {
     operatorFollower.restart();
@@ -299,6 +300,7 @@
         .ifPresent(
             delay ->
                 control.schedule(this::readForFirstProof, delay.toMillis(), TimeUnit.MILLISECONDS));
+    moves.onStoreReturned();
     nodes.onStoreReturned();
     target.onStoreReturned();
     exitRelay.onStoreReturned(
@@ -473,7 +475,8 @@
         moveFacts = moves.moveFacts();
         movesActive = moves.isActive();
         evidenceTicks++;
-        if (evidenceTicks % evidencePeriodTicks() == 0) {
+        // once the last statement is written, the other nodes need not read it
+        if (evidenceTicks % evidencePeriodTicks() == 0 || !movesActive) {
           traffic.execute(this::sendEvidence);
         }
       }
@@ -526,7 +529,9 @@
     decoded
         .flatMap(OperatorRecordCodec.Decoded::configuration)
         .ifPresent(snapshot -> keyProofs.onStoredVersion(snapshot.version()));
-    decoded.flatMap(OperatorRecordCodec.Decoded::order).ifPresent(moves::onOrder);
+    decoded
+        .flatMap(OperatorRecordCodec.Decoded::order)
+        .ifPresent(order -> moves.onStoredOrder(order, era));
   }
 
   /** Applies a configuration from the store or another node, which sends nothing else. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
@@ -18,10 +18,16 @@
 import org.cuminlatch.core.move.MoveOrder;
 import org.cuminlatch.core.move.MoveStatement;
 import org.cuminlatch.core.move.MoveStatement.State;
+import org.cuminlatch.core.move.OrderHistory;
+import org.cuminlatch.core.move.OrderHistory.Kind;
+import org.cuminlatch.core.move.OrderPosition;
 import org.cuminlatch.core.move.OrderedMove;
 import org.cuminlatch.core.route.VersionRule;
 import org.cuminlatch.core.route.VersionRule.Fallback;
+import org.cuminlatch.core.store.StoreEras;
+import org.cuminlatch.core.store.StoredMark;
 import org.cuminlatch.node.event.EventLog;
+import org.cuminlatch.node.mesh.KeyedStore.Appended;
 import org.cuminlatch.node.mesh.KeyedStore.Page;
 import org.cuminlatch.node.mesh.KeyedStore.Stream;
 import org.cuminlatch.wire.proto.call.MoveEvidence;
@@ -36,7 +42,9 @@
  *
  * <p>Each node evaluates the evidence on its own. The connected nodes that can read the store take
  * turns to write a statement that is due, the first by name without delay. A write succeeds only if
- * no statement was written since the node read them, so that the first final statement stands.
+ * no statement was written since the node read them, so that the first final statement stands. It
+ * stands also if the store returns from an older copy without it: a node that knows of it writes it
+ * again.
  */
 final class MoveControl {
 
@@ -52,16 +60,35 @@
   /** Slots that new targets need before a move is complete, as a share of the old ones' slots. */
   private static final double MIN_NEW_SLOT_SHARE = 0.5;
 
+  /**
+   * Time after a return of the store for which no new end is stated, so that nodes which know of a
+   * lost end can write it first; a node that was cut off might state another one.
+   */
+  private static final Duration END_DELAY = Duration.ofSeconds(3);
+
+  /**
+   * Number of evaluations after an order was read at another position for which the nodes are told;
+   * evidence is sent with each second one at least.
+   */
+  private static final int POSITION_TICKS = 2;
+
   private final String node;
   private final EventLoop control;
   private final InstantSource clock;
   private final KeyedStore store;
+  private final StoreEraControl eras;
   private final OperatorRecordCodec recordCodec;
   private final EventLog log;
   private final Supplier<Map<String, TargetStatus>> statuses;
   private final Consumer<Map<String, VersionRule>> rulesListener;
   private final Map<String, FollowedMove> moves = new HashMap<>();
-  private final Map<String, MoveStatement> statements = new HashMap<>();
+  private final Map<String, OrderHistory> histories = new HashMap<>();
+
+  /** Orders of which it is unclear whether they came before the latest known one, by service. */
+  private final Map<String, MoveOrder> unclearOrders = new HashMap<>();
+
+  private final Map<String, ReadStatement> statements = new HashMap<>();
+  private int positionTicks;
   private Map<String, VersionRule> rules = Map.of();
   private boolean statementsRequested;
   private boolean statementsLoaded;
@@ -73,6 +100,7 @@
       EventLoop control,
       InstantSource clock,
       KeyedStore store,
+      StoreEraControl eras,
       OperatorRecordCodec recordCodec,
       EventLog log,
       Supplier<Map<String, TargetStatus>> statuses,
@@ -81,31 +109,68 @@
     this.control = control;
     this.clock = clock;
     this.store = store;
+    this.eras = eras;
     this.recordCodec = recordCodec;
     this.log = log;
     this.statuses = statuses;
     this.rulesListener = rulesListener;
   }
 
+  /**
+   * A statement that was read.
+   *
+   * @param statement the statement
+   * @param era era of the store, {@link StoreEras#NO_ERA} for none
+   */
+  private record ReadStatement(MoveStatement statement, long era) {}
+
   /** A move with the statement that is stored and the one that is due. */
   private static final class FollowedMove {
 
     private final OrderedMove move;
+    private final OrderHistory history;
     private State stated;
+    private StoredMark statedMark;
     private State due = State.RUNNING;
     private Instant dueSince;
 
-    FollowedMove(OrderedMove move, Instant now) {
-      this.move = move;
+    /** Whether the store may have lost the statement, or holds another one than the first. */
+    private boolean restate;
+
+    /** Era of the store in which the end was stated first, as far as this node knows. */
+    private long endedEra;
+
+    FollowedMove(MoveOrder order, OrderHistory history, Instant now) {
+      this.move = new OrderedMove(order, now);
+      this.history = history;
       this.dueSince = now;
     }
+
+    boolean hasEnded() {
+      return move.state() != State.RUNNING;
+    }
+
+    void setStated(State state, StoredMark mark) {
+      stated = state;
+      statedMark = mark;
+      restate = false;
+    }
+
+    void restateFrom(Instant now) {
+      restate = true;
+      dueSince = now;
+    }
   }
 
   boolean isActive() {
-    return moves.values().stream()
-        .anyMatch(
-            followedMove ->
-                followedMove.stated == null || followedMove.move.state() == State.RUNNING);
+    return positionTicks > 0
+        || !unclearOrders.isEmpty()
+        || moves.values().stream()
+            .anyMatch(
+                followedMove ->
+                    followedMove.stated == null
+                        || followedMove.restate
+                        || !followedMove.hasEnded());
   }
 
   /** Returns whether a version is the one to which the latest move of the service leads. */
@@ -114,13 +179,60 @@
     return followedMove != null && followedMove.move.order().version().equals(version);
   }
 
-  void onOrder(MoveOrder order) {
-    FollowedMove current = moves.get(order.service());
-    if (current != null && current.move.order().id() >= order.id()) {
-      return;
+  /**
+   * Handles an order that was read from the store.
+   *
+   * @param order the order, whose id is its offset
+   * @param era era of the store
+   */
+  void onStoredOrder(MoveOrder order, long era) {
+    MoveOrder positioned = order.withId(new OrderPosition(era, order.id()).id());
+    onOrder(positioned, positioned.id());
+  }
+
+  /**
+   * Handles an order.
+   *
+   * @param order the order at the position at which it was first read
+   * @param readAs position at which it was last read
+   */
+  private void onOrder(MoveOrder order, long readAs) {
+    OrderHistory history = histories.computeIfAbsent(order.service(), unused -> new OrderHistory());
+    MoveOrder latest = order.withId(readAs);
+    boolean rewritten = !eras.hasReturnedWithin(StoreEras.OPERATOR_REWRITE_PERIOD);
+    switch (history.isCurrent(order) ? Kind.SAME : history.classify(latest, rewritten)) {
+      case NEW -> follow(order, readAs, history);
+      case SAME -> {
+        recordPosition(history, order.id());
+        recordPosition(history, readAs);
+      }
+      case UNCLEAR -> {
+        if (!latest.equals(unclearOrders.put(order.service(), latest))) {
+          log.event("move-order-unclear")
+              .with("service", order.service())
+              .with("version", order.version())
+              .with("order", readAs)
+              .write();
+        }
+      }
+      default -> {} // an order that came before
     }
-    Instant now = clock.instant();
-    FollowedMove followedMove = new FollowedMove(new OrderedMove(order, now), now);
+  }
+
+  private void recordPosition(OrderHistory history, long readAs) {
+    if (history.recordPosition(readAs)) {
+      positionTicks = POSITION_TICKS;
+    }
+    String service = history.current().orElseThrow().service();
+    MoveOrder unclear = unclearOrders.remove(service);
+    if (unclear != null && unclear.id() > history.readAs()) {
+      onOrder(unclear, unclear.id());
+    }
+  }
+
+  private void follow(MoveOrder order, long readAs, OrderHistory history) {
+    history.accept(order);
+    FollowedMove followedMove = new FollowedMove(order, history, clock.instant());
     moves.put(order.service(), followedMove);
     log.event("move-ordered")
         .with("service", order.service())
@@ -128,9 +240,10 @@
         .with("order", order.id())
         .with("lengthMillis", order.length().toMillis())
         .write();
-    MoveStatement statement = statements.get(order.service());
-    if (statement != null) {
-      apply(followedMove, statement);
+    recordPosition(history, readAs);
+    ReadStatement read = statements.get(order.service());
+    if (read != null) {
+      apply(followedMove, read);
     }
     if (!statementsRequested) {
       statementsRequested = true;
@@ -139,6 +252,20 @@
     tick();
   }
 
+  /** Prepares that statements which the store may have lost are written again. */
+  void onStoreReturned() {
+    Instant now = clock.instant();
+    moves.forEach(
+        (service, followedMove) -> {
+          if (followedMove.stated != null
+              && eras.mayBeLost(followedMove.statedMark, StoreEras.MAX_COPY_AGE)) {
+            followedMove.stated = null;
+            followedMove.restateFrom(now);
+            eras.onRewrite(Stream.STATEMENTS, service);
+          }
+        });
+  }
+
   /** Reads the statements that were written before the first order reached this process. */
   private void readStatements() {
     store
@@ -159,33 +286,50 @@
     for (KeyedStore.Item item : page.items()) {
       recordCodec
           .decodeStatement(item)
-          .ifPresent(statement -> statements.put(statement.service(), statement));
+          .ifPresent(
+              statement ->
+                  statements.put(
+                      statement.service(), new ReadStatement(statement, page.eraOrNone())));
     }
     moves.forEach(
         (service, followedMove) -> {
-          MoveStatement statement = statements.get(service);
-          if (statement != null) {
-            apply(followedMove, statement);
+          ReadStatement read = statements.get(service);
+          if (read != null && read.era() >= eras.latest()) {
+            apply(followedMove, read);
           }
         });
     tick();
   }
 
-  private void apply(FollowedMove followedMove, MoveStatement statement) {
+  private void apply(FollowedMove followedMove, ReadStatement read) {
     OrderedMove move = followedMove.move;
-    if (!statement.refersTo(move.order()) || followedMove.stated == statement.state()) {
+    MoveStatement statement = read.statement();
+    if (!followedMove.history.isStatedBy(statement)) {
+      return;
+    }
+    boolean endIsKnown = followedMove.hasEnded() && read.era() > followedMove.endedEra;
+    if (endIsKnown && statement.state() != move.state()) {
+      // the store has lost the end, and perhaps another one was stated since; the first stands
+      boolean restated = followedMove.restate;
+      followedMove.setStated(statement.state(), eras.mark(OptionalLong.of(read.era())));
+      followedMove.restateFrom(restated ? followedMove.dueSince : clock.instant());
+      return;
+    }
+    boolean unchanged = followedMove.stated == statement.state();
+    followedMove.setStated(statement.state(), eras.mark(OptionalLong.of(read.era())));
+    if (unchanged) {
       return;
     }
-    followedMove.stated = statement.state();
     if (statement.isFinal()) {
-      endMove(followedMove, statement.state(), "store");
+      endMove(followedMove, statement.state(), read.era(), "store");
     } else {
       long millis = Math.max(0, System.currentTimeMillis() - statement.startedMillis());
       move.adoptElapsed(Duration.ofMillis(millis), clock.instant());
     }
   }
 
-  private void endMove(FollowedMove followedMove, State state, String source) {
+  private void endMove(FollowedMove followedMove, State state, long era, String source) {
+    followedMove.endedEra = followedMove.hasEnded() ? Math.min(followedMove.endedEra, era) : era;
     if (followedMove.move.state() == state) {
       return;
     }
@@ -213,36 +357,54 @@
   }
 
   private void applyFact(MoveFact fact, String source) {
+    Duration length = Duration.ofNanos(fact.getLengthMicros() * 1000);
+    MoveOrder order = new MoveOrder(fact.getOrder(), fact.getService(), fact.getVersion(), length);
+    onOrder(order, Math.max(fact.getOrder(), fact.getReadAs()));
     FollowedMove followedMove = moves.get(fact.getService());
-    if (followedMove == null || followedMove.move.order().id() < fact.getOrder()) {
-      Duration length = Duration.ofNanos(fact.getLengthMicros() * 1000);
-      onOrder(new MoveOrder(fact.getOrder(), fact.getService(), fact.getVersion(), length));
-      followedMove = moves.get(fact.getService());
-    }
-    if (followedMove.move.order().id() != fact.getOrder()) {
+    if (followedMove == null || !followedMove.history.isCurrent(order)) {
       return;
     }
     OrderedMove move = followedMove.move;
     switch (fact.getPhase()) {
       case MOVE_FOUND_BAD -> move.markBad(source);
-      case MOVE_ROLLED_BACK -> applyFinalState(followedMove, State.ROLLED_BACK, source);
-      case MOVE_COMPLETED -> applyFinalState(followedMove, State.COMPLETED, source);
+      case MOVE_ROLLED_BACK -> applyFinalFact(followedMove, State.ROLLED_BACK, fact, source);
+      case MOVE_COMPLETED -> applyFinalFact(followedMove, State.COMPLETED, fact, source);
       default -> {
         move.adoptElapsed(Duration.ofNanos(fact.getElapsedMicros() * 1000), clock.instant());
-        if (fact.getStated() && followedMove.stated == null) {
-          followedMove.stated = State.RUNNING;
+        if (fact.getStated() && followedMove.stated == null && !isOutdated(fact)) {
+          followedMove.setStated(State.RUNNING, mark(fact));
         }
       }
     }
   }
 
-  private void applyFinalState(FollowedMove followedMove, State state, String source) {
-    followedMove.stated = state;
-    endMove(followedMove, state, source);
+  /** Returns whether a node tells of a statement in an era whose statements may be lost. */
+  private boolean isOutdated(MoveFact fact) {
+    return fact.getStatedEra() < eras.latest();
+  }
+
+  private StoredMark mark(MoveFact fact) {
+    return eras.mark(OptionalLong.of(fact.getStatedEra()));
+  }
+
+  /** Applies the end of a move that another node knows; of two ends, the earlier one stands. */
+  private void applyFinalFact(
+      FollowedMove followedMove, State state, MoveFact fact, String source) {
+    boolean otherEnd = followedMove.hasEnded() && followedMove.move.state() != state;
+    if (otherEnd && followedMove.endedEra < fact.getEndedEra()) {
+      return;
+    }
+    if (fact.getStated() && !isOutdated(fact)) {
+      followedMove.setStated(state, mark(fact));
+    } else if (otherEnd || !followedMove.hasEnded()) {
+      followedMove.restateFrom(clock.instant());
+    }
+    endMove(followedMove, state, fact.getEndedEra(), source);
   }
 
   List<MoveFact> moveFacts() {
     Instant now = clock.instant();
+    positionTicks = Math.max(0, positionTicks - 1);
     List<MoveFact> facts = new ArrayList<>();
     moves.forEach(
         (service, followedMove) ->
@@ -254,11 +416,18 @@
                     .setPhase(phase(followedMove.move))
                     .setElapsedMicros(followedMove.move.elapsed(now).toNanos() / 1000)
                     .setLengthMicros(followedMove.move.order().length().toNanos() / 1000)
-                    .setStated(followedMove.stated != null)
+                    .setStated(followedMove.stated != null && !followedMove.restate)
+                    .setReadAs(followedMove.history.readAs())
+                    .setStatedEra(statedEra(followedMove))
+                    .setEndedEra(followedMove.endedEra)
                     .build()));
     return facts;
   }
 
+  private static long statedEra(FollowedMove followedMove) {
+    return followedMove.stated == null ? StoreEras.NO_ERA : followedMove.statedMark.era();
+  }
+
   private static MovePhase phase(OrderedMove move) {
     return switch (move.state()) {
       case COMPLETED -> MovePhase.MOVE_COMPLETED;
@@ -270,6 +439,11 @@
   /** Evaluates the evidence, updates the version shares and writes the statements that are due. */
   void tick() {
     Instant now = clock.instant();
+    if (!unclearOrders.isEmpty() && !eras.hasReturnedWithin(StoreEras.OPERATOR_REWRITE_PERIOD)) {
+      List<MoveOrder> decided = List.copyOf(unclearOrders.values());
+      unclearOrders.clear();
+      decided.forEach(order -> onOrder(order, order.id()));
+    }
     Map<String, VersionRule> newRules = new HashMap<>();
     moves.forEach(
         (service, followedMove) -> {
@@ -281,9 +455,7 @@
                 .with("reason", move.reason())
                 .write();
           }
-          newRules.put(
-              service,
-              statementsLoaded || followedMove.stated != null ? move.rule() : withoutCalls(move));
+          newRules.put(service, isEndKnown(followedMove) ? move.rule() : withoutCalls(move));
           State due = move.dueState(enoughNewTargetsReady(move.order()), now);
           if (due != followedMove.due) {
             followedMove.due = due;
@@ -304,6 +476,11 @@
     moves.values().forEach(followedMove -> writeIfDue(followedMove, now));
   }
 
+  /** Returns whether this node would know if the move had ended. */
+  private boolean isEndKnown(FollowedMove followedMove) {
+    return statementsLoaded || followedMove.stated != null || followedMove.restate;
+  }
+
   /** Returns a rule without calls to the new version, while the end of the move is unknown. */
   private static VersionRule withoutCalls(OrderedMove move) {
     return new VersionRule(move.order().version(), 0, Fallback.NONE);
@@ -323,10 +500,19 @@
   }
 
   private void writeIfDue(FollowedMove followedMove, Instant now) {
-    if (followedMove.stated == followedMove.due || writing || !statementsLoaded) {
+    if (followedMove.stated == followedMove.due) {
+      followedMove.restate = false;
+      return;
+    }
+    if (writing || !statementsLoaded) {
       return;
     }
-    if (followedMove.stated != null && followedMove.stated != State.RUNNING) {
+    boolean endStated = followedMove.stated != null && followedMove.stated != State.RUNNING;
+    if (endStated && !followedMove.restate) {
+      return;
+    }
+    boolean newEnd = followedMove.due != State.RUNNING && !followedMove.hasEnded();
+    if (newEnd && eras.hasReturnedWithin(END_DELAY)) {
       return;
     }
     boolean isMyTurn =
@@ -353,7 +539,9 @@
   private CompletionStage<Optional<MoveStatement>> appendIfDue(
       FollowedMove followedMove, Page page) {
     onStatements(page);
-    if (followedMove.stated == followedMove.due || followedMove.move.state() != State.RUNNING) {
+    State due = followedMove.hasEnded() ? followedMove.move.state() : followedMove.due;
+    boolean endToldByOthers = followedMove.hasEnded() && !followedMove.restate;
+    if (followedMove.stated == due || endToldByOthers || eras.isOutdated(page.era())) {
       return CompletableFuture.completedFuture(Optional.empty());
     }
     MoveOrder order = followedMove.move.order();
@@ -362,8 +550,8 @@
         new MoveStatement(
             order.service(),
             order.version(),
-            followedMove.due,
-            order.id(),
+            due,
+            followedMove.history.readAs(),
             System.currentTimeMillis() - elapsed);
     return store
         .append(
@@ -371,11 +559,26 @@
             recordCodec.statementKey(order.service()),
             recordCodec.encode(statement),
             OptionalLong.of(page.end()))
-        .thenApply(
-            end -> {
-              apply(followedMove, statement);
-              return Optional.of(statement);
-            });
+        .thenApply(appended -> onAppended(followedMove, statement, page, appended));
+  }
+
+  /**
+   * Applies a statement that was written, unless the store has returned from an older copy since
+   * the statements were read. The end of the stream that the write required proves nothing then, so
+   * that they are read again.
+   */
+  private Optional<MoveStatement> onAppended(
+      FollowedMove followedMove, MoveStatement statement, Page page, Appended appended) {
+    if (!appended.era().equals(page.era()) || eras.isOutdated(appended.era())) {
+      return Optional.empty();
+    }
+    long era = page.eraOrNone();
+    if (followedMove.restate && followedMove.hasEnded()) {
+      followedMove.setStated(statement.state(), eras.mark(appended.era()));
+    } else {
+      apply(followedMove, new ReadStatement(statement, era));
+    }
+    return Optional.of(statement);
   }
 
   private void onWritten(FollowedMove followedMove, Throwable error) {
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
@@ -218,37 +218,39 @@
       "store_lost\030\r \001(\010\022)\n\005zones\030\016 \003(\0132\032.cuminl" +
       "atch.call.ZoneState\022\021\n\tstore_era\030\020 \001(\003\"F" +
       "\n\tZoneState\022\014\n\004zone\030\001 \001(\t\022\021\n\tevacuated\030\002" +
-      " \001(\010\022\013\n\003era\030\003 \001(\003\022\013\n\003end\030\004 \001(\003\"\245\001\n\010MoveF" +
+      " \001(\010\022\013\n\003era\030\003 \001(\003\022\013\n\003end\030\004 \001(\003\"\335\001\n\010MoveF" +
       "act\022\017\n\007service\030\001 \001(\t\022\r\n\005order\030\002 \001(\003\022)\n\005p" +
       "hase\030\003 \001(\0162\032.cuminlatch.call.MovePhase\022\026" +
       "\n\016elapsed_micros\030\004 \001(\003\022\016\n\006stated\030\005 \001(\010\022\017" +
-      "\n\007version\030\006 \001(\t\022\025\n\rlength_micros\030\007 \001(\003\"\014" +
-      "\n\nConfigPull\":\n\014ConfigRecord\022\013\n\003key\030\001 \001(" +
-      "\t\022\r\n\005value\030\002 \001(\014\022\016\n\006offset\030\003 \001(\003\"\036\n\rVali" +
-      "dityQuery\022\r\n\005nonce\030\001 \001(\006\"D\n\016ValidityAnsw" +
-      "er\022\r\n\005nonce\030\001 \001(\006\022\017\n\007version\030\002 \001(\003\022\022\n\nag" +
-      "e_micros\030\003 \001(\003\"\234\001\n\014MoveEvidence\022\020\n\010insta" +
-      "nce\030\001 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007version\030\004 " +
-      "\001(\t\022.\n\006counts\030\002 \003(\0132\036.cuminlatch.call.Ev" +
-      "idenceCount\022(\n\005moves\030\005 \003(\0132\031.cuminlatch." +
-      "call.MoveFact\"}\n\rEvidenceCount\022\r\n\005route\030" +
-      "\001 \001(\t\022\r\n\005calls\030\002 \001(\003\022\020\n\010failures\030\003 \001(\003\022\022" +
-      "\n\ncold_calls\030\004 \001(\003\022\025\n\rcold_failures\030\005 \001(" +
-      "\003\022\021\n\tlatencies\030\006 \003(\003*\350\001\n\rRefusalReason\022\027" +
-      "\n\023REFUSAL_UNSPECIFIED\020\000\022\014\n\010DRAINING\020\001\022\016\n" +
-      "\nQUEUE_FULL\020\002\022\014\n\010DEADLINE\020\003\022\021\n\rWRONG_VER" +
-      "SION\020\004\022\017\n\013NOT_SERVING\020\005\022\026\n\022TARGET_UNREAC" +
-      "HABLE\020\006\022\017\n\013TARGET_SHED\020\007\022\r\n\tWITHDRAWN\020\010\022" +
-      "\021\n\rNOT_KEY_OWNER\020\t\022\016\n\nUNSENDABLE\020\n\022\023\n\017TA" +
-      "RGET_REPLACED\020\013*\232\001\n\rFailureReason\022\027\n\023FAI" +
-      "LURE_UNSPECIFIED\020\000\022\021\n\rTARGET_BROKEN\020\001\022\022\n" +
-      "\016TARGET_TIMEOUT\020\002\022\025\n\021CONNECTION_SILENT\020\003" +
-      "\022\022\n\016ANSWER_CROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014KE" +
-      "Y_IN_DOUBT\020\006*1\n\013TargetPhase\022\n\n\006ABSENT\020\000\022" +
-      "\t\n\005READY\020\001\022\013\n\007LEAVING\020\002*[\n\tMovePhase\022\020\n\014" +
-      "MOVE_RUNNING\020\000\022\022\n\016MOVE_FOUND_BAD\020\001\022\024\n\020MO" +
-      "VE_ROLLED_BACK\020\002\022\022\n\016MOVE_COMPLETED\020\003B\"\n\036" +
-      "org.cuminlatch.wire.proto.callP\001b\006proto3"
+      "\n\007version\030\006 \001(\t\022\025\n\rlength_micros\030\007 \001(\003\022\017" +
+      "\n\007read_as\030\010 \001(\003\022\022\n\nstated_era\030\t \001(\003\022\021\n\te" +
+      "nded_era\030\n \001(\003\"\014\n\nConfigPull\":\n\014ConfigRe" +
+      "cord\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\016\n\006offs" +
+      "et\030\003 \001(\003\"\036\n\rValidityQuery\022\r\n\005nonce\030\001 \001(\006" +
+      "\"D\n\016ValidityAnswer\022\r\n\005nonce\030\001 \001(\006\022\017\n\007ver" +
+      "sion\030\002 \001(\003\022\022\n\nage_micros\030\003 \001(\003\"\234\001\n\014MoveE" +
+      "vidence\022\020\n\010instance\030\001 \001(\t\022\017\n\007service\030\003 \001" +
+      "(\t\022\017\n\007version\030\004 \001(\t\022.\n\006counts\030\002 \003(\0132\036.cu" +
+      "minlatch.call.EvidenceCount\022(\n\005moves\030\005 \003" +
+      "(\0132\031.cuminlatch.call.MoveFact\"}\n\rEvidenc" +
+      "eCount\022\r\n\005route\030\001 \001(\t\022\r\n\005calls\030\002 \001(\003\022\020\n\010" +
+      "failures\030\003 \001(\003\022\022\n\ncold_calls\030\004 \001(\003\022\025\n\rco" +
+      "ld_failures\030\005 \001(\003\022\021\n\tlatencies\030\006 \003(\003*\350\001\n" +
+      "\rRefusalReason\022\027\n\023REFUSAL_UNSPECIFIED\020\000\022" +
+      "\014\n\010DRAINING\020\001\022\016\n\nQUEUE_FULL\020\002\022\014\n\010DEADLIN" +
+      "E\020\003\022\021\n\rWRONG_VERSION\020\004\022\017\n\013NOT_SERVING\020\005\022" +
+      "\026\n\022TARGET_UNREACHABLE\020\006\022\017\n\013TARGET_SHED\020\007" +
+      "\022\r\n\tWITHDRAWN\020\010\022\021\n\rNOT_KEY_OWNER\020\t\022\016\n\nUN" +
+      "SENDABLE\020\n\022\023\n\017TARGET_REPLACED\020\013*\232\001\n\rFail" +
+      "ureReason\022\027\n\023FAILURE_UNSPECIFIED\020\000\022\021\n\rTA" +
+      "RGET_BROKEN\020\001\022\022\n\016TARGET_TIMEOUT\020\002\022\025\n\021CON" +
+      "NECTION_SILENT\020\003\022\022\n\016ANSWER_CROSSED\020\004\022\014\n\010" +
+      "KEY_SEEN\020\005\022\020\n\014KEY_IN_DOUBT\020\006*1\n\013TargetPh" +
+      "ase\022\n\n\006ABSENT\020\000\022\t\n\005READY\020\001\022\013\n\007LEAVING\020\002*" +
+      "[\n\tMovePhase\022\020\n\014MOVE_RUNNING\020\000\022\022\n\016MOVE_F" +
+      "OUND_BAD\020\001\022\024\n\020MOVE_ROLLED_BACK\020\002\022\022\n\016MOVE" +
+      "_COMPLETED\020\003B\"\n\036org.cuminlatch.wire.prot" +
+      "o.callP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -361,7 +363,7 @@
     internal_static_cuminlatch_call_MoveFact_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_MoveFact_descriptor,
-        new java.lang.String[] { "Service", "Order", "Phase", "ElapsedMicros", "Stated", "Version", "LengthMicros", });
+        new java.lang.String[] { "Service", "Order", "Phase", "ElapsedMicros", "Stated", "Version", "LengthMicros", "ReadAs", "StatedEra", "EndedEra", });
     internal_static_cuminlatch_call_ConfigPull_descriptor =
       getDescriptor().getMessageType(18);
     internal_static_cuminlatch_call_ConfigPull_fieldAccessorTable = new
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/MoveFact.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/MoveFact.java
@@ -202,6 +202,51 @@
     return lengthMicros_;
   }
 
+  public static final int READ_AS_FIELD_NUMBER = 8;
+  private long readAs_ = 0L;
+  /**
+   * <pre>
+   * Position at which the order was last read, as number like the field order; 0 if it is the same.
+   * </pre>
+   *
+   * <code>int64 read_as = 8;</code>
+   * @return The readAs.
+   */
+  @java.lang.Override
+  public long getReadAs() {
+    return readAs_;
+  }
+
+  public static final int STATED_ERA_FIELD_NUMBER = 9;
+  private long statedEra_ = 0L;
+  /**
+   * <pre>
+   * Era of the store in which it was last known to hold the statement.
+   * </pre>
+   *
+   * <code>int64 stated_era = 9;</code>
+   * @return The statedEra.
+   */
+  @java.lang.Override
+  public long getStatedEra() {
+    return statedEra_;
+  }
+
+  public static final int ENDED_ERA_FIELD_NUMBER = 10;
+  private long endedEra_ = 0L;
+  /**
+   * <pre>
+   * Era of the store in which the end of the move was stated first.
+   * </pre>
+   *
+   * <code>int64 ended_era = 10;</code>
+   * @return The endedEra.
+   */
+  @java.lang.Override
+  public long getEndedEra() {
+    return endedEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -237,6 +282,15 @@
     if (lengthMicros_ != 0L) {
       output.writeInt64(7, lengthMicros_);
     }
+    if (readAs_ != 0L) {
+      output.writeInt64(8, readAs_);
+    }
+    if (statedEra_ != 0L) {
+      output.writeInt64(9, statedEra_);
+    }
+    if (endedEra_ != 0L) {
+      output.writeInt64(10, endedEra_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -272,6 +326,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(7, lengthMicros_);
     }
+    if (readAs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, readAs_);
+    }
+    if (statedEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(9, statedEra_);
+    }
+    if (endedEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(10, endedEra_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -300,6 +366,12 @@
         .equals(other.getVersion())) return false;
     if (getLengthMicros()
         != other.getLengthMicros()) return false;
+    if (getReadAs()
+        != other.getReadAs()) return false;
+    if (getStatedEra()
+        != other.getStatedEra()) return false;
+    if (getEndedEra()
+        != other.getEndedEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -329,6 +401,15 @@
     hash = (37 * hash) + LENGTH_MICROS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getLengthMicros());
+    hash = (37 * hash) + READ_AS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getReadAs());
+    hash = (37 * hash) + STATED_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStatedEra());
+    hash = (37 * hash) + ENDED_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEndedEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -471,6 +552,9 @@
       stated_ = false;
       version_ = "";
       lengthMicros_ = 0L;
+      readAs_ = 0L;
+      statedEra_ = 0L;
+      endedEra_ = 0L;
       return this;
     }
 
@@ -525,6 +609,15 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.lengthMicros_ = lengthMicros_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.readAs_ = readAs_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.statedEra_ = statedEra_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.endedEra_ = endedEra_;
+      }
     }
 
     @java.lang.Override
@@ -564,6 +657,15 @@
       if (other.getLengthMicros() != 0L) {
         setLengthMicros(other.getLengthMicros());
       }
+      if (other.getReadAs() != 0L) {
+        setReadAs(other.getReadAs());
+      }
+      if (other.getStatedEra() != 0L) {
+        setStatedEra(other.getStatedEra());
+      }
+      if (other.getEndedEra() != 0L) {
+        setEndedEra(other.getEndedEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -625,6 +727,21 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              readAs_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              statedEra_ = input.readInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 80: {
+              endedEra_ = input.readInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1001,6 +1118,138 @@
       return this;
     }
 
+    private long readAs_ ;
+    /**
+     * <pre>
+     * Position at which the order was last read, as number like the field order; 0 if it is the same.
+     * </pre>
+     *
+     * <code>int64 read_as = 8;</code>
+     * @return The readAs.
+     */
+    @java.lang.Override
+    public long getReadAs() {
+      return readAs_;
+    }
+    /**
+     * <pre>
+     * Position at which the order was last read, as number like the field order; 0 if it is the same.
+     * </pre>
+     *
+     * <code>int64 read_as = 8;</code>
+     * @param value The readAs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReadAs(long value) {
+
+      readAs_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Position at which the order was last read, as number like the field order; 0 if it is the same.
+     * </pre>
+     *
+     * <code>int64 read_as = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReadAs() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      readAs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long statedEra_ ;
+    /**
+     * <pre>
+     * Era of the store in which it was last known to hold the statement.
+     * </pre>
+     *
+     * <code>int64 stated_era = 9;</code>
+     * @return The statedEra.
+     */
+    @java.lang.Override
+    public long getStatedEra() {
+      return statedEra_;
+    }
+    /**
+     * <pre>
+     * Era of the store in which it was last known to hold the statement.
+     * </pre>
+     *
+     * <code>int64 stated_era = 9;</code>
+     * @param value The statedEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStatedEra(long value) {
+
+      statedEra_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the store in which it was last known to hold the statement.
+     * </pre>
+     *
+     * <code>int64 stated_era = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStatedEra() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      statedEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long endedEra_ ;
+    /**
+     * <pre>
+     * Era of the store in which the end of the move was stated first.
+     * </pre>
+     *
+     * <code>int64 ended_era = 10;</code>
+     * @return The endedEra.
+     */
+    @java.lang.Override
+    public long getEndedEra() {
+      return endedEra_;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the end of the move was stated first.
+     * </pre>
+     *
+     * <code>int64 ended_era = 10;</code>
+     * @param value The endedEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEndedEra(long value) {
+
+      endedEra_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the end of the move was stated first.
+     * </pre>
+     *
+     * <code>int64 ended_era = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEndedEra() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      endedEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.MoveFact)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/MoveFactOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/MoveFactOrBuilder.java
@@ -80,4 +80,34 @@
    * @return The lengthMicros.
    */
   long getLengthMicros();
+
+  /**
+   * <pre>
+   * Position at which the order was last read, as number like the field order; 0 if it is the same.
+   * </pre>
+   *
+   * <code>int64 read_as = 8;</code>
+   * @return The readAs.
+   */
+  long getReadAs();
+
+  /**
+   * <pre>
+   * Era of the store in which it was last known to hold the statement.
+   * </pre>
+   *
+   * <code>int64 stated_era = 9;</code>
+   * @return The statedEra.
+   */
+  long getStatedEra();
+
+  /**
+   * <pre>
+   * Era of the store in which the end of the move was stated first.
+   * </pre>
+   *
+   * <code>int64 ended_era = 10;</code>
+   * @return The endedEra.
+   */
+  long getEndedEra();
 }
