State a move again if its statement was read before a return

Cause: a node that learns of an order after a return took a statement that it had read in the earlier era as stored.

Change: such a statement is forgotten, so that it is read again in turn and written if it is missing.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
@@ -156,6 +156,12 @@
       restate = false;
     }
 
+    /** Forgets that the store holds a statement, which it may have lost. */
+    void forgetStated(Instant now) {
+      stated = null;
+      restateFrom(now);
+    }
+
     void restateFrom(Instant now) {
       restate = true;
       dueSince = now;
@@ -245,6 +251,9 @@
     if (read != null) {
       apply(followedMove, read);
     }
+    if (followedMove.stated != null && read.era() < eras.latest()) {
+      followedMove.forgetStated(clock.instant());
+    }
     if (!statementsRequested) {
       statementsRequested = true;
       readStatements();
@@ -259,8 +268,7 @@
         (service, followedMove) -> {
           if (followedMove.stated != null
               && eras.mayBeLost(followedMove.statedMark, StoreEras.MAX_COPY_AGE)) {
-            followedMove.stated = null;
-            followedMove.restateFrom(now);
+            followedMove.forgetStated(now);
             eras.onRewrite(Stream.STATEMENTS, service);
           }
         });
