--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -142,8 +142,8 @@
       standBy();
       return;
     }
-    Stream stream = subscription.stream();
-    Duration askedAt = clock.get();
+    final Stream stream = subscription.stream();
+    final Duration askedAt = clock.get();
     OptionalLong from = cursor.next();
     lastWait = from.isEmpty() ? Duration.ZERO : nextWait();
     reading = true;
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/MoveControlTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/MoveControlTests.java
@@ -81,7 +81,11 @@
     }
 
     void read(long offset, String version) {
-      MoveOrder order = new MoveOrder(offset, SERVICE, version, LENGTH);
+      read(offset, SERVICE, version);
+    }
+
+    void read(long offset, String service, String version) {
+      MoveOrder order = new MoveOrder(offset, service, version, LENGTH);
       run(() -> moves.onStoredOrder(order, store.era()));
     }
 
@@ -119,6 +123,11 @@
     return items.stream().findFirst().flatMap(item -> new TextCodec().decodeStatement(item));
   }
 
+  private List<String> statedServices() {
+    List<Item> items = store.newest(Stream.STATEMENTS).toCompletableFuture().join().items();
+    return items.stream().map(Item::key).toList();
+  }
+
   private Optional<State> statedState() {
     return stated().map(MoveStatement::state);
   }
@@ -152,6 +161,22 @@
       assertThat(statedState(), is(Optional.of(State.RUNNING)));
     }
 
+    /** Guards against a statement that counts as stored because it was read before the return. */
+    @Test
+    void isStatedAgainIfItsOrderIsReadAfterTheReturn() {
+      MoveStatement running =
+          new MoveStatement(SERVICE, "v2", State.RUNNING, new OrderPosition(1, 100).id(), 0);
+      store.put(Stream.STATEMENTS, SERVICE, new TextCodec().encode(running));
+      first.read(90, "other", "v2");
+      loseStatementsFrom(0);
+      first.learnOfEra();
+
+      first.read(100, "v2");
+      first.tick(5);
+
+      assertThat(statedServices().contains(SERVICE), is(true));
+    }
+
     /** Guards against a second run when the operator writes the order again. */
     @Test
     void goesOnIfItsOrderIsWrittenAgainElsewhere() {
