Take out of the start what a node does not need

What loaded the processor:

- Log4j: 430 ms; the event log writes its complete lines through the JDK's logging now.
- The grammar of the settings' parser, and the calendars and locale data that the first ObjectMapper initializes: 110 ms; settings and records are read into trees without a mapper, TOML by Jackson's parser.
- Locale data for String.format.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/event/EventLog.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/event/EventLog.java
@@ -6,19 +6,23 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.StreamHandler;
 
 /**
  * Writes events as JSON lines, limited in lines per second.
  *
- * <p>A separate thread writes the lines. It loads the logging library only some time after the
- * start, so that the first answers are not delayed by it. Lines that exceed the rate limit or the
- * buffer are dropped; their number is logged as a line of its own. Thread-safe.
+ * <p>A separate thread writes the lines. Lines that exceed the rate limit or the buffer are
+ * dropped; their number is logged as a line of its own. Thread-safe.
+ *
+ * <p>The lines go through the JDK's logging, as Log4j takes as much processor time to start as all
+ * other parts of a node together.
  */
 public final class EventLog {
 
@@ -28,8 +32,6 @@
   /** One successful call out of this number is logged; every node selects the same calls. */
   private static final int SUCCESS_SAMPLING_DIVISOR = 32;
 
-  private static final Duration LIBRARY_LOAD_DELAY = Duration.ofMillis(2500);
-
   /** Interval between writes; lines that arrive within it are written together. */
   private static final Duration BATCH_INTERVAL = Duration.ofMillis(200);
 
@@ -63,16 +65,15 @@
 
   private void write() {
     try {
-      TimeUnit.MILLISECONDS.sleep(LIBRARY_LOAD_DELAY.toMillis());
-      Logger events = LogManager.getLogger("events");
+      Handler output = new StreamHandler(System.out, new LineFormatter());
       List<CharSequence> lines = new ArrayList<>();
       while (true) {
         lines.add(buffer.take());
         writing = true;
         buffer.drainTo(lines);
-        events.info(String.join("\n", lines));
+        publish(output, String.join("\n", lines));
         lines.clear();
-        reportDropped(events);
+        reportDropped(output);
         writing = false;
         TimeUnit.MILLISECONDS.sleep(BATCH_INTERVAL.toMillis());
       }
@@ -81,10 +82,25 @@
     }
   }
 
-  private void reportDropped(Logger events) {
+  private static void publish(Handler output, String text) {
+    output.publish(new LogRecord(Level.INFO, text));
+    output.flush();
+  }
+
+  private void reportDropped(Handler output) {
     long lines = buffer.size() < MAX_BUFFERED_LINES / 2 ? rateLimiter.getAndResetDropped() : 0;
     if (lines > 0) {
-      events.warn(new Line("log-lines-dropped", clock.instant(), true).with("lines", lines).text());
+      Line line = new Line("log-lines-dropped", clock.instant(), true).with("lines", lines);
+      publish(output, line.text().toString());
+    }
+  }
+
+  /** Writes nothing but the line itself, which is complete. */
+  private static final class LineFormatter extends Formatter {
+
+    @Override
+    public String format(LogRecord line) {
+      return line.getMessage() + '\n';
     }
   }
 
@@ -187,7 +203,7 @@
     public Line with(String key, double value) {
       if (text != null) {
         text.append(",\"").append(key).append("\":");
-        text.append(String.format(Locale.ROOT, "%.3f", value));
+        text.append(Decimals.withThreePlaces(value));
       }
       return this;
     }
--- /dev/null
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/json/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of JSON and related formats. */
+package org.cuminlatch.node.json;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -26,6 +26,7 @@
 import org.cuminlatch.core.route.RequestHead;
 import org.cuminlatch.core.route.ServiceBalancer;
 import org.cuminlatch.core.route.TargetLoads;
+import org.cuminlatch.node.event.Decimals;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.http.ExchangeHandler;
 import org.cuminlatch.node.http.ServerExchange;
@@ -246,7 +247,7 @@
         .with("config", view.get().version())
         .write();
     metrics.countRefused(reason);
-    String after = String.format(Locale.ROOT, "%.3f", retrySeconds);
+    String after = Decimals.withThreePlaces(retrySeconds);
     exchange.respond(
         503,
         List.of(Map.entry("Retry-After", after)),
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/settings/TomlSection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/settings/TomlSection.java
@@ -2,7 +2,12 @@
 
 import static org.cuminlatch.core.error.ErrorCode.INVALID_SETTING;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlFactory;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashSet;
@@ -10,13 +15,11 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Function;
-import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import java.util.stream.StreamSupport;
 import org.cuminlatch.core.error.CuminlatchException;
 import org.cuminlatch.core.error.Step;
-import org.tomlj.Toml;
-import org.tomlj.TomlArray;
-import org.tomlj.TomlParseResult;
-import org.tomlj.TomlTable;
+import org.cuminlatch.node.json.JsonTree;
 
 /**
  * One table of a TOML file whose values are checked as they are read.
@@ -27,10 +30,10 @@
 public final class TomlSection {
 
   private final String path;
-  private final TomlTable table;
+  private final JsonNode table;
   private final Set<String> readKeys = new HashSet<>();
 
-  private TomlSection(String path, TomlTable table) {
+  private TomlSection(String path, JsonNode table) {
     this.path = path;
     this.table = table;
   }
@@ -53,11 +56,17 @@
 
   /** Returns the root table of a TOML document. */
   static TomlSection parse(String toml) {
-    TomlParseResult parsed = Toml.parse(toml);
-    if (parsed.hasErrors()) {
-      throw invalidSetting("settings file: invalid TOML: " + parsed.errors().get(0));
+    try (JsonParser parser = new TomlFactory().createParser(toml)) {
+      return new TomlSection("", JsonTree.read(parser));
+    } catch (JsonProcessingException invalid) {
+      throw invalidSetting(
+          "settings file: invalid TOML: "
+              + invalid.getOriginalMessage()
+              + " in line "
+              + invalid.getLocation().getLineNr());
+    } catch (IOException unreadable) {
+      throw new UncheckedIOException(unreadable);
     }
-    return new TomlSection("", parsed);
   }
 
   /**
@@ -67,9 +76,9 @@
    * @return the table
    */
   public TomlSection section(String key) {
-    Object value = required(key);
-    if (value instanceof TomlTable inner) {
-      return new TomlSection(pathOf(key), inner);
+    JsonNode value = required(key);
+    if (value.isObject()) {
+      return new TomlSection(pathOf(key), value);
     }
     throw invalid(key, value, "a table");
   }
@@ -81,7 +90,7 @@
    * @return true if it has
    */
   public boolean has(String key) {
-    return table.contains(List.of(key));
+    return table.has(key);
   }
 
   /**
@@ -107,11 +116,7 @@
   }
 
   int integer(String key, int min, int max) {
-    Object value = required(key);
-    if (value instanceof Long number && number >= min && number <= max) {
-      return number.intValue();
-    }
-    throw invalid(key, value, "an integer between " + min + " and " + max);
+    return integerOf(key, required(key), min, max, "an integer between ");
   }
 
   int integer(String key, int min, int max, int defaultValue) {
@@ -132,12 +137,12 @@
   }
 
   <T> List<T> list(String key, Function<String, T> parser, String expected) {
-    Object value = required(key);
-    if (!(value instanceof TomlArray array)) {
+    JsonNode value = required(key);
+    if (!value.isArray()) {
       throw invalid(key, value, "an array in which each entry is " + expected);
     }
-    return IntStream.range(0, array.size())
-        .mapToObj(index -> parsedText(key, nonBlankText(key, array.get(index)), parser, expected))
+    return entries(value)
+        .map(entry -> parsedText(key, nonBlankText(key, entry), parser, expected))
         .toList();
   }
 
@@ -145,41 +150,50 @@
     if (!has(key)) {
       return defaultValue;
     }
-    Object value = required(key);
-    if (!(value instanceof TomlArray array)) {
+    JsonNode value = required(key);
+    if (!value.isArray()) {
       throw invalid(key, value, "an array of integers");
     }
-    return array.toList().stream().map(entry -> integerOf(key, entry, min, max)).toList();
+    return entries(value)
+        .map(entry -> integerOf(key, entry, min, max, "integers between "))
+        .toList();
+  }
+
+  private static Stream<JsonNode> entries(JsonNode array) {
+    return StreamSupport.stream(array.spliterator(), false);
   }
 
   /** Throws an exception if the table has a key that has not been read. */
   void rejectUnknownKeys() {
-    for (String key : new TreeSet<>(table.keySet())) {
+    Set<String> keys = new TreeSet<>();
+    table.fieldNames().forEachRemaining(keys::add);
+    for (String key : keys) {
       if (!readKeys.contains(key)) {
-        throw invalid(key, table.get(List.of(key)), "one of the keys " + new TreeSet<>(readKeys));
+        throw invalid(key, table.get(key), "one of the keys " + new TreeSet<>(readKeys));
       }
     }
   }
 
-  private int integerOf(String key, Object entry, int min, int max) {
-    if (entry instanceof Long number && number >= min && number <= max) {
-      return number.intValue();
+  private int integerOf(String key, JsonNode value, int min, int max, String expected) {
+    boolean isLong = value.isIntegralNumber() && value.canConvertToLong();
+    if (isLong && value.longValue() >= min && value.longValue() <= max) {
+      return value.intValue();
     }
-    throw invalid(key, entry, "integers between " + min + " and " + max);
+    throw invalid(key, value, expected + min + " and " + max);
   }
 
-  private Object required(String key) {
+  private JsonNode required(String key) {
     readKeys.add(key);
-    Object value = table.get(List.of(key));
+    JsonNode value = table.get(key);
     if (value == null) {
       throw invalid(key, "nothing", "a value");
     }
     return value;
   }
 
-  private String nonBlankText(String key, Object value) {
-    if (value instanceof String text && !text.isBlank()) {
-      return text;
+  private String nonBlankText(String key, JsonNode value) {
+    if (value.isTextual() && !value.textValue().isBlank()) {
+      return value.textValue();
     }
     throw invalid(key, value, "a string that is not blank");
   }
@@ -192,9 +206,16 @@
     }
   }
 
-  private CuminlatchException invalid(String key, Object found, String expected) {
-    String shown = found instanceof TomlTable ? "a table" : String.valueOf(found);
-    return invalidSetting(pathOf(key) + ": found " + shown + ", expected " + expected);
+  private CuminlatchException invalid(String key, JsonNode found, String expected) {
+    return invalid(key, found.isContainerNode() ? kind(found) : found.asText(), expected);
+  }
+
+  private static String kind(JsonNode container) {
+    return container.isObject() ? "a table" : "an array";
+  }
+
+  private CuminlatchException invalid(String key, String found, String expected) {
+    return invalidSetting(pathOf(key) + ": found " + found + ", expected " + expected);
   }
 
   private static CuminlatchException invalidSetting(String message) {
