--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/settings/TomlSection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/settings/TomlSection.java
@@ -210,14 +210,14 @@
     return invalid(key, found.isContainerNode() ? kind(found) : found.asText(), expected);
   }
 
-  private static String kind(JsonNode container) {
-    return container.isObject() ? "a table" : "an array";
-  }
-
   private CuminlatchException invalid(String key, String found, String expected) {
     return invalidSetting(pathOf(key) + ": found " + found + ", expected " + expected);
   }
 
+  private static String kind(JsonNode container) {
+    return container.isObject() ? "a table" : "an array";
+  }
+
   private static CuminlatchException invalidSetting(String message) {
     return CuminlatchException.of(INVALID_SETTING, Step.SETTINGS, message);
   }
