Wait for the status of a node before connecting to it a second time

SilentNodeTests.hasNoRequestRepeatedThatMayNotBeIfItsConnectionIsLost failed once in a run of the whole platform module (200 instead of 502): the other node's Hello had arrived before its status, so that the node opened a second connection, under another address, which outlasted the loss of the first. A node now waits 200 ms before it connects to one that it does not know.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/NodeDirectory.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/NodeDirectory.java
@@ -29,6 +29,12 @@
 
   private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
+  /**
+   * Time in which the status of a node that has opened a connection may arrive over a connection of
+   * this node, which shows that both are linked already.
+   */
+  static final Duration HELLO_DELAY = Duration.ofMillis(200);
+
   private final Address ownAddress;
   private final String node;
   private final EventLoop control;
@@ -96,12 +102,17 @@
       log.event("hello-unusable").with("reason", String.valueOf(unusable)).write();
       return;
     }
-    boolean linked = address.equals(ownAddress) || linkedNodes.test(hello.getNode());
-    if (!linked && others.add(address)) {
-      log.event("node-connected")
-          .with("peer", hello.getNode())
-          .with("address", hello.getAddress())
-          .write();
+    if (!address.equals(ownAddress) && !others.contains(address)) {
+      control.schedule(
+          () -> addUnlessLinked(address, hello.getNode()),
+          HELLO_DELAY.toMillis(),
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void addUnlessLinked(Address address, String peer) {
+    if (!linkedNodes.test(peer) && others.add(address)) {
+      log.event("node-connected").with("peer", peer).with("address", address.toString()).write();
       listener.accept(Set.copyOf(others));
     }
   }
