Choose targets by the service time that their nodes report

Cause: the cost of a target was its load times the latency that the entry node had measured. The latency contains the wait in the target's queue, so that the wait counted twice, and it is forgotten with a half-life of 5 s, while a node of a large mesh sends a target a request in some seconds. A slow target then looks like a fast one.

Change: the load that a target's node reports with each response has the mean time for which requests hold a slot (field 5 of Load). With it, the cost is the expected time to completion: the service time while a slot is free, and in proportion to the queue otherwise. Nodes that do not report it are compared as before.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
@@ -52,6 +52,7 @@
   private final int slots;
   private final RequestRateLimit rateLimit;
   private double overallMeanNanos = INITIAL_SERVICE_TIME_NANOS;
+  private boolean answered;
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final HeldSlots heldSlots = new HeldSlots();
   private final List<GoalRequest> queue = new ArrayList<>();
@@ -217,6 +218,7 @@
   private void recordServiceTime(HeldSlots.Released slot) {
     serviceTimes.observe(slot.route(), slot.heldFor());
     overallMeanNanos += OVERALL_MEAN_SMOOTHING * (slot.heldFor().toNanos() - overallMeanNanos);
+    answered = true;
   }
 
   /**
@@ -302,6 +304,15 @@
     return Duration.ofNanos((long) Math.max(aheadNanos / concurrency(now), permitWait));
   }
 
+  /**
+   * Returns the mean time for which requests hold a slot.
+   *
+   * @return the smoothed mean over the requests of all routes; zero before the first answer
+   */
+  public Duration meanServiceTime() {
+    return answered ? Duration.ofNanos((long) overallMeanNanos) : Duration.ZERO;
+  }
+
   private int concurrency(Instant now) {
     return rateLimit.maxConcurrent(slots, now);
   }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
@@ -130,11 +130,21 @@
         + policy.failurePressure() * failureShare(now);
   }
 
-  /** Returns the cost of one more request; the target with the lower cost is chosen. */
+  /**
+   * Returns the cost of one more request; the target with the lower cost is chosen.
+   *
+   * <p>The cost is the expected time to completion, if the target's node has reported its service
+   * time: that time while a slot is free, and the wait for a slot in addition otherwise. The latest
+   * service time counts also when the load that was reported with it is outdated, as the speed of a
+   * target changes slowly. Otherwise, the measured latency is multiplied by the load.
+   */
   synchronized double cost(int slots, Instant now) {
-    double latency = Math.max(MIN_LATENCY_MILLIS, latencyAt(now));
     double loadPerSlot = (requests(now) + 1) / Math.max(1, limit(slots, now)) + lagPressure(now);
-    return loadPerSlot * latency / weight(now) * (1 + policy.failureCost() * failureShare(now));
+    double expectedMillis =
+        report != null && !report.serviceTime().isZero()
+            ? report.serviceTime().toNanos() / 1e6 * Math.max(1, loadPerSlot)
+            : Math.max(MIN_LATENCY_MILLIS, latencyAt(now)) * loadPerSlot;
+    return expectedMillis / weight(now) * (1 + policy.failureCost() * failureShare(now));
   }
 
   private double requests(Instant now) {
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/route/ServiceBalancerTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/route/ServiceBalancerTests.java
@@ -271,6 +271,34 @@
       assertThat(share(chooseMany(Optional.empty()), "slow"), lessThan(0.25));
     }
 
+    /** The latency of a fast target with a queue may be that of a slow one without. */
+    @Test
+    void sendsFewerCallsToTargetWithLongServiceTime() {
+      addMember("fast-1", "v1", 1, OWN_ZONE);
+      addMember("slow-1", "v1", 1, OWN_ZONE);
+      loads.recordReport("fast-1", reportWithServiceTime(Duration.ofMillis(100)), now);
+      loads.recordReport("slow-1", reportWithServiceTime(Duration.ofMillis(250)), now);
+      recordAnswer("fast-1", Duration.ofMillis(300));
+      recordAnswer("slow-1", Duration.ofMillis(250));
+
+      assertThat(share(chooseMany(Optional.empty()), "fast"), is(1.0));
+    }
+
+    @Test
+    void choosesSlowTargetWhenQueueOfFastOneTakesLonger() {
+      addMember("fast-1", "v1", 1, OWN_ZONE);
+      addMember("slow-1", "v1", 1, OWN_ZONE);
+      loads.recordReport(
+          "fast-1", new ReportedLoad(6, 12, 6, Duration.ZERO, Duration.ofMillis(100)), now);
+      loads.recordReport("slow-1", reportWithServiceTime(Duration.ofMillis(250)), now);
+
+      assertThat(share(chooseMany(Optional.empty()), "slow"), is(1.0));
+    }
+
+    private ReportedLoad reportWithServiceTime(Duration serviceTime) {
+      return new ReportedLoad(3, 0, 6, Duration.ZERO, serviceTime);
+    }
+
     @Test
     void sendsFewerCallsToTargetWhoseNodeLags() {
       addMember("prompt-1", "v1", 1, OWN_ZONE);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -529,7 +529,8 @@
                 load.getBusy(),
                 load.getQueued(),
                 load.getLimit(),
-                Duration.ofNanos(load.getLagMicros() * 1000)),
+                Duration.ofNanos(load.getLagMicros() * 1000),
+                Duration.ofNanos(load.getServiceMicros() * 1000)),
             entry.now());
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -643,6 +643,7 @@
         .setQueued(slots.queued())
         .setLimit(slots.effectiveSlots(now))
         .setLagMicros(lag.value().toNanos() / 1000)
+        .setServiceMicros(slots.meanServiceTime().toNanos() / 1000)
         .build();
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
@@ -171,54 +171,54 @@
       ".call.Load\"\027\n\006Credit\022\r\n\005bytes\030\001 \001(\005\"\034\n\006C" +
       "ancel\022\022\n\nage_micros\030\001 \001(\003\"\034\n\006Rejoin\022\022\n\na" +
       "ge_micros\030\001 \001(\003\"\034\n\tCancelled\022\017\n\007not_run\030" +
-      "\001 \001(\010\"G\n\004Load\022\014\n\004busy\030\001 \001(\005\022\016\n\006queued\030\002 " +
-      "\001(\005\022\r\n\005limit\030\003 \001(\005\022\022\n\nlag_micros\030\004 \001(\003\"\233" +
-      "\001\n\006Answer\022\016\n\006status\030\001 \001(\005\022(\n\007headers\030\002 \003" +
-      "(\0132\027.cuminlatch.call.Header\022\026\n\016content_l" +
-      "ength\030\003 \001(\003\022\014\n\004body\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022" +
-      "#\n\004load\030\006 \001(\0132\025.cuminlatch.call.Load\"v\n\007" +
-      "Refusal\022.\n\006reason\030\001 \001(\0162\036.cuminlatch.cal" +
-      "l.RefusalReason\022#\n\004load\030\002 \001(\0132\025.cuminlat" +
-      "ch.call.Load\022\026\n\016free_in_micros\030\003 \001(\003\"^\n\007" +
-      "Failure\022.\n\006reason\030\001 \001(\0162\036.cuminlatch.cal" +
-      "l.FailureReason\022#\n\004load\030\002 \001(\0132\025.cuminlat" +
-      "ch.call.Load\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(\006\"\025\n\004P" +
-      "ong\022\r\n\005nonce\030\001 \001(\006\"\224\002\n\014TargetStatus\022\014\n\004n" +
-      "ode\030\001 \001(\t\022\016\n\006region\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022" +
-      "+\n\005phase\030\004 \001(\0162\034.cuminlatch.call.TargetP" +
-      "hase\022\020\n\010instance\030\005 \001(\t\022\023\n\013born_millis\030\006 " +
-      "\001(\003\022\017\n\007service\030\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\r\n" +
-      "\005slots\030\t \001(\005\022\023\n\013cold_micros\030\n \001(\003\022\022\n\nnod" +
-      "e_stops\030\013 \001(\010\022\026\n\016config_version\030\014 \001(\003\022\022\n" +
-      "\nstore_lost\030\r \001(\010\"\245\001\n\010MoveFact\022\017\n\007servic" +
-      "e\030\001 \001(\t\022\r\n\005order\030\002 \001(\003\022)\n\005phase\030\003 \001(\0162\032." +
-      "cuminlatch.call.MovePhase\022\026\n\016elapsed_mic" +
-      "ros\030\004 \001(\003\022\016\n\006stated\030\005 \001(\010\022\017\n\007version\030\006 \001" +
-      "(\t\022\025\n\rlength_micros\030\007 \001(\003\"\014\n\nConfigPull\"" +
-      ":\n\014ConfigRecord\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 " +
-      "\001(\014\022\016\n\006offset\030\003 \001(\003\"\234\001\n\014MoveEvidence\022\020\n\010" +
-      "instance\030\001 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007versi" +
-      "on\030\004 \001(\t\022.\n\006counts\030\002 \003(\0132\036.cuminlatch.ca" +
-      "ll.EvidenceCount\022(\n\005moves\030\005 \003(\0132\031.cuminl" +
-      "atch.call.MoveFact\"}\n\rEvidenceCount\022\r\n\005r" +
-      "oute\030\001 \001(\t\022\r\n\005calls\030\002 \001(\003\022\020\n\010failures\030\003 " +
-      "\001(\003\022\022\n\ncold_calls\030\004 \001(\003\022\025\n\rcold_failures" +
-      "\030\005 \001(\003\022\021\n\tlatencies\030\006 \003(\003*\350\001\n\rRefusalRea" +
-      "son\022\027\n\023REFUSAL_UNSPECIFIED\020\000\022\014\n\010DRAINING" +
-      "\020\001\022\016\n\nQUEUE_FULL\020\002\022\014\n\010DEADLINE\020\003\022\021\n\rWRON" +
-      "G_VERSION\020\004\022\017\n\013NOT_SERVING\020\005\022\026\n\022TARGET_U" +
-      "NREACHABLE\020\006\022\017\n\013TARGET_SHED\020\007\022\r\n\tWITHDRA" +
-      "WN\020\010\022\021\n\rNOT_KEY_OWNER\020\t\022\016\n\nUNSENDABLE\020\n\022" +
-      "\023\n\017TARGET_REPLACED\020\013*\232\001\n\rFailureReason\022\027" +
-      "\n\023FAILURE_UNSPECIFIED\020\000\022\021\n\rTARGET_BROKEN" +
-      "\020\001\022\022\n\016TARGET_TIMEOUT\020\002\022\025\n\021CONNECTION_SIL" +
-      "ENT\020\003\022\022\n\016ANSWER_CROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022" +
-      "\020\n\014KEY_IN_DOUBT\020\006*1\n\013TargetPhase\022\n\n\006ABSE" +
-      "NT\020\000\022\t\n\005READY\020\001\022\013\n\007LEAVING\020\002*[\n\tMovePhas" +
-      "e\022\020\n\014MOVE_RUNNING\020\000\022\022\n\016MOVE_FOUND_BAD\020\001\022" +
-      "\024\n\020MOVE_ROLLED_BACK\020\002\022\022\n\016MOVE_COMPLETED\020" +
-      "\003B\"\n\036org.cuminlatch.wire.proto.callP\001b\006p" +
-      "roto3"
+      "\001 \001(\010\"_\n\004Load\022\014\n\004busy\030\001 \001(\005\022\016\n\006queued\030\002 " +
+      "\001(\005\022\r\n\005limit\030\003 \001(\005\022\022\n\nlag_micros\030\004 \001(\003\022\026" +
+      "\n\016service_micros\030\005 \001(\003\"\233\001\n\006Answer\022\016\n\006sta" +
+      "tus\030\001 \001(\005\022(\n\007headers\030\002 \003(\0132\027.cuminlatch." +
+      "call.Header\022\026\n\016content_length\030\003 \001(\003\022\014\n\004b" +
+      "ody\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022#\n\004load\030\006 \001(\0132\025." +
+      "cuminlatch.call.Load\"v\n\007Refusal\022.\n\006reaso" +
+      "n\030\001 \001(\0162\036.cuminlatch.call.RefusalReason\022" +
+      "#\n\004load\030\002 \001(\0132\025.cuminlatch.call.Load\022\026\n\016" +
+      "free_in_micros\030\003 \001(\003\"^\n\007Failure\022.\n\006reaso" +
+      "n\030\001 \001(\0162\036.cuminlatch.call.FailureReason\022" +
+      "#\n\004load\030\002 \001(\0132\025.cuminlatch.call.Load\"\025\n\004" +
+      "Ping\022\r\n\005nonce\030\001 \001(\006\"\025\n\004Pong\022\r\n\005nonce\030\001 \001" +
+      "(\006\"\224\002\n\014TargetStatus\022\014\n\004node\030\001 \001(\t\022\016\n\006reg" +
+      "ion\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022+\n\005phase\030\004 \001(\0162\034" +
+      ".cuminlatch.call.TargetPhase\022\020\n\010instance" +
+      "\030\005 \001(\t\022\023\n\013born_millis\030\006 \001(\003\022\017\n\007service\030\007" +
+      " \001(\t\022\017\n\007version\030\010 \001(\t\022\r\n\005slots\030\t \001(\005\022\023\n\013" +
+      "cold_micros\030\n \001(\003\022\022\n\nnode_stops\030\013 \001(\010\022\026\n" +
+      "\016config_version\030\014 \001(\003\022\022\n\nstore_lost\030\r \001(" +
+      "\010\"\245\001\n\010MoveFact\022\017\n\007service\030\001 \001(\t\022\r\n\005order" +
+      "\030\002 \001(\003\022)\n\005phase\030\003 \001(\0162\032.cuminlatch.call." +
+      "MovePhase\022\026\n\016elapsed_micros\030\004 \001(\003\022\016\n\006sta" +
+      "ted\030\005 \001(\010\022\017\n\007version\030\006 \001(\t\022\025\n\rlength_mic" +
+      "ros\030\007 \001(\003\"\014\n\nConfigPull\":\n\014ConfigRecord\022" +
+      "\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\016\n\006offset\030\003 " +
+      "\001(\003\"\234\001\n\014MoveEvidence\022\020\n\010instance\030\001 \001(\t\022\017" +
+      "\n\007service\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\022.\n\006coun" +
+      "ts\030\002 \003(\0132\036.cuminlatch.call.EvidenceCount" +
+      "\022(\n\005moves\030\005 \003(\0132\031.cuminlatch.call.MoveFa" +
+      "ct\"}\n\rEvidenceCount\022\r\n\005route\030\001 \001(\t\022\r\n\005ca" +
+      "lls\030\002 \001(\003\022\020\n\010failures\030\003 \001(\003\022\022\n\ncold_call" +
+      "s\030\004 \001(\003\022\025\n\rcold_failures\030\005 \001(\003\022\021\n\tlatenc" +
+      "ies\030\006 \003(\003*\350\001\n\rRefusalReason\022\027\n\023REFUSAL_U" +
+      "NSPECIFIED\020\000\022\014\n\010DRAINING\020\001\022\016\n\nQUEUE_FULL" +
+      "\020\002\022\014\n\010DEADLINE\020\003\022\021\n\rWRONG_VERSION\020\004\022\017\n\013N" +
+      "OT_SERVING\020\005\022\026\n\022TARGET_UNREACHABLE\020\006\022\017\n\013" +
+      "TARGET_SHED\020\007\022\r\n\tWITHDRAWN\020\010\022\021\n\rNOT_KEY_" +
+      "OWNER\020\t\022\016\n\nUNSENDABLE\020\n\022\023\n\017TARGET_REPLAC" +
+      "ED\020\013*\232\001\n\rFailureReason\022\027\n\023FAILURE_UNSPEC" +
+      "IFIED\020\000\022\021\n\rTARGET_BROKEN\020\001\022\022\n\016TARGET_TIM" +
+      "EOUT\020\002\022\025\n\021CONNECTION_SILENT\020\003\022\022\n\016ANSWER_" +
+      "CROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014KEY_IN_DOUBT\020" +
+      "\006*1\n\013TargetPhase\022\n\n\006ABSENT\020\000\022\t\n\005READY\020\001\022" +
+      "\013\n\007LEAVING\020\002*[\n\tMovePhase\022\020\n\014MOVE_RUNNIN" +
+      "G\020\000\022\022\n\016MOVE_FOUND_BAD\020\001\022\024\n\020MOVE_ROLLED_B" +
+      "ACK\020\002\022\022\n\016MOVE_COMPLETED\020\003B\"\n\036org.cuminla" +
+      "tch.wire.proto.callP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -277,7 +277,7 @@
     internal_static_cuminlatch_call_Load_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_Load_descriptor,
-        new java.lang.String[] { "Busy", "Queued", "Limit", "LagMicros", });
+        new java.lang.String[] { "Busy", "Queued", "Limit", "LagMicros", "ServiceMicros", });
     internal_static_cuminlatch_call_Answer_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_cuminlatch_call_Answer_fieldAccessorTable = new
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Load.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Load.java
@@ -95,6 +95,21 @@
     return lagMicros_;
   }
 
+  public static final int SERVICE_MICROS_FIELD_NUMBER = 5;
+  private long serviceMicros_ = 0L;
+  /**
+   * <pre>
+   * Mean time for which a request holds a slot of the target; 0 if unknown.
+   * </pre>
+   *
+   * <code>int64 service_micros = 5;</code>
+   * @return The serviceMicros.
+   */
+  @java.lang.Override
+  public long getServiceMicros() {
+    return serviceMicros_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -121,6 +136,9 @@
     if (lagMicros_ != 0L) {
       output.writeInt64(4, lagMicros_);
     }
+    if (serviceMicros_ != 0L) {
+      output.writeInt64(5, serviceMicros_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -146,6 +164,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(4, lagMicros_);
     }
+    if (serviceMicros_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, serviceMicros_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -169,6 +191,8 @@
         != other.getLimit()) return false;
     if (getLagMicros()
         != other.getLagMicros()) return false;
+    if (getServiceMicros()
+        != other.getServiceMicros()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -189,6 +213,9 @@
     hash = (37 * hash) + LAG_MICROS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getLagMicros());
+    hash = (37 * hash) + SERVICE_MICROS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getServiceMicros());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -324,6 +351,7 @@
       queued_ = 0;
       limit_ = 0;
       lagMicros_ = 0L;
+      serviceMicros_ = 0L;
       return this;
     }
 
@@ -369,6 +397,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.lagMicros_ = lagMicros_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.serviceMicros_ = serviceMicros_;
+      }
     }
 
     @java.lang.Override
@@ -395,6 +426,9 @@
       if (other.getLagMicros() != 0L) {
         setLagMicros(other.getLagMicros());
       }
+      if (other.getServiceMicros() != 0L) {
+        setServiceMicros(other.getServiceMicros());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -441,6 +475,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              serviceMicros_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -610,6 +649,50 @@
       return this;
     }
 
+    private long serviceMicros_ ;
+    /**
+     * <pre>
+     * Mean time for which a request holds a slot of the target; 0 if unknown.
+     * </pre>
+     *
+     * <code>int64 service_micros = 5;</code>
+     * @return The serviceMicros.
+     */
+    @java.lang.Override
+    public long getServiceMicros() {
+      return serviceMicros_;
+    }
+    /**
+     * <pre>
+     * Mean time for which a request holds a slot of the target; 0 if unknown.
+     * </pre>
+     *
+     * <code>int64 service_micros = 5;</code>
+     * @param value The serviceMicros to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceMicros(long value) {
+
+      serviceMicros_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Mean time for which a request holds a slot of the target; 0 if unknown.
+     * </pre>
+     *
+     * <code>int64 service_micros = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServiceMicros() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      serviceMicros_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.Load)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/LoadOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/LoadOrBuilder.java
@@ -41,4 +41,14 @@
    * @return The lagMicros.
    */
   long getLagMicros();
+
+  /**
+   * <pre>
+   * Mean time for which a request holds a slot of the target; 0 if unknown.
+   * </pre>
+   *
+   * <code>int64 service_micros = 5;</code>
+   * @return The serviceMicros.
+   */
+  long getServiceMicros();
 }
