Let the calls that targets make while they run a request go before new work

Cause: the gate ordered all requests by priority and goal. A call that a target makes while it runs a request competes with new requests, and its loss loses the request that made it and its work.

The entry node sets it: with client accounts for requests without an account, otherwise for routes whose requests mostly arrive with the deadline of a request that the local target is running (NestedRoutes). GoalQueue puts nested calls first, lets them wait up to their deadline instead of their goal, and lets an attempt that goes first into a full queue, of which the last attempt is then refused. A lagging node refuses nested calls as late as calls of the highest priority. Refusals of gates are counted by origin and reason.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
@@ -16,13 +16,20 @@
  * Queue for the slots of one target, ordered for load that exceeds the target's capacity.
  *
  * <p>An answer loses part of its worth after the goal of its request and all of it at the deadline,
- * and routes differ in priority. A free slot is granted at once. An attempt may wait if it will
- * probably be answered by its goal behind those that go first, in the order of priority and then of
- * goal. The others are refused on arrival: while load exceeds capacity, each slot that is spent on
- * a late answer is one that an answer in time does not get.
+ * and routes differ in priority. A free slot is granted at once. The order of those that wait:
  *
- * <p>An attempt that will probably miss its goal in any case may wait as long as no other has to,
- * as after a short burst. {@link #poll} refuses it once another has to wait.
+ * <ol>
+ *   <li>calls that targets make while they run a request: without an answer, the work on that
+ *       request is lost;
+ *   <li>requests that can still meet their goal, in the order of priority, then of goal;
+ *   <li>late requests, which miss their goal in any case, in the same order.
+ * </ol>
+ *
+ * <p>A request that can still meet its goal may wait if it will probably do so behind those that go
+ * first. Otherwise it is refused on arrival: while load exceeds capacity, each slot that is spent
+ * on a late answer is one that an answer in time does not get, and another target may have room. A
+ * late request may wait as long as no other has to, as after a short burst. {@link #poll} refuses
+ * it once another has to wait.
  *
  * <p>If the target names a {@link RequestRateLimit}, a slot is granted only with a permit of it,
  * and waiting times include the wait for permits. Not thread-safe.
@@ -45,17 +52,18 @@
   private static final int MAX_QUEUED_PER_SLOT = 6;
 
   /** Mean deviations of the service time that an attempt must have to spare to count as safe. */
-  private static final double SAFE_DEVIATIONS = 2;
+  static final double SAFE_DEVIATIONS = 2;
 
   private static final double OVERALL_MEAN_SMOOTHING = 0.05;
 
   private final int slots;
   private final RequestRateLimit rateLimit;
+  private final double safeDeviations;
   private double overallMeanNanos = INITIAL_SERVICE_TIME_NANOS;
   private boolean answered;
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final HeldSlots heldSlots = new HeldSlots();
-  private final List<GoalRequest> queue = new ArrayList<>();
+  private final List<Waiting> queue = new ArrayList<>();
 
   /**
    * Creates an empty queue.
@@ -64,9 +72,14 @@
    * @param rateLimit rate at which the target accepts requests
    */
   public GoalQueue(int slots, RequestRateLimit rateLimit) {
+    this(slots, rateLimit, SAFE_DEVIATIONS);
+  }
+
+  GoalQueue(int slots, RequestRateLimit rateLimit, double safeDeviations) {
     check(slots >= 1, "slots", "must be at least 1");
     this.slots = slots;
     this.rateLimit = notNull(rateLimit, "rateLimit");
+    this.safeDeviations = safeDeviations;
   }
 
   /**
@@ -82,21 +95,23 @@
     if (!now.isBefore(request.deadline())) {
       return Kind.DEADLINE;
     }
+    Waiting arrived = new Waiting(request, now);
     if (queue.isEmpty() && tryTakeSlot(now)) {
-      hold(request, now);
+      hold(arrived, now);
       return Kind.ADMITTED;
     }
-    if (queue.size() >= MAX_QUEUED_PER_SLOT * slots) {
+    if (isFullFor(arrived)) {
       return Kind.QUEUE_FULL;
     }
-    double wait = waitNanos(request, now);
-    if (!canAnswerBy(request.deadline(), request, wait, now)) {
+    double wait = waitNanos(arrived, now);
+    if (!arrived.isAnswerableBy(request.deadline(), wait, now)) {
       return Kind.DEADLINE;
     }
-    if (!likelyMeetsGoal(request, wait, now) && !mayWaitThoughLate(request, wait, now)) {
+    if (arrived.rank == Rank.IN_TIME && !arrived.meetsGoalAfter(wait, now)
+        || arrived.rank == Rank.LATE && !mayWaitThoughLate(arrived, wait, now)) {
       return Kind.QUEUE_FULL;
     }
-    queue.add(request);
+    queue.add(arrived);
     return Kind.QUEUED;
   }
 
@@ -105,40 +120,37 @@
     return heldSlots.count() < concurrency(now) && rateLimit.tryAcquire(now);
   }
 
-  private boolean canAnswerBy(Instant time, GoalRequest request, double waitNanos, Instant now) {
-    double needed = waitNanos + expectedNanos(request.route());
-    return Duration.between(now, time).toNanos() >= needed;
+  /** Returns whether the queue has its maximum length and none in it goes after the new attempt. */
+  private boolean isFullFor(Waiting arrived) {
+    return queue.size() >= maxQueued()
+        && (queue.size() >= 2 * maxQueued()
+            || queue.stream().noneMatch(waiting -> Waiting.ORDER.compare(arrived, waiting) < 0));
   }
 
-  /** Returns whether an attempt is answered by its goal even if it takes longer than the mean. */
-  private boolean likelyMeetsGoal(GoalRequest request, double waitNanos, Instant now) {
-    double needed = waitNanos + safeNanos(request.route());
-    return Duration.between(now, request.goal()).toNanos() >= needed;
+  private int maxQueued() {
+    return MAX_QUEUED_PER_SLOT * slots;
   }
 
   /** Returns whether an attempt that will miss its goal in any case may wait for load to drop. */
-  private boolean mayWaitThoughLate(GoalRequest request, double waitNanos, Instant now) {
-    return missesGoal(request, now)
-        && queue.size() < maxLate()
-        && queue.stream().allMatch(waiting -> missesGoal(waiting, now))
-        && canAnswerBy(lateAnswerLimit(request), request, waitNanos, now);
+  private boolean mayWaitThoughLate(Waiting arrived, double waitNanos, Instant now) {
+    return queue.size() < maxLate()
+        && queue.stream().allMatch(waiting -> waiting.rank == Rank.LATE)
+        && arrived.isAnswerableBy(answerLimit(arrived), waitNanos, now);
   }
 
   private int maxLate() {
     return (int) Math.max(1, slots * MAX_LATE_PER_SLOT);
   }
 
-  private static Instant lateAnswerLimit(GoalRequest request) {
+  /** Returns the time by which an attempt must be answered to go on waiting. */
+  private Instant answerLimit(Waiting waiting) {
+    GoalRequest request = waiting.request;
     Duration lateInterval = Duration.between(request.goal(), request.deadline());
-    return lateInterval.isNegative()
+    return waiting.rank == Rank.NESTED || lateInterval.isNegative()
         ? request.deadline()
         : request.goal().plusNanos((long) (lateInterval.toNanos() * LATE_WAIT_SHARE));
   }
 
-  private boolean missesGoal(GoalRequest request, Instant now) {
-    return !likelyMeetsGoal(request, 0, now);
-  }
-
   /**
    * Grants free slots to waiting attempts and refuses those that can't be answered in time.
    *
@@ -150,15 +162,13 @@
     if (queue.isEmpty()) {
       return decisions;
     }
-    queue.sort(
-        Comparator.comparing((GoalRequest request) -> missesGoal(request, now))
-            .thenComparing(GoalRequest::priority)
-            .thenComparing(GoalRequest::goal));
+    queue.forEach(waiting -> waiting.update(now));
+    queue.sort(Waiting.ORDER);
     refuseExpired(now, decisions);
     while (!queue.isEmpty() && tryTakeSlot(now)) {
-      GoalRequest next = queue.remove(0);
+      Waiting next = queue.remove(0);
       hold(next, now);
-      decisions.add(new SlotDecision(next.attempt(), Kind.ADMITTED));
+      decisions.add(new SlotDecision(next.request.attempt(), Kind.ADMITTED));
     }
     refuseTooLate(now, decisions);
     return decisions;
@@ -166,31 +176,37 @@
 
   private void refuseExpired(Instant now, List<SlotDecision> decisions) {
     queue.removeIf(
-        request -> {
-          boolean expired = !now.isBefore(request.deadline());
+        waiting -> {
+          boolean expired = !now.isBefore(waiting.request.deadline());
           if (expired) {
-            decisions.add(new SlotDecision(request.attempt(), Kind.DEADLINE));
+            refuse(waiting, Kind.DEADLINE, decisions);
           }
           return expired;
         });
   }
 
-  /** Refuses late attempts if others wait, and those that can't be answered in time. */
+  private void refuse(Waiting waiting, Kind reason, List<SlotDecision> decisions) {
+    decisions.add(new SlotDecision(waiting.request.attempt(), reason));
+  }
+
+  /** Refuses those that can't be answered in time, and those beyond the maximum queue length. */
   private void refuseTooLate(Instant now, List<SlotDecision> decisions) {
     double aheadNanos = meanHeldNanos();
-    List<GoalRequest> remaining = new ArrayList<>();
+    List<Waiting> remaining = new ArrayList<>();
     boolean othersWait = false;
-    for (GoalRequest request : queue) {
+    for (Waiting waiting : queue) {
+      boolean late = waiting.rank == Rank.LATE;
       double wait =
           Math.max(aheadNanos / concurrency(now), permitWaitNanos(remaining.size() + 1, now));
-      boolean late = missesGoal(request, now);
       boolean mayWait = !late || (!othersWait && remaining.size() < maxLate());
-      if (mayWait && canAnswerBy(lateAnswerLimit(request), request, wait, now)) {
-        remaining.add(request);
-        aheadNanos += expectedNanos(request.route());
+      if (remaining.size() >= maxQueued()) {
+        refuse(waiting, Kind.QUEUE_FULL, decisions);
+      } else if (mayWait && waiting.isAnswerableBy(answerLimit(waiting), wait, now)) {
+        remaining.add(waiting);
+        aheadNanos += waiting.expectedNanos;
         othersWait |= !late;
       } else {
-        decisions.add(new SlotDecision(request.attempt(), Kind.DEADLINE));
+        refuse(waiting, Kind.DEADLINE, decisions);
       }
     }
     if (remaining.size() < queue.size()) {
@@ -228,7 +244,7 @@
    * @return true if the attempt was waiting; it will then not be run
    */
   public boolean withdraw(AttemptId attempt) {
-    return queue.removeIf(waiting -> waiting.attempt().equals(attempt));
+    return queue.removeIf(waiting -> waiting.request.attempt().equals(attempt));
   }
 
   /**
@@ -238,7 +254,9 @@
    */
   public List<SlotDecision> drain() {
     List<SlotDecision> decisions =
-        queue.stream().map(request -> new SlotDecision(request.attempt(), Kind.DRAINING)).toList();
+        queue.stream()
+            .map(waiting -> new SlotDecision(waiting.request.attempt(), Kind.DRAINING))
+            .toList();
     queue.clear();
     return decisions;
   }
@@ -298,8 +316,8 @@
       return Duration.ofNanos((long) permitWait);
     }
     double aheadNanos = meanHeldNanos();
-    for (GoalRequest waiting : queue) {
-      aheadNanos += expectedNanos(waiting.route());
+    for (Waiting waiting : queue) {
+      aheadNanos += waiting.expectedNanos;
     }
     return Duration.ofNanos((long) Math.max(aheadNanos / concurrency(now), permitWait));
   }
@@ -317,7 +335,8 @@
     return rateLimit.maxConcurrent(slots, now);
   }
 
-  private void hold(GoalRequest request, Instant now) {
+  private void hold(Waiting waiting, Instant now) {
+    GoalRequest request = waiting.request;
     heldSlots.hold(request.attempt(), request.route(), now);
   }
 
@@ -332,15 +351,16 @@
     double mean = expectedNanos(route);
     double deviation =
         Math.max(0, serviceTimes.upperBoundNanos(route) - serviceTimes.meanNanos(route));
-    return mean + SAFE_DEVIATIONS * deviation;
+    return mean + safeDeviations * deviation;
   }
 
-  private double waitNanos(GoalRequest request, Instant now) {
+  /** Returns how long a new attempt has to wait behind those that go before it. */
+  private double waitNanos(Waiting arrived, Instant now) {
     double aheadNanos = meanHeldNanos();
     int ahead = 0;
-    for (GoalRequest waiting : queue) {
-      if (waiting.priority() <= request.priority() && !missesGoal(waiting, now)) {
-        aheadNanos += expectedNanos(waiting.route());
+    for (Waiting waiting : queue) {
+      if (waiting.goesBefore(arrived)) {
+        aheadNanos += waiting.expectedNanos;
         ahead++;
       }
     }
@@ -358,4 +378,59 @@
   private double meanHeldNanos() {
     return heldSlots.count() == 0 ? 0 : heldSlots.sum(this::expectedNanos) / heldSlots.count();
   }
+
+  /** Rank of a waiting attempt; the first goes first. */
+  private enum Rank {
+    NESTED,
+    IN_TIME,
+    LATE
+  }
+
+  /** An attempt that waits for a slot. */
+  private final class Waiting {
+
+    static final Comparator<Waiting> ORDER =
+        Comparator.<Waiting, Rank>comparing(waiting -> waiting.rank)
+            .thenComparingInt(waiting -> waiting.request.priority())
+            .thenComparing(waiting -> waiting.request.goal());
+
+    private final GoalRequest request;
+    private final double expectedNanos;
+    private double safeNanos;
+    private Rank rank;
+
+    Waiting(GoalRequest request, Instant now) {
+      this.request = request;
+      this.expectedNanos = GoalQueue.this.expectedNanos(request.route());
+      update(now);
+    }
+
+    /** Updates the rank and the time that the attempt needs. */
+    void update(Instant now) {
+      safeNanos = GoalQueue.this.safeNanos(request.route());
+      if (request.origin().nested()) {
+        rank = Rank.NESTED;
+      } else {
+        rank = meetsGoalAfter(0, now) ? Rank.IN_TIME : Rank.LATE;
+      }
+    }
+
+    /**
+     * Returns whether the attempt is answered by its goal even if it takes longer than the mean.
+     */
+    boolean meetsGoalAfter(double waitNanos, Instant now) {
+      return Duration.between(now, request.goal()).toNanos() >= waitNanos + safeNanos;
+    }
+
+    boolean isAnswerableBy(Instant time, double waitNanos, Instant now) {
+      return Duration.between(now, time).toNanos() >= waitNanos + expectedNanos;
+    }
+
+    /** Returns whether this attempt gets a slot before one that has arrived later. */
+    boolean goesBefore(Waiting arrived) {
+      int byRank = rank.compareTo(arrived.rank);
+      int byPriority = Integer.compare(request.priority(), arrived.request.priority());
+      return byRank != 0 ? byRank < 0 : byPriority <= 0;
+    }
+  }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalRequest.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalRequest.java
@@ -15,9 +15,15 @@
  * @param priority priority of the route; 0 is the highest
  * @param goal time up to which an answer has its full worth
  * @param deadline time at which the caller stops waiting for the answer
+ * @param origin who made the request
  */
 public record GoalRequest(
-    AttemptId attempt, String route, int priority, Instant goal, Instant deadline) {
+    AttemptId attempt,
+    String route,
+    int priority,
+    Instant goal,
+    Instant deadline,
+    RequestOrigin origin) {
 
   /** Validates the components. */
   public GoalRequest {
@@ -26,5 +32,20 @@
     notNegative(priority, "priority");
     notNull(goal, "goal");
     notNull(deadline, "deadline");
+    notNull(origin, "origin");
+  }
+
+  /**
+   * Creates the request of a client without an account.
+   *
+   * @param attempt the attempt
+   * @param route name of the route
+   * @param priority priority of the route; 0 is the highest
+   * @param goal time up to which an answer has its full worth
+   * @param deadline time at which the caller stops waiting for the answer
+   */
+  public GoalRequest(
+      AttemptId attempt, String route, int priority, Instant goal, Instant deadline) {
+    this(attempt, route, priority, goal, deadline, RequestOrigin.CLIENT);
   }
 }
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/GoalQueueTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/GoalQueueTests.java
@@ -45,6 +45,12 @@
     return request(priority, Duration.ofMillis(400), Duration.ofMillis(1000));
   }
 
+  private GoalRequest request(int priority, RequestOrigin origin) {
+    GoalRequest request = request(priority);
+    return new GoalRequest(
+        request.attempt(), request.route(), priority, request.goal(), request.deadline(), origin);
+  }
+
   /** Returns the limit of a target that has answered without naming one. */
   private RequestRateLimit unlimited() {
     RequestRateLimit limit = new RequestRateLimit();
@@ -133,6 +139,58 @@
       assertThat(queue.poll(now), contains(new SlotDecision(inTime.attempt(), Kind.ADMITTED)));
     }
 
+    /** Without the answer to such a call, the work on the request that made it is lost. */
+    @Test
+    void grantsNextSlotToCallOfRunningRequest() {
+      GoalQueue queue = queueWithKnownServiceTimes(1);
+      GoalRequest running = request(1);
+      queue.offer(running, now);
+      GoalRequest client = request(0);
+      GoalRequest nested = request(2, new RequestOrigin(true, "", 0));
+      queue.offer(client, now);
+      queue.offer(nested, now);
+
+      queue.release(running.attempt(), SlotEnd.ANSWERED, now);
+
+      assertThat(queue.poll(now), contains(new SlotDecision(nested.attempt(), Kind.ADMITTED)));
+    }
+
+    @Test
+    void letsCallOfRunningRequestWaitPastItsGoal() {
+      GoalQueue queue = queueWithKnownServiceTimes(1);
+      queue.offer(request(1), now);
+      queue.offer(request(0), now);
+      GoalRequest nested =
+          new GoalRequest(
+              new AttemptId(0, nextId++),
+              "route-1",
+              1,
+              now,
+              now.plusMillis(300),
+              new RequestOrigin(true, "", 0));
+
+      assertThat(queue.offer(nested, now), is(Kind.QUEUED));
+    }
+
+    @Test
+    void letsFullQueueTakeAttemptThatGoesFirstInsteadOfLast() {
+      GoalQueue queue = queueWithKnownServiceTimes(1);
+      queue.offer(request(1), now);
+      GoalRequest last = null;
+      for (int i = 0; i < 6; i++) {
+        last = request(2, Duration.ofSeconds(2), Duration.ofSeconds(4));
+        assertThat(queue.offer(last, now), is(Kind.QUEUED));
+        now = now.plusMillis(1);
+      }
+      assertThat(
+          queue.offer(request(2, Duration.ofSeconds(2), Duration.ofSeconds(4)), now),
+          is(Kind.QUEUE_FULL));
+
+      assertThat(queue.offer(request(0), now), is(Kind.QUEUED));
+
+      assertThat(queue.poll(now), contains(new SlotDecision(last.attempt(), Kind.QUEUE_FULL)));
+    }
+
     @Test
     void refusesOnArrivalWhenDeadlineCannotBeMet() {
       GoalQueue queue = queueWithKnownServiceTimes(1);
--- /dev/null
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/MeshOverloadTests.java
@@ -0,0 +1,213 @@
+package org.cuminlatch.core.admission;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.EnumSet;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.cuminlatch.core.admission.MeshSimulation.Decision;
+import org.cuminlatch.core.admission.MeshSimulation.Kind;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Each test names the load that its decision is for, and plays it with the decision and without.
+ */
+@DisplayName("A mesh under a load near or above its capacity")
+class MeshOverloadTests {
+
+  private static final Duration LENGTH = Duration.ofSeconds(43);
+  private static final int SEEDS = 2;
+
+  private static final Kind LOOKUP =
+      new Kind(
+          "lookup",
+          "front",
+          0,
+          568,
+          millis(210),
+          millis(536),
+          millis(3217),
+          millis(1500),
+          1.4,
+          0.17,
+          Optional.of(called("called-a", "middle")));
+  private static final Kind CHECKOUT =
+      new Kind(
+          "checkout",
+          "front",
+          1,
+          240,
+          millis(276),
+          millis(837),
+          millis(3138),
+          millis(1500),
+          1.5,
+          0.44,
+          Optional.of(called("called-b", "back")));
+  private static final Kind UPLOAD =
+      new Kind(
+          "upload",
+          "front",
+          2,
+          84.6,
+          millis(248),
+          millis(2093),
+          millis(4186),
+          millis(4186),
+          0.74,
+          0.33,
+          Optional.empty());
+  private static final double PER_SECOND = 568 + 240 + 84.6;
+
+  private static Duration millis(long count) {
+    return Duration.ofMillis(count);
+  }
+
+  private static Duration seconds(long count) {
+    return Duration.ofSeconds(count);
+  }
+
+  private static Kind called(String route, String service) {
+    return new Kind(
+        route,
+        service,
+        1,
+        0,
+        millis(52),
+        millis(232),
+        millis(695),
+        millis(695),
+        0,
+        0,
+        Optional.empty());
+  }
+
+  /** Three services, three routes and 78 accounts: the demand and the goals of himcore. */
+  private static final class ManyAccounts {
+
+    private final MeshSimulation simulation;
+    private final double factor;
+
+    ManyAccounts(long seed, double load, Set<Decision> without) {
+      simulation = new MeshSimulation(seed, without, 0.2);
+      simulation.addTargets("front", 36, 6, 0.5, 1.6);
+      simulation.addTargets("middle", 26, 6, 0.5, 1.6);
+      simulation.addTargets("back", 8, 6, 0.5, 1.6);
+      double slots = 0;
+      for (Kind kind : new Kind[] {LOOKUP, CHECKOUT, UPLOAD}) {
+        double calls = kind.nested().isPresent() ? 0.7 * 0.08 : 0;
+        slots += kind.perSecond() * (kind.work().toMillis() / 1e3 + calls);
+      }
+      factor = load * simulation.slotCapacity("front") / slots;
+      simulation.addAccounts(78, factor * PER_SECOND);
+      for (Kind kind : new Kind[] {LOOKUP, CHECKOUT, UPLOAD}) {
+        add(kind, 1, Duration.ZERO, LENGTH);
+      }
+    }
+
+    /** Adds a multiple of the usual requests of a kind. */
+    void add(Kind kind, double multiple, Duration from, Duration to) {
+      double perSecond = factor * multiple * kind.perSecond();
+      simulation.addRequests(kind, OptionalInt.empty(), perSecond, from, to);
+    }
+
+    /** Adds bursts of two routes, of 2 and 2.3 times their usual rate. */
+    void addBursts() {
+      add(LOOKUP, 1, seconds(8), seconds(13));
+      add(CHECKOUT, 1.3, seconds(20), seconds(26));
+    }
+  }
+
+  /** What the clients got, summed over some seeds; the tables are kept for the design note. */
+  private static MeshSimulation play(
+      String name, double load, Set<Decision> without, Consumer<ManyAccounts> extra) {
+    MeshSimulation sum = null;
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      ManyAccounts mesh = new ManyAccounts(seed, load, without);
+      extra.accept(mesh);
+      mesh.simulation.play();
+      if (sum == null) {
+        sum = mesh.simulation;
+      } else {
+        sum.addResults(mesh.simulation);
+      }
+    }
+    keep(name + (without.isEmpty() ? " with" : " without " + without), sum);
+    return sum;
+  }
+
+  private static void keep(String name, MeshSimulation result) {
+    try {
+      Path folder = Files.createDirectories(Path.of("target", "overload"));
+      Files.writeString(folder.resolve(name.replace(' ', '-') + ".txt"), result.table());
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
+  /** Load: near capacity, and the called service gets more requests of its own than it can run. */
+  @Nested
+  class CallsOfRunningRequests {
+
+    private static final Kind SEARCH =
+        new Kind(
+            "search",
+            "middle",
+            0,
+            400,
+            millis(150),
+            millis(500),
+            millis(2000),
+            millis(1500),
+            1,
+            0.2,
+            Optional.empty());
+
+    private void addSearches(ManyAccounts mesh) {
+      double capacity = mesh.simulation.slotCapacity("middle") / 0.15;
+      mesh.simulation.addRequests(SEARCH, OptionalInt.empty(), capacity, Duration.ZERO, LENGTH);
+    }
+
+    @Test
+    void areNotRefusedForNewWork() {
+      MeshSimulation with = play("nested", 0.8, Set.of(), this::addSearches);
+      MeshSimulation without =
+          play("nested", 0.8, EnumSet.of(Decision.NESTED_FIRST), this::addSearches);
+
+      assertThat(with.byRoute.get("lookup").lostShare(), lessThanOrEqualTo(0.01));
+      assertThat(
+          with.byRoute.get("lookup").served(), greaterThan(without.byRoute.get("lookup").served()));
+      assertThat(with.all.valueShare(), greaterThan(without.all.valueShare()));
+    }
+  }
+
+  /** Load: targets of unequal speed, up to and above their capacity. */
+  @Nested
+  class TargetsOfUnequalSpeed {
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0.7, 0.9, 1.0, 1.1})
+    void answerMoreInTimeIfChosenByTheirServiceTime(double load) {
+      MeshSimulation with = play("speed " + load, load, Set.of(), mesh -> {});
+      MeshSimulation without =
+          play("speed " + load, load, EnumSet.of(Decision.SERVICE_TIME), mesh -> {});
+
+      assertThat(with.all.inTimeShare(), greaterThan(without.all.inTimeShare()));
+      assertThat(with.all.served(), greaterThanOrEqualTo(without.all.served()));
+    }
+  }
+}
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/CallerIdentity.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/CallerIdentity.java
@@ -57,6 +57,11 @@
         .orElse(route.policy().priority());
   }
 
+  /** Returns the weight of the account in the shares of slots: its quota, 0 if it has none. */
+  double weight() {
+    return account.flatMap(ClientAccount::quota).map(ClientAccount.Quota::perSecond).orElse(0.0);
+  }
+
   /** Returns the name of the account, which is empty if there is none. */
   String accountName() {
     return account.map(ClientAccount::name).orElse("");
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.cuminlatch.core.admission.RequestOrigin;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.RoutePolicy.Repeatability;
 import org.cuminlatch.core.membership.Locality.Distance;
@@ -69,6 +70,7 @@
   private final String id;
   private final Route route;
   private final CallerIdentity caller;
+  private final RequestOrigin origin;
   private final String service;
   private final boolean idempotent;
   private final Instant startedAt;
@@ -107,6 +109,7 @@
       String id,
       Route route,
       CallerIdentity caller,
+      RequestOrigin origin,
       String service,
       Times times) {
     this.entry = entry;
@@ -114,6 +117,7 @@
     this.id = id;
     this.route = route;
     this.caller = caller;
+    this.origin = origin;
     this.service = service;
     this.startedAt = times.arrivedAt();
     this.goal = times.goal();
@@ -235,6 +239,8 @@
         .setExpectedInstance(target.instance())
         .setPriority(caller.priorityOn(route))
         .setAccount(caller.accountName())
+        .setNested(origin.nested())
+        .setAccountWeight(origin.weight())
         .setGoalMicros(Duration.between(entry.now(), goal).toNanos() / 1000)
         .build();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -16,6 +16,7 @@
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.admission.CallerPatience;
 import org.cuminlatch.core.admission.LagLimit;
+import org.cuminlatch.core.admission.RequestOrigin;
 import org.cuminlatch.core.admission.StopAdmission;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.RoutePolicy;
@@ -66,6 +67,7 @@
   private final InstantSource clock;
   private final RandomGenerator random;
   private final PeerLinks links;
+  private final CallOrigins origins;
   private final Supplier<RoutingView> view;
   private final LoopLag lag;
   private final EventLog log;
@@ -85,6 +87,7 @@
       InstantSource clock,
       RandomGenerator random,
       PeerLinks links,
+      CallOrigins origins,
       Supplier<RoutingView> view,
       LoopLag lag,
       EventLog log,
@@ -94,6 +97,7 @@
     this.clock = clock;
     this.random = random;
     this.links = links;
+    this.origins = origins;
     this.view = view;
     this.lag = lag;
     this.log = log;
@@ -131,14 +135,17 @@
       reject(exchange, id, 401, "no client account holds the key of the request");
       return;
     }
+    RequestOrigin origin = origins.of(caller, route.get());
     Optional<Duration> retryAfter =
-        LagLimit.retryAfter(caller.priorityOn(route.get()), lag.value());
+        LagLimit.retryAfter(origin.nested() ? 0 : caller.priorityOn(route.get()), lag.value());
     if (retryAfter.isPresent()) {
       refuse(exchange, id, "node is behind", retryAfter.get().toMillis() / 1000.0);
       return;
     }
     Instant arrivedAt = estimatedArrival(exchange);
     Optional<Duration> callerTimeout = EntryCall.callerTimeout(this, exchange);
+    callerTimeout.ifPresent(
+        timeout -> origins.observe(caller, route.get(), arrivedAt.plus(timeout)));
     Duration waited =
         callerTimeout
             .map(timeout -> patience.waitedBefore(route.get().name(), timeout))
@@ -161,6 +168,7 @@
             id,
             route.get(),
             caller,
+            origin,
             selectService(route.get()),
             new EntryCall.Times(arrivedAt, goal, deadline));
     calls.add(call);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -37,6 +37,11 @@
     registry.counter("attempts_dispatched{retried=\"" + retried + "\"}").inc();
   }
 
+  void countGateRefusal(String reason, boolean nested) {
+    String origin = nested ? "target" : "client";
+    registry.counter("gate_refusals{origin=\"" + origin + "\",reason=\"" + reason + "\"}").inc();
+  }
+
   void countWithdrawn(boolean running) {
     String state = running ? "running" : "waiting";
     registry.counter("attempts_withdrawn{state=\"" + state + "\"}").inc();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -113,7 +113,17 @@
     CallTransport transport = CallTransport.withGroup(trafficGroup);
     this.links = new PeerLinks(transport, random, log, control.peerListener());
     this.entry =
-        new EntryHandler(traffic, settings, clock, random, links, control::view, lag, log, metrics);
+        new EntryHandler(
+            traffic,
+            settings,
+            clock,
+            random,
+            links,
+            new CallOrigins(gate::runsUntil),
+            control::view,
+            lag,
+            log,
+            metrics);
     control.connect(gate, links, new LocalLink(traffic, gate));
     this.callers =
         HttpServer.listen(
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -17,6 +17,7 @@
 import org.cuminlatch.core.admission.AnswerMemory;
 import org.cuminlatch.core.admission.GoalQueue;
 import org.cuminlatch.core.admission.GoalRequest;
+import org.cuminlatch.core.admission.RequestOrigin;
 import org.cuminlatch.core.admission.RequestRateLimit;
 import org.cuminlatch.core.admission.SlotDecision;
 import org.cuminlatch.core.admission.SlotDecision.Kind;
@@ -68,6 +69,9 @@
   /** Time without any answer after which a target with outstanding requests is probed. */
   private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(600);
 
+  /** Difference between two deadlines that may be due to the time that messages take. */
+  private static final Duration SAME_DEADLINE_TOLERANCE = Duration.ofMillis(25);
+
   /** Size of the answers that wait for slow callers at which no more large ones are requested. */
   private static final int MAX_WAITING_ANSWER_BYTES = 16 << 20;
 
@@ -200,6 +204,18 @@
     return running;
   }
 
+  /** Returns whether the target runs a request whose deadline is the given one, within a bound. */
+  boolean runsUntil(Instant deadline) {
+    return attempts.values().stream()
+        .anyMatch(
+            attempt ->
+                attempt.isDispatched()
+                    && Duration.between(attempt.deadline(), deadline)
+                            .abs()
+                            .compareTo(SAME_DEADLINE_TOLERANCE)
+                        <= 0);
+  }
+
   int waiting() {
     return slots.queued();
   }
@@ -306,7 +322,8 @@
             begin.getRoute(),
             begin.getPriority(),
             attempt.arrivedAt().plusNanos(begin.getGoalMicros() * 1000),
-            attempt.deadline());
+            attempt.deadline(),
+            new RequestOrigin(begin.getNested(), begin.getAccount(), begin.getAccountWeight()));
     apply(new SlotDecision(attempt.id(), slots.offer(request, now)));
     awaitPermit(now);
   }
@@ -615,6 +632,7 @@
                         .setLoad(load())
                         .setFreeInMicros(slots.expectedWait(clock.instant()).toNanos() / 1000))
                 .build());
+    metrics.countGateRefusal(reason.name(), attempt.begin().getNested());
     log.request("gate-refused", attempt.begin().getRequestId())
         .with("route", attempt.begin().getRoute())
         .with("target", attempt.begin().getExpectedInstance())
@@ -622,6 +640,8 @@
         .with("running", running)
         .with("waiting", slots.queued())
         .with("limit", slots.effectiveSlots(clock.instant()))
+        .with("account", attempt.begin().getAccount())
+        .with("nested", String.valueOf(attempt.begin().getNested()))
         .with("goalMillis", attempt.begin().getGoalMicros() / 1000)
         .write();
   }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
@@ -684,6 +684,36 @@
     }
   }
 
+  public static final int NESTED_FIELD_NUMBER = 24;
+  private boolean nested_ = false;
+  /**
+   * <pre>
+   * Whether a target made the request while it ran another one.
+   * </pre>
+   *
+   * <code>bool nested = 24;</code>
+   * @return The nested.
+   */
+  @java.lang.Override
+  public boolean getNested() {
+    return nested_;
+  }
+
+  public static final int ACCOUNT_WEIGHT_FIELD_NUMBER = 25;
+  private double accountWeight_ = 0D;
+  /**
+   * <pre>
+   * Weight of the account in the shares of the target's slots; 0 if the configuration gives none.
+   * </pre>
+   *
+   * <code>double account_weight = 25;</code>
+   * @return The accountWeight.
+   */
+  @java.lang.Override
+  public double getAccountWeight() {
+    return accountWeight_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -761,6 +791,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 21, account_);
     }
+    if (nested_ != false) {
+      output.writeBool(24, nested_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(accountWeight_) != 0) {
+      output.writeDouble(25, accountWeight_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -844,6 +880,14 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(21, account_);
     }
+    if (nested_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(24, nested_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(accountWeight_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(25, accountWeight_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -901,6 +945,11 @@
         != other.getGoalMicros()) return false;
     if (!getAccount()
         .equals(other.getAccount())) return false;
+    if (getNested()
+        != other.getNested()) return false;
+    if (java.lang.Double.doubleToLongBits(getAccountWeight())
+        != java.lang.Double.doubleToLongBits(
+            other.getAccountWeight())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -962,6 +1011,12 @@
         getGoalMicros());
     hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
     hash = (53 * hash) + getAccount().hashCode();
+    hash = (37 * hash) + NESTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getNested());
+    hash = (37 * hash) + ACCOUNT_WEIGHT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getAccountWeight()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1124,6 +1179,8 @@
       priority_ = 0;
       goalMicros_ = 0L;
       account_ = "";
+      nested_ = false;
+      accountWeight_ = 0D;
       return this;
     }
 
@@ -1230,6 +1287,12 @@
       if (((from_bitField0_ & 0x00100000) != 0)) {
         result.account_ = account_;
       }
+      if (((from_bitField0_ & 0x00200000) != 0)) {
+        result.nested_ = nested_;
+      }
+      if (((from_bitField0_ & 0x00400000) != 0)) {
+        result.accountWeight_ = accountWeight_;
+      }
     }
 
     @java.lang.Override
@@ -1350,6 +1413,12 @@
         bitField0_ |= 0x00100000;
         onChanged();
       }
+      if (other.getNested() != false) {
+        setNested(other.getNested());
+      }
+      if (java.lang.Double.doubleToRawLongBits(other.getAccountWeight()) != 0) {
+        setAccountWeight(other.getAccountWeight());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1489,6 +1558,16 @@
               bitField0_ |= 0x00100000;
               break;
             } // case 170
+            case 192: {
+              nested_ = input.readBool();
+              bitField0_ |= 0x00200000;
+              break;
+            } // case 192
+            case 201: {
+              accountWeight_ = input.readDouble();
+              bitField0_ |= 0x00400000;
+              break;
+            } // case 201
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3014,6 +3093,94 @@
       return this;
     }
 
+    private boolean nested_ ;
+    /**
+     * <pre>
+     * Whether a target made the request while it ran another one.
+     * </pre>
+     *
+     * <code>bool nested = 24;</code>
+     * @return The nested.
+     */
+    @java.lang.Override
+    public boolean getNested() {
+      return nested_;
+    }
+    /**
+     * <pre>
+     * Whether a target made the request while it ran another one.
+     * </pre>
+     *
+     * <code>bool nested = 24;</code>
+     * @param value The nested to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNested(boolean value) {
+
+      nested_ = value;
+      bitField0_ |= 0x00200000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether a target made the request while it ran another one.
+     * </pre>
+     *
+     * <code>bool nested = 24;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNested() {
+      bitField0_ = (bitField0_ & ~0x00200000);
+      nested_ = false;
+      onChanged();
+      return this;
+    }
+
+    private double accountWeight_ ;
+    /**
+     * <pre>
+     * Weight of the account in the shares of the target's slots; 0 if the configuration gives none.
+     * </pre>
+     *
+     * <code>double account_weight = 25;</code>
+     * @return The accountWeight.
+     */
+    @java.lang.Override
+    public double getAccountWeight() {
+      return accountWeight_;
+    }
+    /**
+     * <pre>
+     * Weight of the account in the shares of the target's slots; 0 if the configuration gives none.
+     * </pre>
+     *
+     * <code>double account_weight = 25;</code>
+     * @param value The accountWeight to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountWeight(double value) {
+
+      accountWeight_ = value;
+      bitField0_ |= 0x00400000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Weight of the account in the shares of the target's slots; 0 if the configuration gives none.
+     * </pre>
+     *
+     * <code>double account_weight = 25;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccountWeight() {
+      bitField0_ = (bitField0_ & ~0x00400000);
+      accountWeight_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.Begin)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/BeginOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/BeginOrBuilder.java
@@ -297,4 +297,24 @@
    */
   com.google.protobuf.ByteString
       getAccountBytes();
+
+  /**
+   * <pre>
+   * Whether a target made the request while it ran another one.
+   * </pre>
+   *
+   * <code>bool nested = 24;</code>
+   * @return The nested.
+   */
+  boolean getNested();
+
+  /**
+   * <pre>
+   * Weight of the account in the shares of the target's slots; 0 if the configuration gives none.
+   * </pre>
+   *
+   * <code>double account_weight = 25;</code>
+   * @return The accountWeight.
+   */
+  double getAccountWeight();
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
@@ -155,7 +155,7 @@
       "uminlatch.call.ConfigPullH\000\0226\n\rconfig_re" +
       "cord\030\021 \001(\0132\035.cuminlatch.call.ConfigRecor" +
       "dH\000B\006\n\004kind\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005v" +
-      "alue\030\002 \001(\t\"\271\003\n\005Begin\022\r\n\005route\030\001 \001(\t\022\017\n\007s" +
+      "alue\030\002 \001(\t\"\341\003\n\005Begin\022\r\n\005route\030\001 \001(\t\022\017\n\007s" +
       "ervice\030\002 \001(\t\022\026\n\016target_version\030\003 \001(\t\022\016\n\006" +
       "method\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007headers\030\006 " +
       "\003(\0132\027.cuminlatch.call.Header\022\027\n\017deadline" +
@@ -166,7 +166,8 @@
       "t\030\017 \001(\005\022\022\n\nrequest_id\030\020 \001(\t\022\026\n\016origin_se" +
       "rvice\030\021 \001(\t\022\031\n\021expected_instance\030\022 \001(\t\022\020" +
       "\n\010priority\030\023 \001(\005\022\023\n\013goal_micros\030\024 \001(\003\022\017\n" +
-      "\007account\030\025 \001(\t\"J\n\004Body\022\017\n\007content\030\001 \001(\014\022" +
+      "\007account\030\025 \001(\t\022\016\n\006nested\030\030 \001(\010\022\026\n\016accoun" +
+      "t_weight\030\031 \001(\001\"J\n\004Body\022\017\n\007content\030\001 \001(\014\022" +
       "\014\n\004last\030\002 \001(\010\022#\n\004load\030\003 \001(\0132\025.cuminlatch" +
       ".call.Load\"\027\n\006Credit\022\r\n\005bytes\030\001 \001(\005\"\034\n\006C" +
       "ancel\022\022\n\nage_micros\030\001 \001(\003\"\034\n\006Rejoin\022\022\n\na" +
@@ -241,7 +242,7 @@
     internal_static_cuminlatch_call_Begin_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_Begin_descriptor,
-        new java.lang.String[] { "Route", "Service", "TargetVersion", "Method", "Path", "Headers", "DeadlineMicros", "Depth", "Retried", "Idempotent", "IdempotencyKey", "Body", "BodyComplete", "ContentLength", "Credit", "RequestId", "OriginService", "ExpectedInstance", "Priority", "GoalMicros", "Account", });
+        new java.lang.String[] { "Route", "Service", "TargetVersion", "Method", "Path", "Headers", "DeadlineMicros", "Depth", "Retried", "Idempotent", "IdempotencyKey", "Body", "BodyComplete", "ContentLength", "Credit", "RequestId", "OriginService", "ExpectedInstance", "Priority", "GoalMicros", "Account", "Nested", "AccountWeight", });
     internal_static_cuminlatch_call_Body_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_cuminlatch_call_Body_fieldAccessorTable = new
