Let accounts that are over their share of a target's slots go after the others

Cause: within a priority, requests went by goal alone, so that an account that sends several times its usual takes the slots in proportion to what it sends.

Change: AccountShares sums up the work that each account has got, with a decay of 2 s. An account that has got more than 1.25 times its part by weight (its quota) of the work of all accounts seen in the last 30 s, and two requests, goes after the others of its priority until it no longer has. What it gets counts, not what it sends, so it is never cut below its share. Without accounts and while no request has to wait, nothing changes.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
@@ -21,7 +21,8 @@
  * <ol>
  *   <li>calls that targets make while they run a request: without an answer, the work on that
  *       request is lost;
- *   <li>requests that can still meet their goal, in the order of priority, then of goal;
+ *   <li>requests that can still meet their goal, in the order of priority; within a priority, those
+ *       of client accounts that are over their share last ({@link AccountShares}), then by goal;
  *   <li>late requests, which miss their goal in any case, in the same order.
  * </ol>
  *
@@ -63,6 +64,7 @@
   private boolean answered;
   private final ServiceTimes serviceTimes = new ServiceTimes();
   private final HeldSlots heldSlots = new HeldSlots();
+  private final AccountShares accountShares = new AccountShares();
   private final List<Waiting> queue = new ArrayList<>();
 
   /**
@@ -261,6 +263,17 @@
     return decisions;
   }
 
+  /**
+   * Returns whether a request goes after others of its priority, as its account has got more than
+   * its share.
+   *
+   * @param request the request
+   * @return true if its account is over its share
+   */
+  public boolean isOverShare(GoalRequest request) {
+    return accountShares.isOverShare(request.origin(), expectedNanos(request.route()));
+  }
+
   /**
    * Returns the number of slots in use.
    *
@@ -338,6 +351,7 @@
   private void hold(Waiting waiting, Instant now) {
     GoalRequest request = waiting.request;
     heldSlots.hold(request.attempt(), request.route(), now);
+    accountShares.onAdmitted(request.origin(), waiting.expectedNanos, now);
   }
 
   /** Returns the mean service time of a route, or of all routes until its first answer. */
@@ -392,12 +406,14 @@
     static final Comparator<Waiting> ORDER =
         Comparator.<Waiting, Rank>comparing(waiting -> waiting.rank)
             .thenComparingInt(waiting -> waiting.request.priority())
+            .thenComparing(waiting -> waiting.overShare)
             .thenComparing(waiting -> waiting.request.goal());
 
     private final GoalRequest request;
     private final double expectedNanos;
     private double safeNanos;
     private Rank rank;
+    private boolean overShare;
 
     Waiting(GoalRequest request, Instant now) {
       this.request = request;
@@ -407,6 +423,7 @@
 
     /** Updates the rank and the time that the attempt needs. */
     void update(Instant now) {
+      overShare = accountShares.isOverShare(request.origin(), expectedNanos);
       safeNanos = GoalQueue.this.safeNanos(request.route());
       if (request.origin().nested()) {
         rank = Rank.NESTED;
@@ -430,7 +447,9 @@
     boolean goesBefore(Waiting arrived) {
       int byRank = rank.compareTo(arrived.rank);
       int byPriority = Integer.compare(request.priority(), arrived.request.priority());
-      return byRank != 0 ? byRank < 0 : byPriority <= 0;
+      return byRank != 0
+          ? byRank < 0
+          : byPriority != 0 ? byPriority < 0 : !overShare || arrived.overShare;
     }
   }
 }
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/GoalQueueTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/GoalQueueTests.java
@@ -191,6 +191,27 @@
       assertThat(queue.poll(now), contains(new SlotDecision(last.attempt(), Kind.QUEUE_FULL)));
     }
 
+    @Test
+    void grantsNextSlotToAccountThatIsNotOverItsShare() {
+      GoalQueue queue = queueWithKnownServiceTimes(1);
+      for (int i = 0; i < 20; i++) {
+        GoalRequest request = request(1, new RequestOrigin(false, i < 18 ? "large" : "small", 1));
+        queue.offer(request, now);
+        now = now.plus(SERVICE_TIME);
+        queue.release(request.attempt(), SlotEnd.ANSWERED, now);
+      }
+      GoalRequest running = request(1);
+      queue.offer(running, now);
+      GoalRequest large = request(1, new RequestOrigin(false, "large", 1));
+      GoalRequest small = request(1, new RequestOrigin(false, "small", 1));
+      queue.offer(large, now);
+      queue.offer(small, now);
+
+      queue.release(running.attempt(), SlotEnd.ANSWERED, now);
+
+      assertThat(queue.poll(now), contains(new SlotDecision(small.attempt(), Kind.ADMITTED)));
+    }
+
     @Test
     void refusesOnArrivalWhenDeadlineCannotBeMet() {
       GoalQueue queue = queueWithKnownServiceTimes(1);
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/MeshOverloadTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/MeshOverloadTests.java
@@ -146,14 +146,14 @@
         sum.addResults(mesh.simulation);
       }
     }
-    keep(name + (without.isEmpty() ? " with" : " without " + without), sum);
+    keep(name + (without.isEmpty() ? " with" : " without " + without), sum.table());
     return sum;
   }
 
-  private static void keep(String name, MeshSimulation result) {
+  private static void keep(String name, String table) {
     try {
       Path folder = Files.createDirectories(Path.of("target", "overload"));
-      Files.writeString(folder.resolve(name.replace(' ', '-') + ".txt"), result.table());
+      Files.writeString(folder.resolve(name.replace(' ', '-') + ".txt"), table);
     } catch (IOException failure) {
       throw new UncheckedIOException(failure);
     }
@@ -195,6 +195,34 @@
     }
   }
 
+  /** Load: nine tenths of capacity, and one account sends nine times its usual for 8 s. */
+  @Nested
+  class Accounts {
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 2, 9})
+    void areServedBesideOneThatSendsNineTimesItsUsual(int account) {
+      Consumer<ManyAccounts> flood =
+          mesh -> {
+            for (Kind kind : new Kind[] {LOOKUP, CHECKOUT, UPLOAD}) {
+              double usual =
+                  mesh.factor * kind.perSecond() * mesh.simulation.shareOfAccount(account);
+              mesh.simulation.addRequests(
+                  kind, OptionalInt.of(account), 8 * usual, seconds(10), seconds(18));
+            }
+          };
+      String name = "account " + account;
+      MeshSimulation with = play(name, 0.9, Set.of(), flood);
+      MeshSimulation without = play(name, 0.9, EnumSet.of(Decision.ACCOUNT_SHARES), flood);
+      keep(name + " others", with.withoutAccount(account) + "\n" + without.withoutAccount(account));
+
+      assertThat(with.leastShareOfAccount(), greaterThanOrEqualTo(with.all.served() / 4));
+      assertThat(
+          with.withoutAccount(account).served(),
+          greaterThan(without.withoutAccount(account).served()));
+    }
+  }
+
   /** Load: targets of unequal speed, up to and above their capacity. */
   @Nested
   class TargetsOfUnequalSpeed {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -42,6 +42,10 @@
     registry.counter("gate_refusals{origin=\"" + origin + "\",reason=\"" + reason + "\"}").inc();
   }
 
+  void countOverShare(String account) {
+    registry.counter("attempts_over_share{account=\"" + account + "\"}").inc();
+  }
+
   void countWithdrawn(boolean running) {
     String state = running ? "running" : "waiting";
     registry.counter("attempts_withdrawn{state=\"" + state + "\"}").inc();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -324,7 +324,11 @@
             attempt.arrivedAt().plusNanos(begin.getGoalMicros() * 1000),
             attempt.deadline(),
             new RequestOrigin(begin.getNested(), begin.getAccount(), begin.getAccountWeight()));
-    apply(new SlotDecision(attempt.id(), slots.offer(request, now)));
+    Kind kind = slots.offer(request, now);
+    if (kind != Kind.ADMITTED && slots.isOverShare(request)) {
+      metrics.countOverShare(begin.getAccount());
+    }
+    apply(new SlotDecision(attempt.id(), kind));
     awaitPermit(now);
   }
 
