--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/MeshSimulation.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/MeshSimulation.java
@@ -21,6 +21,7 @@
 import org.cuminlatch.core.membership.Locality;
 import org.cuminlatch.core.membership.Member;
 import org.cuminlatch.core.retry.AttemptId;
+import org.cuminlatch.core.route.HomeRegions;
 import org.cuminlatch.core.route.LinkBudget;
 import org.cuminlatch.core.route.LoadPolicy;
 import org.cuminlatch.core.route.ReportedLoad;
@@ -540,7 +541,7 @@
               index,
               kind.service(),
               Optional.empty(),
-              new ServiceBalancer.Context(member.locality(), tried, false, now),
+              new ServiceBalancer.Context(member.locality(), tried, false, HomeRegions.ANY, now),
               random)
           .map(ServiceBalancer.ChosenTarget::member);
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/CallOrigins.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/CallOrigins.java
@@ -34,10 +34,11 @@
     }
   }
 
-  RequestOrigin of(CallerIdentity caller, Route route) {
+  /** Returns the origin of a request; a caller with credentials is a client, valid or not. */
+  RequestOrigin of(CallerIdentity caller, boolean hasCredentials, Route route) {
     boolean nested =
         caller.hidesCredentials()
-            ? caller.account().isEmpty()
+            ? caller.account().isEmpty() && !hasCredentials
             : nestedRoutes.isNested(route.name());
     return new RequestOrigin(nested, caller.accountName(), caller.weight());
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -21,6 +21,7 @@
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.RoutePolicy;
 import org.cuminlatch.core.retry.RetryBudget;
+import org.cuminlatch.core.route.HomeRegions;
 import org.cuminlatch.core.route.LinkBudget;
 import org.cuminlatch.core.route.LoadPolicy;
 import org.cuminlatch.core.route.RequestHead;
@@ -61,6 +62,7 @@
   private static final String AUTHORIZATION = "authorization";
   private static final int MAX_REQUEST_ID_CHARS = 128;
   private static final double DEFAULT_RETRY_AFTER_SECONDS = 0.5;
+  private static final String NO_HOME_TARGET = "no target in the home regions of ";
 
   private final EventLoop loop;
   private final MeshSettings settings;
@@ -69,6 +71,7 @@
   private final PeerLinks links;
   private final CallOrigins origins;
   private final Supplier<RoutingView> view;
+  private final KeyProofs keyProofs;
   private final LoopLag lag;
   private final EventLog log;
   private final MeshMetrics metrics;
@@ -89,6 +92,7 @@
       PeerLinks links,
       CallOrigins origins,
       Supplier<RoutingView> view,
+      KeyProofs keyProofs,
       LoopLag lag,
       EventLog log,
       MeshMetrics metrics) {
@@ -99,6 +103,7 @@
     this.links = links;
     this.origins = origins;
     this.view = view;
+    this.keyProofs = keyProofs;
     this.lag = lag;
     this.log = log;
     this.metrics = metrics;
@@ -128,14 +133,22 @@
       reject(exchange, id, 404, "no route in configuration " + current.version());
       return;
     }
+    List<String> authorization = exchange.headers(AUTHORIZATION);
+    boolean keysAreValid = authorization.isEmpty() || keyProofs.cover(current);
+    if (!keysAreValid && !route.get().policy().publicAccess()) {
+      refuse(exchange, id, KeyProofs.REFUSAL, DEFAULT_RETRY_AFTER_SECONDS);
+      return;
+    }
     CallerIdentity caller =
         CallerIdentity.of(
-            exchange.headers(AUTHORIZATION), current.table().get().accounts(), route.get());
+            keysAreValid ? authorization : List.of(),
+            current.table().get().accounts(),
+            route.get());
     if (caller == CallerIdentity.UNKNOWN) {
       reject(exchange, id, 401, "no client account holds the key of the request");
       return;
     }
-    RequestOrigin origin = origins.of(caller, route.get());
+    RequestOrigin origin = origins.of(caller, !authorization.isEmpty(), route.get());
     Optional<Duration> retryAfter =
         LagLimit.retryAfter(origin.nested() ? 0 : caller.priorityOn(route.get()), lag.value());
     if (retryAfter.isPresent()) {
@@ -161,6 +174,12 @@
       refuse(exchange, id, "node stops", DEFAULT_RETRY_AFTER_SECONDS);
       return;
     }
+    String service = selectService(route.get());
+    HomeRegions homeRegions = homeRegions(route.get(), caller);
+    if (homeRegions.isRestricted() && !hasTargetOf(service, homeRegions)) {
+      refuse(exchange, id, NO_HOME_TARGET + service, DEFAULT_RETRY_AFTER_SECONDS);
+      return;
+    }
     EntryCall call =
         new EntryCall(
             this,
@@ -169,7 +188,7 @@
             route.get(),
             caller,
             origin,
-            selectService(route.get()),
+            service,
             new EntryCall.Times(arrivedAt, goal, deadline));
     calls.add(call);
     call.start();
@@ -271,17 +290,27 @@
   }
 
   Optional<ServiceBalancer.ChosenTarget> place(
-      String service, Set<String> triedInstances, boolean preferNearest) {
+      String service, HomeRegions homeRegions, Set<String> triedInstances, boolean preferNearest) {
     return balancer.chooseTarget(
         links.index(),
         service,
         Optional.ofNullable(view.get().rules().get(service)),
-        new ServiceBalancer.Context(settings.locality(), triedInstances, preferNearest, now()),
+        new ServiceBalancer.Context(
+            settings.locality(), triedInstances, preferNearest, homeRegions, now()),
         random);
   }
 
-  boolean hasTargetOf(String service) {
-    return !links.index().serving(service).isEmpty();
+  /** Returns the regions in which a call may run by the configuration in force. */
+  HomeRegions homeRegions(Route route, CallerIdentity caller) {
+    return view.get()
+        .table()
+        .map(table -> table.homeRegions(route, caller.account()))
+        .orElse(HomeRegions.ANY);
+  }
+
+  boolean hasTargetOf(String service, HomeRegions homeRegions) {
+    return links.index().serving(service).stream()
+        .anyMatch(target -> homeRegions.allows(target.locality()));
   }
 
   Instant now() {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -1,8 +1,6 @@
 package org.cuminlatch.node.mesh;
 
 import io.netty.channel.EventLoop;
-import io.netty.util.NetUtil;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -13,11 +11,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.ConfigurationPullSchedule;
@@ -32,13 +30,17 @@
 import org.cuminlatch.core.target.TargetReport;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Item;
+import org.cuminlatch.node.mesh.KeyedStore.Page;
 import org.cuminlatch.node.mesh.KeyedStore.Stream;
 import org.cuminlatch.wire.proto.call.Begin;
 import org.cuminlatch.wire.proto.call.CallFrame;
 import org.cuminlatch.wire.proto.call.ConfigRecord;
+import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.MoveEvidence;
 import org.cuminlatch.wire.proto.call.MoveFact;
 import org.cuminlatch.wire.proto.call.TargetStatus;
+import org.cuminlatch.wire.proto.call.ValidityAnswer;
+import org.cuminlatch.wire.proto.call.ValidityQuery;
 
 /**
  * Maintains the control state of a node: the configuration in force, the other nodes and the local
@@ -84,8 +86,6 @@
   /** Period of the evidence of targets of old versions, in ticks of the moves. */
   private static final int OLD_VERSION_EVIDENCE_TICKS = 2;
 
-  private static final Duration REGISTER_RETRY_DELAY = Duration.ofMillis(500);
-
   private final MeshSettings settings;
   private final EventLoop control;
   private final EventLoop traffic;
@@ -93,10 +93,11 @@
   private final EventLog log;
   private final KeyedStore store;
   private final OperatorRecordCodec recordCodec;
-  private final Set<Address> nodeAddresses = new HashSet<>();
+  private final NodeDirectory nodes;
   private final LocalTarget target;
   private final ExitRelay exitRelay;
   private final MoveControl moves;
+  private final EvacuationControl evacuations;
   private final Map<String, TargetStatus> peerStatuses = new HashMap<>();
 
   /** Nodes whose connections are silent, so that they may have ended. */
@@ -108,7 +109,6 @@
   private final ConfigurationPullSchedule pullSchedule = new ConfigurationPullSchedule();
   private boolean versionUpdateScheduled;
   private final Set<Stream> lostStreams = EnumSet.noneOf(Stream.class);
-  private boolean registered;
   private int evidenceTicks;
   private volatile Instant coldUntil = Instant.MIN;
   private volatile boolean movesActive;
@@ -117,9 +117,12 @@
   private SlotGate gate;
   private PeerLinks links;
   private LocalLink localLink;
+  private KeyProofs keyProofs;
+  private StoreFollower operatorFollower;
   private volatile RoutingView view = RoutingView.EMPTY;
   private volatile boolean stopping;
   private volatile TargetStatus status;
+  private TargetStatus sentStatus;
 
   MeshControl(
       MeshSettings settings,
@@ -139,7 +142,17 @@
     this.store = store;
     this.recordCodec = recordCodec;
     this.status = TargetStatus.getDefaultInstance();
+    this.sentStatus = status;
     this.target = new LocalTarget(settings.peers().toString(), control, store, log, gateControl());
+    this.nodes =
+        new NodeDirectory(
+            settings.peers(),
+            settings.node(),
+            control,
+            store,
+            log,
+            peerStatuses::containsKey,
+            known -> traffic.execute(() -> links.setNodes(known)));
     this.exitRelay =
         new ExitRelay(
             settings.node(),
@@ -158,6 +171,31 @@
             log,
             this::allStatuses,
             rules -> view = view.withRules(rules));
+    this.evacuations =
+        new EvacuationControl(clock, log, recordCodec, this::readsForZone, evacuationListener());
+  }
+
+  private EvacuationControl.Listener evacuationListener() {
+    return new EvacuationControl.Listener() {
+      @Override
+      public void onEvacuatedZones(Set<String> zones) {
+        traffic.execute(
+            () -> {
+              links.setEvacuatedZones(zones);
+              gate.setEvacuated(zones.contains(settings.locality().zone()));
+            });
+      }
+
+      @Override
+      public void onStatusChange() {
+        status = describe();
+      }
+
+      @Override
+      public void tellAll() {
+        sendStatus();
+      }
+    };
   }
 
   /** Returns the handler of the local target's reports. */
@@ -202,23 +240,28 @@
     return all;
   }
 
-  void connect(SlotGate slotGate, PeerLinks peerLinks, LocalLink link) {
+  void connect(SlotGate slotGate, PeerLinks peerLinks, LocalLink link, KeyProofs proofs) {
     gate = slotGate;
+    keyProofs = proofs;
     links = peerLinks;
     localLink = link;
     status = describe();
+    sentStatus = status;
   }
 
   void start() {
     control.execute(
         () -> {
           target.readStored();
-          moves.readStatements();
-          newFollower(operatorSubscription(), this::onOperatorRecord, () -> {}).start();
-          newFollower(nodeSubscription(), this::onNodeRecord, this::onNodesRead).start();
+          operatorFollower =
+              newFollower(
+                  operatorSubscription(), this::onStoredOperatorRecord, keyProofs::onStoreRead);
+          operatorFollower.start();
+          newFollower(nodeSubscription(), nodes::onRecord, (page, askedAt) -> nodes.onPageRead())
+              .start();
         });
     control.scheduleWithFixedDelay(
-        this::pullIfBehind,
+        this::checkPeers,
         PULL_CHECK_INTERVAL.toMillis(),
         PULL_CHECK_INTERVAL.toMillis(),
         TimeUnit.MILLISECONDS);
@@ -248,19 +291,39 @@
   private StoreFollower.Subscription operatorSubscription() {
     return new StoreFollower.Subscription(
         Stream.OPERATOR,
-        CONFIGURATION_WAIT_TIMEOUT,
+        configurationWait(),
         CONFIGURATION_FIRST_DELAY,
         CONFIGURATION_BATCH_DELAY,
+        settings.revocationBound().isPresent(),
         this::readsForZone);
   }
 
+  /**
+   * Returns a shorter wait if keys must be refused sooner, as a read proves what held before it.
+   */
+  private Duration configurationWait() {
+    Duration longest =
+        settings
+            .revocationBound()
+            .map(bound -> bound.multipliedBy(3).dividedBy(10))
+            .orElse(CONFIGURATION_WAIT_TIMEOUT);
+    return longest.compareTo(CONFIGURATION_WAIT_TIMEOUT) < 0 ? longest : CONFIGURATION_WAIT_TIMEOUT;
+  }
+
   private StoreFollower.Subscription nodeSubscription() {
     return new StoreFollower.Subscription(
-        Stream.NODES, NODES_WAIT_TIMEOUT, NODES_FIRST_DELAY, NODES_BATCH_DELAY, () -> true);
+        Stream.NODES,
+        NODES_WAIT_TIMEOUT,
+        NODES_FIRST_DELAY,
+        NODES_BATCH_DELAY,
+        false,
+        this::readsForZone);
   }
 
   private StoreFollower newFollower(
-      StoreFollower.Subscription subscription, Consumer<Item> itemConsumer, Runnable afterPage) {
+      StoreFollower.Subscription subscription,
+      Consumer<Item> itemConsumer,
+      BiConsumer<Page, Duration> afterPage) {
     StoreFollower.ItemListener listener =
         new StoreFollower.ItemListener() {
           @Override
@@ -269,8 +332,15 @@
           }
 
           @Override
-          public void onPageRead() {
-            afterPage.run();
+          public void onNewestRead(Page page) {
+            if (subscription.stream() == Stream.OPERATOR) {
+              evacuations.onNewestRead(page);
+            }
+          }
+
+          @Override
+          public void onPageRead(Page page, Duration askedAt) {
+            afterPage.accept(page, askedAt);
           }
 
           @Override
@@ -278,7 +348,18 @@
             MeshControl.this.updateLostStreams(subscription.stream(), lost);
           }
         };
-    return new StoreFollower(control, store, subscription, random, log, listener);
+    return new StoreFollower(
+        control, store, subscription, random, log, keyProofs.clock(), listener);
+  }
+
+  /** Reads the operators' records once, unless the store is known to be lost. */
+  void readOperatorRecords() {
+    control.execute(
+        () -> {
+          if (lostStreams.isEmpty()) {
+            operatorFollower.readNow();
+          }
+        });
   }
 
   private void updateLostStreams(Stream stream, boolean lost) {
@@ -315,6 +396,7 @@
 
   private void onPeerStatus(TargetStatus peer, Address node) {
     peerStatuses.put(peer.getNode(), peer);
+    evacuations.onStatus(peer);
     updateObservedNodes();
     exitRelay.onStatus(peer, node);
     writeExitsOfOthers();
@@ -389,14 +471,23 @@
     }
   }
 
-  private void onOperatorRecord(Item item) {
+  private void onStoredOperatorRecord(Item item) {
+    if (!evacuations.onRecord(item)) {
+      onOperatorRecord(item)
+          .flatMap(OperatorRecordCodec.Decoded::configuration)
+          .ifPresent(snapshot -> keyProofs.onStoredVersion(snapshot.version()));
+    }
+  }
+
+  private Optional<OperatorRecordCodec.Decoded> onOperatorRecord(Item item) {
     Optional<OperatorRecordCodec.Decoded> decoded = recordCodec.decode(item);
     if (decoded.isEmpty()) {
       log.event("record-ignored").with("key", item.key()).with("offset", item.offset()).write();
-      return;
+      return decoded;
     }
     decoded.get().configuration().ifPresent(snapshot -> applyConfiguration(snapshot, item));
     decoded.get().order().ifPresent(moves::onOrder);
+    return decoded;
   }
 
   private void applyConfiguration(Snapshot snapshot, Item item) {
@@ -422,6 +513,11 @@
     }
   }
 
+  private void checkPeers() {
+    evacuations.tick();
+    pullIfBehind();
+  }
+
   /** Requests a configuration that the store has not delivered from the nearest node with it. */
   private void pullIfBehind() {
     long own = view.version();
@@ -448,48 +544,6 @@
     return distance(peer) == Distance.SAME_ZONE;
   }
 
-  private void onNodeRecord(Item item) {
-    Address address = Address.parse(item.key());
-    if (!NetUtil.isValidIpV4Address(address.host())
-        && !NetUtil.isValidIpV6Address(address.host())) {
-      // a name would have to be looked up on the traffic loop
-      throw new IllegalArgumentException("address of a node must have a numeric host");
-    }
-    if (address.equals(settings.peers())) {
-      registered = item.value().length > 0;
-    } else if (item.value().length == 0) {
-      nodeAddresses.remove(address);
-    } else {
-      nodeAddresses.add(address);
-    }
-  }
-
-  private void onNodesRead() {
-    if (!registered) {
-      registered = true;
-      register();
-    }
-    Set<Address> known = Set.copyOf(nodeAddresses);
-    traffic.execute(() -> links.setNodes(known));
-  }
-
-  /** Stores the node's address, only once because it stays the same across restarts. */
-  private void register() {
-    store
-        .append(
-            Stream.NODES,
-            settings.peers().toString(),
-            settings.node().getBytes(StandardCharsets.UTF_8),
-            OptionalLong.empty())
-        .whenComplete(
-            (end, error) -> {
-              if (error != null) {
-                control.schedule(
-                    this::register, REGISTER_RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
-              }
-            });
-  }
-
   private CompletableFuture<Void> onTraffic(Runnable task) {
     return CompletableFuture.runAsync(task, traffic);
   }
@@ -503,16 +557,21 @@
             .setNodeStops(stopping)
             .setConfigVersion(view.version())
             .setStoreLost(!lostStreams.isEmpty());
+    evacuations.describe(built);
     return target.describe(built, !gate.isAbsent()).build();
   }
 
   /** Publishes the status of node and target to the traffic loop and all connected nodes. */
   private void publishStatus() {
-    TargetStatus described = describe();
-    if (described.equals(status)) {
-      return;
+    status = describe();
+    if (!status.equals(sentStatus)) {
+      sendStatus();
     }
-    status = described;
+  }
+
+  private void sendStatus() {
+    TargetStatus described = status;
+    sentStatus = described;
     traffic.execute(
         () -> {
           // a stopping node still sends calls of its own callers to its local target
@@ -546,6 +605,11 @@
         control.execute(() -> target.onExitConfirmed(token, peer));
       }
 
+      @Override
+      public void onHello(Hello hello) {
+        control.execute(() -> nodes.onHello(hello));
+      }
+
       @Override
       public void onTargetReplaced() {
         evidence.clear();
@@ -561,6 +625,11 @@
         return moveFacts.isEmpty() ? Optional.empty() : Optional.of(evidenceFrame());
       }
 
+      @Override
+      public Optional<CallFrame> validityAnswer(ValidityQuery query) {
+        return keyProofs.answer(query);
+      }
+
       @Override
       public TargetStatus targetStatus() {
         return status;
@@ -597,6 +666,11 @@
         control.execute(() -> onPeerRecord(record));
       }
 
+      @Override
+      public void onValidityAnswer(ValidityAnswer answer, String node) {
+        keyProofs.onAnswer(answer, node);
+      }
+
       @Override
       public void onEvidence(CallFrame frame) {
         control.execute(() -> moves.onEvidence(frame.getEvidence()));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -29,6 +29,7 @@
 import org.cuminlatch.node.http.HttpServer;
 import org.cuminlatch.node.http.ServerExchange;
 import org.cuminlatch.wire.call.CallTransport;
+import org.cuminlatch.wire.proto.call.Hello;
 
 /**
  * Runs a node on an operator's platform, with traffic on one event loop and control state on
@@ -111,7 +112,10 @@
             metrics,
             control.gateCallback());
     CallTransport transport = CallTransport.withGroup(trafficGroup);
-    this.links = new PeerLinks(transport, random, log, control.peerListener());
+    this.links = new PeerLinks(transport, hello(settings), random, log, control.peerListener());
+    KeyProofs keyProofs =
+        new KeyProofs(
+            settings, traffic, links, control::view, control::readOperatorRecords, log, metrics);
     this.entry =
         new EntryHandler(
             traffic,
@@ -121,10 +125,11 @@
             links,
             new CallOrigins(gate::runsUntil),
             control::view,
+            keyProofs,
             lag,
             log,
             metrics);
-    control.connect(gate, links, new LocalLink(traffic, gate));
+    control.connect(gate, links, new LocalLink(traffic, gate), keyProofs);
     this.callers =
         HttpServer.listen(
             trafficGroup, socketAddress(settings.callers()), configuredLimits(), log, entry);
@@ -137,12 +142,14 @@
     HttpServer.listen(
         controlGroup, socketAddress(settings.metrics()), defaultLimits(), log, this::serveMetrics);
     addGauges();
+    gauge("key_proof_age_seconds", keyProofs::ageSeconds);
     repeat(
         SWEEP_INTERVAL,
         () -> {
           lag.tick();
           logLagChange();
           gate.sweep();
+          keyProofs.tick();
         });
     repeat(LINK_CHECK_INTERVAL, links::check);
     control.start();
@@ -214,6 +221,13 @@
     return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   }
 
+  private static Hello hello(MeshSettings settings) {
+    return Hello.newBuilder()
+        .setAddress(settings.peers().toString())
+        .setNode(settings.node())
+        .build();
+  }
+
   private static InetSocketAddress socketAddress(Address address) {
     return new InetSocketAddress(address.host(), address.port());
   }
@@ -262,6 +276,7 @@
     gauge("gate_waiting", gate::waiting);
     gauge("target_limit_per_second", () -> gate.limitPerSecond().orElse(-1));
     gauge("links_open", links::openLinks);
+    gauge("zones_evacuated", links::evacuatedZones);
     gauge("loop_lag_seconds", () -> lag.value().toNanos() / 1e9);
     gauge("entry_oldest_call_seconds", () -> entry.oldestCall().toMillis() / 1000.0);
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -22,9 +22,11 @@
 import org.cuminlatch.wire.proto.call.CallFrame;
 import org.cuminlatch.wire.proto.call.ConfigPull;
 import org.cuminlatch.wire.proto.call.ConfigRecord;
+import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.Ping;
 import org.cuminlatch.wire.proto.call.TargetPhase;
 import org.cuminlatch.wire.proto.call.TargetStatus;
+import org.cuminlatch.wire.proto.call.ValidityAnswer;
 
 /**
  * Maintains the connections to the gates of all other nodes; used on the traffic loop.
@@ -59,6 +61,7 @@
   private static final int MAX_EXCLUDED = 1024;
 
   private final CallTransport transport;
+  private final CallFrame hello;
   private final RandomGenerator random;
   private final EventLog log;
   private final PeerListener listener;
@@ -69,10 +72,17 @@
   private TargetLink localLink;
   private Set<String> observedNodes = Set.of();
   private final Set<TargetExit> excluded = new LinkedHashSet<>();
+  private Set<String> evacuatedZones = Set.of();
   private ServiceIndex index = ServiceIndex.of(List.of());
 
-  PeerLinks(CallTransport transport, RandomGenerator random, EventLog log, PeerListener listener) {
+  PeerLinks(
+      CallTransport transport,
+      Hello hello,
+      RandomGenerator random,
+      EventLog log,
+      PeerListener listener) {
     this.transport = transport;
+    this.hello = CallFrame.newBuilder().setHello(hello).build();
     this.random = random;
     this.log = log;
     this.listener = listener;
@@ -93,6 +103,9 @@
 
     /** Called when a node sends the configuration that was requested from it. */
     void onConfiguration(ConfigRecord record);
+
+    /** Called when a node answers a query about the validity of keys. */
+    void onValidityAnswer(ValidityAnswer answer, String node);
   }
 
   /** Sets the local target, empty while it takes no requests. */
@@ -102,6 +115,16 @@
     rebuild();
   }
 
+  /** Sends no more calls to targets in evacuated zones. */
+  void setEvacuatedZones(Set<String> zones) {
+    evacuatedZones = zones;
+    rebuild();
+  }
+
+  int evacuatedZones() {
+    return evacuatedZones.size();
+  }
+
   /**
    * Sends no more calls to a target that leaves. It stays excluded also if its node, which may have
    * been restarted since, reports it as ready.
@@ -187,6 +210,13 @@
     return Optional.ofNullable(linkByInstance.get(instance));
   }
 
+  /** Returns the links to nodes whose status is known and that are not silent. */
+  List<PeerLink> responsive() {
+    return links.values().stream()
+        .filter(link -> link.isOpen() && !link.isSuspect() && link.status().isPresent())
+        .toList();
+  }
+
   int openLinks() {
     return (int) links.values().stream().filter(PeerLink::isOpen).count();
   }
@@ -247,6 +277,7 @@
               } else if (links.get(link.address()) == link) {
                 link.onConnected(channel);
                 linkByChannel.put(channel, link);
+                channel.send(hello);
               } else {
                 channel.close();
               }
@@ -269,6 +300,9 @@
       case STATUS -> updateStatus(link, frame.getStatus());
       case EVIDENCE -> listener.onEvidence(frame);
       case CONFIG_RECORD -> listener.onConfiguration(frame.getConfigRecord());
+      case VALIDITY_ANSWER ->
+          listener.onValidityAnswer(
+              frame.getValidityAnswer(), link.status().map(TargetStatus::getNode).orElse(""));
       case PONG -> {}
       default -> link.dispatch(frame, CallFrames.attempt(frame));
     }
@@ -298,7 +332,7 @@
   }
 
   private static TargetStatus targetFields(TargetStatus status) {
-    return status.toBuilder().clearConfigVersion().clearStoreLost().build();
+    return status.toBuilder().clearConfigVersion().clearStoreLost().clearZones().build();
   }
 
   @Override
@@ -336,7 +370,8 @@
   }
 
   private void addMember(Member target, TargetLink link, List<Member> members) {
-    if (!excluded.contains(startOf(target))) {
+    boolean evacuated = evacuatedZones.contains(target.locality().zone());
+    if (!evacuated && !excluded.contains(startOf(target))) {
       members.add(target);
       linkByInstance.put(target.instance(), link);
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -40,11 +40,13 @@
 import org.cuminlatch.wire.proto.call.Cancelled;
 import org.cuminlatch.wire.proto.call.Failure;
 import org.cuminlatch.wire.proto.call.FailureReason;
+import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.Load;
 import org.cuminlatch.wire.proto.call.Pong;
 import org.cuminlatch.wire.proto.call.Refusal;
 import org.cuminlatch.wire.proto.call.RefusalReason;
 import org.cuminlatch.wire.proto.call.TargetStatus;
+import org.cuminlatch.wire.proto.call.ValidityQuery;
 
 /**
  * Gate of the local target: assigns the target's slots to attempts and sends them to the target.
@@ -99,6 +101,7 @@
   private Optional<StopAdmission> stop = Optional.empty();
   private boolean open;
   private boolean absent;
+  private boolean evacuated;
   private int connectFailures;
   private int running;
   private Instant lastAnswerAt;
@@ -145,6 +148,9 @@
      */
     void onExitConfirmed(long token, String peer);
 
+    /** Called when another node opens a connection. */
+    void onHello(Hello hello);
+
     /** Called when the local target was replaced, restarted or given another number of slots. */
     void onTargetReplaced();
 
@@ -154,6 +160,11 @@
     /** Returns the frame with the evidence on moves for a node that connects. */
     Optional<CallFrame> moveEvidenceFrame();
 
+    /**
+     * Returns the frame that answers a query about the validity of keys, empty if there is none.
+     */
+    Optional<CallFrame> validityAnswer(ValidityQuery query);
+
     /** Returns the status that is sent to a node that connects. */
     TargetStatus targetStatus();
   }
@@ -187,6 +198,17 @@
     stop = Optional.of(admission);
   }
 
+  /**
+   * Refuses waiting and new attempts while the zone of the target is evacuated; those that the
+   * target executes continue.
+   */
+  void setEvacuated(boolean newEvacuated) {
+    evacuated = newEvacuated;
+    if (evacuated) {
+      refuseWaiting(RefusalReason.DRAINING);
+    }
+  }
+
   /** Called on a report of the target, which shows that it may be reachable again. */
   void markReachable() {
     connectFailures = 0;
@@ -256,7 +278,10 @@
           find(id).ifPresent(attempt -> addCredit(attempt, frame.getCredit().getBytes()));
       case CANCEL -> cancel(channel, id);
       case CONFIG_PULL -> callback.configurationFrame().ifPresent(channel::send);
+      case VALIDITY_QUERY ->
+          callback.validityAnswer(frame.getValidityQuery()).ifPresent(channel::send);
       case PING -> onPing(channel, frame.getPing().getNonce());
+      case HELLO -> callback.onHello(frame.getHello());
       default -> channel.close();
     }
   }
@@ -358,6 +383,10 @@
     if (!begin.getExpectedInstance().equals(report.get().instance())) {
       return Optional.of(RefusalReason.TARGET_REPLACED);
     }
+    if (evacuated) {
+      metrics.countEvacuated();
+      return Optional.of(RefusalReason.DRAINING);
+    }
     if (!open || mayOutlastNode(attempt)) {
       return Optional.of(RefusalReason.DRAINING);
     }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/CallOriginsTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/CallOriginsTests.java
@@ -35,7 +35,8 @@
           "orders",
           CallLimits.defaults(),
           Optional.empty(),
-          new RoutePolicy(Repeatability.BY_METHOD, CallLimits.MAX_TIMEOUT, 0, List.of(), true));
+          new RoutePolicy(
+              Repeatability.BY_METHOD, CallLimits.MAX_TIMEOUT, 0, List.of(), true, Set.of()));
 
   private final CallOrigins origins = new CallOrigins(RUNS_UNTIL::equals);
 
@@ -49,24 +50,39 @@
                     "large",
                     Set.of("key-1"),
                     OptionalInt.empty(),
-                    Optional.of(new ClientAccount.Quota(288, 288)))),
+                    Optional.of(new ClientAccount.Quota(288, 288)),
+                    Set.of())),
             "secret");
 
     @Test
     void isTheAccountWithItsQuotaAsWeight() {
       CallerIdentity caller = CallerIdentity.of(List.of("Bearer key-1"), accounts, KEYED);
 
-      assertThat(origins.of(caller, KEYED), is(new RequestOrigin(false, "large", 288)));
+      assertThat(origins.of(caller, true, KEYED), is(new RequestOrigin(false, "large", 288)));
     }
 
     @Test
     void isTheTargetOnPublicRouteWithoutKey() {
       CallerIdentity caller = CallerIdentity.of(List.of(), accounts, PUBLIC);
 
-      assertThat(origins.of(caller, PUBLIC), is(new RequestOrigin(true, "", 0)));
+      assertThat(origins.of(caller, false, PUBLIC), is(new RequestOrigin(true, "", 0)));
     }
   }
 
+  /** A client whose key can't be verified at present must not go before others. */
+  @Test
+  void isClientOnPublicRouteWithKeyThatIsNotVerified() {
+    AccountDirectory accounts =
+        AccountDirectory.of(
+            List.of(
+                new ClientAccount(
+                    "one", Set.of("key-1"), OptionalInt.empty(), Optional.empty(), Set.of())),
+            "secret");
+    CallerIdentity caller = CallerIdentity.of(List.of(), accounts, PUBLIC);
+
+    assertThat(origins.of(caller, true, PUBLIC), is(RequestOrigin.CLIENT));
+  }
+
   @Nested
   class WithoutClientAccounts {
 
@@ -77,7 +93,7 @@
     void isClientAtFirst() {
       origins.observe(caller, KEYED, RUNS_UNTIL);
 
-      assertThat(origins.of(caller, KEYED), is(RequestOrigin.CLIENT));
+      assertThat(origins.of(caller, false, KEYED), is(RequestOrigin.CLIENT));
     }
 
     @Test
@@ -86,8 +102,8 @@
         origins.observe(caller, KEYED, RUNS_UNTIL);
       }
 
-      assertThat(origins.of(caller, KEYED), is(new RequestOrigin(true, "", 0)));
-      assertThat(origins.of(caller, PUBLIC), is(RequestOrigin.CLIENT));
+      assertThat(origins.of(caller, false, KEYED), is(new RequestOrigin(true, "", 0)));
+      assertThat(origins.of(caller, false, PUBLIC), is(RequestOrigin.CLIENT));
     }
 
     @Test
@@ -96,7 +112,7 @@
         origins.observe(caller, KEYED, OTHER);
       }
 
-      assertThat(origins.of(caller, KEYED), is(RequestOrigin.CLIENT));
+      assertThat(origins.of(caller, false, KEYED), is(RequestOrigin.CLIENT));
     }
   }
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrameOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrameOrBuilder.java
@@ -247,5 +247,50 @@
    */
   org.cuminlatch.wire.proto.call.ConfigRecordOrBuilder getConfigRecordOrBuilder();
 
+  /**
+   * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+   * @return Whether the validityQuery field is set.
+   */
+  boolean hasValidityQuery();
+  /**
+   * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+   * @return The validityQuery.
+   */
+  org.cuminlatch.wire.proto.call.ValidityQuery getValidityQuery();
+  /**
+   * <code>.cuminlatch.call.ValidityQuery validity_query = 18;</code>
+   */
+  org.cuminlatch.wire.proto.call.ValidityQueryOrBuilder getValidityQueryOrBuilder();
+
+  /**
+   * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+   * @return Whether the validityAnswer field is set.
+   */
+  boolean hasValidityAnswer();
+  /**
+   * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+   * @return The validityAnswer.
+   */
+  org.cuminlatch.wire.proto.call.ValidityAnswer getValidityAnswer();
+  /**
+   * <code>.cuminlatch.call.ValidityAnswer validity_answer = 19;</code>
+   */
+  org.cuminlatch.wire.proto.call.ValidityAnswerOrBuilder getValidityAnswerOrBuilder();
+
+  /**
+   * <code>.cuminlatch.call.Hello hello = 22;</code>
+   * @return Whether the hello field is set.
+   */
+  boolean hasHello();
+  /**
+   * <code>.cuminlatch.call.Hello hello = 22;</code>
+   * @return The hello.
+   */
+  org.cuminlatch.wire.proto.call.Hello getHello();
+  /**
+   * <code>.cuminlatch.call.Hello hello = 22;</code>
+   */
+  org.cuminlatch.wire.proto.call.HelloOrBuilder getHelloOrBuilder();
+
   org.cuminlatch.wire.proto.call.CallFrame.KindCase getKindCase();
 }
