Count only contact with the store as confirming its era

Cause: a status of another node that names the known era counted as contact with the store in that era. In a part of the mesh that is cut off, nodes tell each other old eras, so that what was written before the cut looked safe.

Change: StoreEras.recordTold learns a later era from a node, but confirms none.

Result: the new case of StoreErasTests fails with the old rule; that class and the era cases of cuminlatch-node pass.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/store/StoreEras.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/store/StoreEras.java
@@ -21,9 +21,10 @@
 
   /**
    * Maximum age of the copy for records that nobody else writes again. The copy is some seconds
-   * old. A node may take the store for reachable for up to 11 s after its loss: 6 s until a reader
-   * says that it has lost it, 5 s until a silent connection to that reader is noticed. A minute
-   * leaves a margin for a copy of up to 49 s, at few writes, as such records are rare.
+   * old. A node may take the store for reachable for up to 18 s after its loss: 6 s until a reader
+   * says that it has lost it, 6 s until the nodes that read in its place do, 6 s until a silent
+   * connection to them is noticed. A minute leaves 42 s for the copy in this worst case, at few
+   * writes, as such records are rare.
    */
   public static final Duration MAX_COPY_AGE = Duration.ofSeconds(60);
 
@@ -31,7 +32,8 @@
    * Age of the copy for records that each node writes at its start, and whose loss is made up for
    * otherwise: a node announces its address on each connection and stores it at its next start, a
    * target reports again within seconds. All nodes may have started within the last minute, and the
-   * calls of a whole fleet cost more than the rare copy that is older.
+   * calls of a whole fleet cost more than the rare loss. A store that is away for 8 s and noticed 2
+   * s after its return leaves 10 s for the copy.
    */
   public static final Duration USUAL_COPY_AGE = Duration.ofSeconds(20);
 
@@ -50,26 +52,40 @@
   public StoreEras() {}
 
   /**
-   * Records the era that a response of the store or another node has named.
+   * Records the era that a response of the store has named.
    *
    * @param named the era; an earlier one than the known era is ignored
    * @param now current time
    * @return whether the store has returned from an older copy since this node knew its era
    */
   public boolean record(long named, Instant now) {
+    boolean returned = recordTold(named, now);
+    if (named == era) {
+      contactAt = now;
+    }
+    return returned;
+  }
+
+  /**
+   * Records the era that another node has named, which may have learned of it long ago.
+   *
+   * @param named the era; an earlier one than the known era is ignored
+   * @param now current time
+   * @return whether the store has returned from an older copy since this node knew its era
+   */
+  public boolean recordTold(long named, Instant now) {
     notNegative(named, "named");
     notNull(now, "now");
-    if (named < era || named == NO_ERA) {
+    if (named <= era) {
       return false;
     }
-    boolean changed = era != NO_ERA && named > era;
-    if (changed) {
+    boolean returned = era != NO_ERA;
+    if (returned) {
       lastContactBefore = contactAt;
       changedAt = now;
     }
     era = named;
-    contactAt = now;
-    return changed;
+    return returned;
   }
 
   /**
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/store/StoreErasTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/store/StoreErasTests.java
@@ -80,6 +80,16 @@
       assertThat(mayBeLost(29, 1), is(true));
     }
 
+    /** Guards against a loss in a part of the mesh that was cut off and knew of no return. */
+    @Test
+    void mayBeLostAlthoughOtherNodesHaveNamedTheEarlierEraSince() {
+      eras.record(1, at(0));
+      eras.recordTold(1, at(490));
+      eras.recordTold(2, at(500));
+
+      assertThat(mayBeLost(1, 1), is(true));
+    }
+
     /** Guards against a loss if the response to a write arrives after the node knows the era. */
     @Test
     void mayBeLostIfTheirResponseIsOfAnEarlierEra() {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -263,7 +263,7 @@
 
   void start() {
     eras.listen(this::onStoreReturned);
-    store.listenForEra(era -> eras.onEra(era, "store"));
+    store.listenForEra(eras::onStoreEra);
     control.execute(
         () -> {
           target.readStored();
@@ -387,7 +387,7 @@
 
           @Override
           public void onPageRead(Page page, Duration askedAt) {
-            eras.onEra(page.eraOrNone(), "store");
+            eras.onStoreEra(page.eraOrNone());
             afterPage.accept(page, askedAt);
           }
 
@@ -444,7 +444,7 @@
 
   private void onPeerStatus(TargetStatus peer, Address node) {
     peerStatuses.put(peer.getNode(), peer);
-    eras.onEra(peer.getStoreEra(), peer.getNode());
+    eras.onPeerEra(peer.getStoreEra(), peer.getNode());
     evacuations.onStatus(peer);
     updateObservedNodes();
     exitRelay.onStatus(peer, node);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreEraControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreEraControl.java
@@ -46,20 +46,26 @@
     listeners.add(listener);
   }
 
-  /**
-   * Handles the era that the store or another node has named.
-   *
-   * @param era the era, {@link StoreEras#NO_ERA} for none
-   * @param source the store or the name of the node
-   */
-  void onEra(long era, String source) {
-    boolean returned = eras.record(era, clock.instant());
+  /** Handles the era that a response of the store has named. */
+  void onStoreEra(long era) {
+    if (eras.record(era, clock.instant())) {
+      onReturned("store");
+    }
     latest = eras.latest();
-    if (!returned) {
-      return;
+  }
+
+  /** Handles the era that another node has named. */
+  void onPeerEra(long era, String node) {
+    if (eras.recordTold(era, clock.instant())) {
+      onReturned(node);
     }
+    latest = eras.latest();
+  }
+
+  private void onReturned(String source) {
+    latest = eras.latest();
     returns++;
-    log.event("store-returned").with("era", era).with("source", source).write();
+    log.event("store-returned").with("era", latest).with("source", source).write();
     listeners.forEach(this::notifyOf);
   }
 
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/ExitRelayTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/ExitRelayTests.java
@@ -197,11 +197,11 @@
   private void returnAfterWrite(boolean writesItself) throws InterruptedException {
     store.era = 1;
     eras.listen(() -> relay.onStoreReturned(leaver -> writesItself));
-    loop.submit(() -> eras.onEra(1, "store")).sync();
+    loop.submit(() -> eras.onStoreEra(1)).sync();
     receive(status(TargetPhase.LEAVING, true), true);
     GateFixture.await(() -> confirmed.size() == 1);
     store.era = 2;
-    loop.submit(() -> eras.onEra(2, "store")).sync();
+    loop.submit(() -> eras.onStoreEra(2)).sync();
   }
 
   /** Records the keys of all writes, which fail on request. */
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
@@ -209,7 +209,7 @@
       store.items = Optional.of(List.of());
       store.era = OptionalLong.of(1);
       eras.listen(target::onStoreReturned);
-      loop.submit(() -> eras.onEra(1, "store")).sync();
+      loop.submit(() -> eras.onStoreEra(1)).sync();
       start();
       reportReady();
       GateFixture.await(() -> store.written.contains(TargetPhase.READY));
@@ -218,7 +218,7 @@
     private void loseAll() throws InterruptedException {
       store.written.clear();
       store.era = OptionalLong.of(2);
-      loop.submit(() -> eras.onEra(2, "store")).sync();
+      loop.submit(() -> eras.onStoreEra(2)).sync();
     }
 
     /** Guards against a target without calls after a restart of its node. */
@@ -258,7 +258,7 @@
       assertThat(isDeregistrationAcknowledged(), is(true));
       store.era = OptionalLong.empty();
 
-      loop.submit(() -> eras.onEra(2, "other")).sync();
+      loop.submit(() -> eras.onPeerEra(2, "other")).sync();
 
       GateFixture.await(() -> gate.asksOthers);
       assertThat(isDeregistrationAcknowledged(), is(false));
@@ -267,7 +267,7 @@
     /** Guards against an acknowledgement by a response from before the return. */
     @Test
     void isNotToldThatItMayLeaveByAnswerOfAnEarlierEra() throws Exception {
-      loop.submit(() -> eras.onEra(2, "other")).sync();
+      loop.submit(() -> eras.onPeerEra(2, "other")).sync();
 
       assertThat(isDeregistrationAcknowledged(), is(false));
       store.era = OptionalLong.of(2);
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/MoveControlTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/MoveControlTests.java
@@ -77,7 +77,7 @@
     }
 
     void learnOfEra() {
-      run(() -> eras.onEra(store.era(), "store"));
+      run(() -> eras.onStoreEra(store.era()));
     }
 
     void read(long offset, String version) {
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/NodeDirectoryTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/NodeDirectoryTests.java
@@ -67,7 +67,7 @@
     }
 
     void learnOfEra(long era) throws InterruptedException {
-      loop.submit(() -> eras.onEra(era, "store")).sync();
+      loop.submit(() -> eras.onStoreEra(era)).sync();
     }
 
     void hear(String address, String node) throws InterruptedException {
@@ -80,7 +80,7 @@
     void read(Page page) throws InterruptedException {
       loop.submit(
               () -> {
-                eras.onEra(page.eraOrNone(), "store");
+                eras.onStoreEra(page.eraOrNone());
                 page.items().forEach(item -> directory.onRecord(item, page.eraOrNone()));
                 directory.onPageRead();
               })
