Limit the requests to cold targets in the core

A target gets only a limited number of requests per second while it is cold, from all nodes together; it crashes well above that. RequestRateLimit applies it beside the limit that the target names; the bucket of both is now PermitBucket.

ColdTargets leaves a cold target out of most choices of an entry node, so that it is offered a share of the calls that corresponds to its rate.

TargetReport.coldLeft is empty if a report does not say, as the period of the settings applies then.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
@@ -268,7 +268,7 @@
    *     rounded up
    */
   public int effectiveSlots(Instant now) {
-    double used = rateLimit.perSecond().orElse(Double.POSITIVE_INFINITY) * overallMeanNanos / 1e9;
+    double used = rateLimit.permittedPerSecond(now) * overallMeanNanos / 1e9;
     return (int) Math.max(1, Math.min(concurrency(now), Math.ceil(used)));
   }
 
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/RequestRateLimit.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/RequestRateLimit.java
@@ -8,8 +8,8 @@
 import java.util.OptionalDouble;
 
 /**
- * Token bucket for the requests that are sent to one target, at the rate that the target names in
- * its answers.
+ * Limit on the requests that are sent to one target, at the rate that the target names in its
+ * answers, and at that of a cold target.
  *
  * <p>A target that is short of capacity names the number of requests per second that it accepts.
  * The limit applies from the first answer that names it, and ends with an answer that does not name
@@ -21,54 +21,51 @@
  */
 public final class RequestRateLimit {
 
-  /**
-   * Time in which unused permits accumulate. Long enough for requests that arrive together, and
-   * short enough that the target gets no noticeable excess.
-   */
-  static final Duration BURST_INTERVAL = Duration.ofMillis(250);
-
-  /**
-   * Lowest rate in requests per second. A target that names a lower one, or 0, still gets a request
-   * now and then, as only an answer can tell that the limit has ended.
-   */
-  static final double MIN_RATE_PER_SECOND = 0.5;
-
   /** Maximum number of requests at the target before its first answer. */
   static final int MAX_CONCURRENT_BEFORE_ANSWER = 4;
 
   /** Time after the first request after which the first answer is no longer awaited. */
   static final Duration FIRST_ANSWER_TIMEOUT = Duration.ofSeconds(1);
 
-  private static final double NANOS_PER_SECOND = 1e9;
-
-  private double ratePerSecond = Double.POSITIVE_INFINITY;
-  private double permits;
-  private Instant permitsAt = Instant.MIN;
+  private final PermitBucket named = new PermitBucket();
+  private final ColdRateLimit cold;
   private Instant namedAt = Instant.MIN;
   private Instant firstSentAt = Instant.MAX;
   private boolean answered;
 
+  /** Creates a limit of a target that is never cold. */
+  public RequestRateLimit() {
+    this(new ColdRateLimit());
+  }
+
+  /**
+   * Creates a limit.
+   *
+   * @param cold further limit, which applies while the target is cold
+   */
+  public RequestRateLimit(ColdRateLimit cold) {
+    this.cold = notNull(cold, "cold");
+  }
+
   /**
    * Applies an answer of the target.
    *
-   * @param named rate that the answer names, in requests per second; empty if it names none
+   * @param perSecond rate that the answer names, in requests per second; empty if it names none
    * @param sentAt time at which the request that was answered was sent to the target
    * @param now current time
    * @return whether the limit has changed
    */
-  public boolean onAnswer(OptionalDouble named, Instant sentAt, Instant now) {
+  public boolean onAnswer(OptionalDouble perSecond, Instant sentAt, Instant now) {
     answered = true;
-    double previous = ratePerSecond;
-    if (named.isPresent()) {
-      check(named.getAsDouble() >= 0, "named", "must not be negative");
-      refill(now);
-      ratePerSecond = Math.max(MIN_RATE_PER_SECOND, named.getAsDouble());
-      permits = Math.min(permits, maxPermits());
+    double previous = named.ratePerSecond();
+    if (perSecond.isPresent()) {
+      check(perSecond.getAsDouble() >= 0, "perSecond", "must not be negative");
+      named.setRate(perSecond.getAsDouble(), now);
       namedAt = now;
-    } else if (isLimited() && sentAt.isAfter(namedAt)) {
-      ratePerSecond = Double.POSITIVE_INFINITY;
+    } else if (named.isLimited() && sentAt.isAfter(namedAt)) {
+      named.setRate(Double.POSITIVE_INFINITY, now);
     }
-    return ratePerSecond != previous;
+    return named.ratePerSecond() != previous;
   }
 
   /**
@@ -78,13 +75,11 @@
    * @return whether a request may be sent now
    */
   public boolean tryAcquire(Instant now) {
-    refill(now);
-    if (isLimited() && permits < 1) {
+    if (!named.hasPermit(now) || !cold.hasPermit(now)) {
       return false;
     }
-    if (isLimited()) {
-      permits -= 1;
-    }
+    named.take();
+    cold.take();
     firstSentAt = now.isBefore(firstSentAt) ? now : firstSentAt;
     return true;
   }
@@ -97,12 +92,9 @@
    * @return time until the permit of the last of them; zero if all may be sent now
    */
   public Duration timeUntilPermitted(int requests, Instant now) {
-    refill(now);
-    if (!isLimited() || permits >= requests) {
-      return Duration.ZERO;
-    }
-    return Duration.ofNanos(
-        (long) Math.ceil((requests - permits) / ratePerSecond * NANOS_PER_SECOND));
+    Duration untilNamed = named.timeUntilPermitted(requests, now);
+    Duration untilCold = cold.timeUntilPermitted(requests, now);
+    return untilNamed.compareTo(untilCold) > 0 ? untilNamed : untilCold;
   }
 
   /**
@@ -126,26 +118,16 @@
    * @return requests per second; empty if there is no limit
    */
   public OptionalDouble perSecond() {
-    return isLimited() ? OptionalDouble.of(ratePerSecond) : OptionalDouble.empty();
-  }
-
-  private boolean isLimited() {
-    return ratePerSecond != Double.POSITIVE_INFINITY;
-  }
-
-  private double maxPermits() {
-    return Math.max(1, ratePerSecond * BURST_INTERVAL.toNanos() / NANOS_PER_SECOND);
+    return named.isLimited() ? OptionalDouble.of(named.ratePerSecond()) : OptionalDouble.empty();
   }
 
-  /** Adds the permits of the time since the last call; without a limit, none accumulate. */
-  private void refill(Instant now) {
-    notNull(now, "now");
-    if (isLimited() && now.isAfter(permitsAt)) {
-      double elapsedNanos = Duration.between(permitsAt, now).toNanos();
-      permits = Math.min(maxPermits(), permits + elapsedNanos * ratePerSecond / NANOS_PER_SECOND);
-    } else if (!isLimited()) {
-      permits = 0;
-    }
-    permitsAt = now.isAfter(permitsAt) ? now : permitsAt;
+  /**
+   * Returns the rate at which requests are permitted.
+   *
+   * @param now current time
+   * @return requests per second; infinite if there is no limit
+   */
+  public double permittedPerSecond(Instant now) {
+    return Math.min(named.ratePerSecond(), cold.perSecond(now));
   }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
@@ -18,6 +18,7 @@
  * @param callerLimits limits on the requests that a caller sends
  * @param accounts client accounts by name; if there are any, callers of routes that are not public
  *     need a key
+ * @param coldStarts limits on the requests of cold targets, by service
  */
 public record Snapshot(
     long version,
@@ -27,7 +28,8 @@
     Map<String, MoveState> moves,
     Map<ResourceKey, ResourceStatus> resources,
     CallerLimits callerLimits,
-    Map<String, ClientAccount> accounts) {
+    Map<String, ClientAccount> accounts,
+    Map<String, ColdStart> coldStarts) {
 
   /** Validates the components and copies the maps. */
   public Snapshot {
@@ -39,6 +41,31 @@
     resources = Map.copyOf(notNull(resources, "resources"));
     notNull(callerLimits, "callerLimits");
     accounts = Map.copyOf(notNull(accounts, "accounts"));
+    coldStarts = Map.copyOf(notNull(coldStarts, "coldStarts"));
+  }
+
+  /**
+   * Creates a snapshot without limits on cold targets.
+   *
+   * @param version configuration version
+   * @param stateHash hash over the state
+   * @param routes routes by name
+   * @param services services by name
+   * @param moves moves by name
+   * @param resources version and readability of each resource
+   * @param callerLimits limits on the requests that a caller sends
+   * @param accounts client accounts by name
+   */
+  public Snapshot(
+      long version,
+      String stateHash,
+      Map<String, Route> routes,
+      Map<String, ServiceState> services,
+      Map<String, MoveState> moves,
+      Map<ResourceKey, ResourceStatus> resources,
+      CallerLimits callerLimits,
+      Map<String, ClientAccount> accounts) {
+    this(version, stateHash, routes, services, moves, resources, callerLimits, accounts, Map.of());
   }
 
   /**
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceBalancer.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceBalancer.java
@@ -23,16 +23,31 @@
    */
   private static final double LARGE_ANSWER_SPILL_PRESSURE = 2;
 
+  private final TargetLoads loads;
   private final TargetChooser chooser;
+  private final ColdTargets coldTargets;
 
   /**
-   * Creates a balancer.
+   * Creates a balancer for targets that are never cold.
    *
    * @param loads load and failures of the targets
    * @param link budget of the link between the regions
    */
   public ServiceBalancer(TargetLoads loads, LinkBudget link) {
-    this.chooser = new TargetChooser(notNull(loads, "loads"), notNull(link, "link"));
+    this(loads, link, new ColdTargets());
+  }
+
+  /**
+   * Creates a balancer.
+   *
+   * @param loads load and failures of the targets
+   * @param link budget of the link between the regions
+   * @param coldTargets targets that get only a part of the calls
+   */
+  public ServiceBalancer(TargetLoads loads, LinkBudget link, ColdTargets coldTargets) {
+    this.loads = notNull(loads, "loads");
+    this.chooser = new TargetChooser(loads, notNull(link, "link"));
+    this.coldTargets = notNull(coldTargets, "coldTargets");
   }
 
   /**
@@ -54,8 +69,12 @@
       RandomGenerator random) {
     List<Member> members = index.serving(service);
     for (List<Member> group : versionGroups(members, rule, context.homeRegions(), random)) {
-      Optional<TargetChooser.Choice> choice =
-          inNearestLocality(group, context, random).or(() -> inAnyLocality(group, context, random));
+      List<Member> candidates = context.candidates(group);
+      List<Member> offered = coldTargets.offered(candidates, loads, context.now(), random);
+      Optional<TargetChooser.Choice> choice = choose(offered, context, random);
+      if (choice.isEmpty() && offered.size() < candidates.size()) {
+        choice = choose(candidates, context, random);
+      }
       if (choice.isPresent()) {
         return choice.map(chosen -> new ChosenTarget(chosen.member(), chosen.reason()));
       }
@@ -63,31 +82,29 @@
     return Optional.empty();
   }
 
+  private Optional<TargetChooser.Choice> choose(
+      List<Member> candidates, Context context, RandomGenerator random) {
+    return inNearestLocality(candidates, context, random)
+        .or(() -> inAnyLocality(candidates, context, random));
+  }
+
   /** Returns a target in the nearest locality for a large answer; empty if it is overloaded. */
   private Optional<TargetChooser.Choice> inNearestLocality(
-      List<Member> group, Context context, RandomGenerator random) {
+      List<Member> candidates, Context context, RandomGenerator random) {
     if (!context.preferNearest()) {
       return Optional.empty();
     }
     return chooser
-        .choose(
-            context.atNearestLocality(context.candidates(group)),
-            context.ownLocality(),
-            context.now(),
-            random)
+        .choose(context.atNearestLocality(candidates), context.ownLocality(), context.now(), random)
         .filter(
             chosen ->
                 chooser.pressure(chosen.member(), context.now()) < LARGE_ANSWER_SPILL_PRESSURE);
   }
 
   private Optional<TargetChooser.Choice> inAnyLocality(
-      List<Member> group, Context context, RandomGenerator random) {
+      List<Member> candidates, Context context, RandomGenerator random) {
     return chooser.choose(
-        context.candidates(group),
-        context.ownLocality(),
-        context.triedInstances().size(),
-        context.now(),
-        random);
+        candidates, context.ownLocality(), context.triedInstances().size(), context.now(), random);
   }
 
   private static List<List<Member>> versionGroups(
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
@@ -164,6 +164,11 @@
     return latencyMillis * decay(latencyUpdatedAt, now, LATENCY_HALF_LIFE);
   }
 
+  /** Returns the latest smoothed latency, however old it is; 0 before the first answer. */
+  synchronized double lastLatencyMillis() {
+    return latencyMillis;
+  }
+
   private double weight(Instant now) {
     double age = Duration.between(firstSeen, now).toNanos();
     return Math.max(MIN_WEIGHT, Math.min(1, age / policy.slowStart().toNanos()));
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/target/TargetReport.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/target/TargetReport.java
@@ -6,6 +6,7 @@
 import static org.cuminlatch.core.Preconditions.notNull;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Report of a target on its own state.
@@ -17,7 +18,8 @@
  * @param version version of the target's software
  * @param slots number of requests that the target executes concurrently; at least 1
  * @param ready whether the target accepts new requests; false while it leaves
- * @param coldLeft remaining time for which the target is slow after its start
+ * @param coldLeft remaining time for which the target is cold, that is slow as after its start;
+ *     empty if the report does not say
  */
 public record TargetReport(
     String instance,
@@ -27,7 +29,7 @@
     String version,
     int slots,
     boolean ready,
-    Duration coldLeft) {
+    Optional<Duration> coldLeft) {
 
   /** Validates the components. */
   public TargetReport {
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/target/TargetLifecycleTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/target/TargetLifecycleTests.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.cuminlatch.core.target.TargetLifecycle.Change;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
@@ -15,7 +16,8 @@
   private final TargetLifecycle lifecycle = new TargetLifecycle();
 
   private static TargetReport report(String instance, long born, long sequence, boolean ready) {
-    return new TargetReport(instance, born, sequence, "bookings", "v1", 6, ready, Duration.ZERO);
+    return new TargetReport(
+        instance, born, sequence, "bookings", "v1", 6, ready, Optional.of(Duration.ZERO));
   }
 
   @Nested
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
@@ -64,7 +64,7 @@
 
   private CompletionStage<Void> report(long born, long sequence, boolean ready) {
     return target.onReport(
-        new TargetReport(INSTANCE, born, sequence, "bookings", "v1", 2, ready, Duration.ZERO));
+        new TargetReport(INSTANCE, born, sequence, "bookings", "v1", 2, ready, Optional.of(Duration.ZERO)));
   }
 
   private boolean isDeregistrationAcknowledged() throws Exception {
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
@@ -684,6 +684,38 @@
     }
   }
 
+  public static final int COLD_PER_SECOND_FIELD_NUMBER = 26;
+  private double coldPerSecond_ = 0D;
+  /**
+   * <pre>
+   * Requests per second that a cold target of the service gets, by the configuration in force at
+   * the entry node; 0 if there is no limit.
+   * </pre>
+   *
+   * <code>double cold_per_second = 26;</code>
+   * @return The coldPerSecond.
+   */
+  @java.lang.Override
+  public double getColdPerSecond() {
+    return coldPerSecond_;
+  }
+
+  public static final int LIMIT_PER_SECOND_FIELD_NUMBER = 27;
+  private double limitPerSecond_ = 0D;
+  /**
+   * <pre>
+   * Requests per second that the target accepts, as its answers have told the entry node; 0 if they
+   * name no limit.
+   * </pre>
+   *
+   * <code>double limit_per_second = 27;</code>
+   * @return The limitPerSecond.
+   */
+  @java.lang.Override
+  public double getLimitPerSecond() {
+    return limitPerSecond_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -761,6 +793,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 21, account_);
     }
+    if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
+      output.writeDouble(26, coldPerSecond_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(limitPerSecond_) != 0) {
+      output.writeDouble(27, limitPerSecond_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -844,6 +882,14 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(21, account_);
     }
+    if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(26, coldPerSecond_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(limitPerSecond_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(27, limitPerSecond_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -901,6 +947,12 @@
         != other.getGoalMicros()) return false;
     if (!getAccount()
         .equals(other.getAccount())) return false;
+    if (java.lang.Double.doubleToLongBits(getColdPerSecond())
+        != java.lang.Double.doubleToLongBits(
+            other.getColdPerSecond())) return false;
+    if (java.lang.Double.doubleToLongBits(getLimitPerSecond())
+        != java.lang.Double.doubleToLongBits(
+            other.getLimitPerSecond())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -962,6 +1014,12 @@
         getGoalMicros());
     hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
     hash = (53 * hash) + getAccount().hashCode();
+    hash = (37 * hash) + COLD_PER_SECOND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getColdPerSecond()));
+    hash = (37 * hash) + LIMIT_PER_SECOND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getLimitPerSecond()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1124,6 +1182,8 @@
       priority_ = 0;
       goalMicros_ = 0L;
       account_ = "";
+      coldPerSecond_ = 0D;
+      limitPerSecond_ = 0D;
       return this;
     }
 
@@ -1230,6 +1290,12 @@
       if (((from_bitField0_ & 0x00100000) != 0)) {
         result.account_ = account_;
       }
+      if (((from_bitField0_ & 0x00200000) != 0)) {
+        result.coldPerSecond_ = coldPerSecond_;
+      }
+      if (((from_bitField0_ & 0x00400000) != 0)) {
+        result.limitPerSecond_ = limitPerSecond_;
+      }
     }
 
     @java.lang.Override
@@ -1350,6 +1416,12 @@
         bitField0_ |= 0x00100000;
         onChanged();
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getColdPerSecond()) != 0) {
+        setColdPerSecond(other.getColdPerSecond());
+      }
+      if (java.lang.Double.doubleToRawLongBits(other.getLimitPerSecond()) != 0) {
+        setLimitPerSecond(other.getLimitPerSecond());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1489,6 +1561,16 @@
               bitField0_ |= 0x00100000;
               break;
             } // case 170
+            case 209: {
+              coldPerSecond_ = input.readDouble();
+              bitField0_ |= 0x00200000;
+              break;
+            } // case 209
+            case 217: {
+              limitPerSecond_ = input.readDouble();
+              bitField0_ |= 0x00400000;
+              break;
+            } // case 217
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3014,6 +3096,100 @@
       return this;
     }
 
+    private double coldPerSecond_ ;
+    /**
+     * <pre>
+     * Requests per second that a cold target of the service gets, by the configuration in force at
+     * the entry node; 0 if there is no limit.
+     * </pre>
+     *
+     * <code>double cold_per_second = 26;</code>
+     * @return The coldPerSecond.
+     */
+    @java.lang.Override
+    public double getColdPerSecond() {
+      return coldPerSecond_;
+    }
+    /**
+     * <pre>
+     * Requests per second that a cold target of the service gets, by the configuration in force at
+     * the entry node; 0 if there is no limit.
+     * </pre>
+     *
+     * <code>double cold_per_second = 26;</code>
+     * @param value The coldPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdPerSecond(double value) {
+
+      coldPerSecond_ = value;
+      bitField0_ |= 0x00200000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests per second that a cold target of the service gets, by the configuration in force at
+     * the entry node; 0 if there is no limit.
+     * </pre>
+     *
+     * <code>double cold_per_second = 26;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdPerSecond() {
+      bitField0_ = (bitField0_ & ~0x00200000);
+      coldPerSecond_ = 0D;
+      onChanged();
+      return this;
+    }
+
+    private double limitPerSecond_ ;
+    /**
+     * <pre>
+     * Requests per second that the target accepts, as its answers have told the entry node; 0 if they
+     * name no limit.
+     * </pre>
+     *
+     * <code>double limit_per_second = 27;</code>
+     * @return The limitPerSecond.
+     */
+    @java.lang.Override
+    public double getLimitPerSecond() {
+      return limitPerSecond_;
+    }
+    /**
+     * <pre>
+     * Requests per second that the target accepts, as its answers have told the entry node; 0 if they
+     * name no limit.
+     * </pre>
+     *
+     * <code>double limit_per_second = 27;</code>
+     * @param value The limitPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLimitPerSecond(double value) {
+
+      limitPerSecond_ = value;
+      bitField0_ |= 0x00400000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests per second that the target accepts, as its answers have told the entry node; 0 if they
+     * name no limit.
+     * </pre>
+     *
+     * <code>double limit_per_second = 27;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLimitPerSecond() {
+      bitField0_ = (bitField0_ & ~0x00400000);
+      limitPerSecond_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.Begin)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/BeginOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/BeginOrBuilder.java
@@ -297,4 +297,26 @@
    */
   com.google.protobuf.ByteString
       getAccountBytes();
+
+  /**
+   * <pre>
+   * Requests per second that a cold target of the service gets, by the configuration in force at
+   * the entry node; 0 if there is no limit.
+   * </pre>
+   *
+   * <code>double cold_per_second = 26;</code>
+   * @return The coldPerSecond.
+   */
+  double getColdPerSecond();
+
+  /**
+   * <pre>
+   * Requests per second that the target accepts, as its answers have told the entry node; 0 if they
+   * name no limit.
+   * </pre>
+   *
+   * <code>double limit_per_second = 27;</code>
+   * @return The limitPerSecond.
+   */
+  double getLimitPerSecond();
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatus.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatus.java
@@ -337,7 +337,7 @@
   private long coldMicros_ = 0L;
   /**
    * <pre>
-   * Remaining time for which the target is slow after its start.
+   * Remaining time for which the target is cold, that is slow as after its start.
    * </pre>
    *
    * <code>int64 cold_micros = 10;</code>
@@ -454,6 +454,22 @@
     return zones_.get(index);
   }
 
+  public static final int COLD_PER_SECOND_FIELD_NUMBER = 15;
+  private double coldPerSecond_ = 0D;
+  /**
+   * <pre>
+   * Requests per second that the target gets from all nodes together while it is cold; 0 if there is
+   * no limit.
+   * </pre>
+   *
+   * <code>double cold_per_second = 15;</code>
+   * @return The coldPerSecond.
+   */
+  @java.lang.Override
+  public double getColdPerSecond() {
+    return coldPerSecond_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -510,6 +526,9 @@
     for (int i = 0; i < zones_.size(); i++) {
       output.writeMessage(14, zones_.get(i));
     }
+    if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
+      output.writeDouble(15, coldPerSecond_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -569,6 +588,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, zones_.get(i));
     }
+    if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(15, coldPerSecond_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -611,6 +634,9 @@
         != other.getStoreLost()) return false;
     if (!getZonesList()
         .equals(other.getZonesList())) return false;
+    if (java.lang.Double.doubleToLongBits(getColdPerSecond())
+        != java.lang.Double.doubleToLongBits(
+            other.getColdPerSecond())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -657,6 +683,9 @@
       hash = (37 * hash) + ZONES_FIELD_NUMBER;
       hash = (53 * hash) + getZonesList().hashCode();
     }
+    hash = (37 * hash) + COLD_PER_SECOND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getColdPerSecond()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -812,6 +841,7 @@
         zonesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00002000);
+      coldPerSecond_ = 0D;
       return this;
     }
 
@@ -897,6 +927,9 @@
       if (((from_bitField0_ & 0x00001000) != 0)) {
         result.storeLost_ = storeLost_;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.coldPerSecond_ = coldPerSecond_;
+      }
     }
 
     @java.lang.Override
@@ -988,6 +1021,9 @@
           }
         }
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getColdPerSecond()) != 0) {
+        setColdPerSecond(other.getColdPerSecond());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1092,6 +1128,11 @@
               }
               break;
             } // case 114
+            case 121: {
+              coldPerSecond_ = input.readDouble();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 121
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1671,7 +1712,7 @@
     private long coldMicros_ ;
     /**
      * <pre>
-     * Remaining time for which the target is slow after its start.
+     * Remaining time for which the target is cold, that is slow as after its start.
      * </pre>
      *
      * <code>int64 cold_micros = 10;</code>
@@ -1683,7 +1724,7 @@
     }
     /**
      * <pre>
-     * Remaining time for which the target is slow after its start.
+     * Remaining time for which the target is cold, that is slow as after its start.
      * </pre>
      *
      * <code>int64 cold_micros = 10;</code>
@@ -1699,7 +1740,7 @@
     }
     /**
      * <pre>
-     * Remaining time for which the target is slow after its start.
+     * Remaining time for which the target is cold, that is slow as after its start.
      * </pre>
      *
      * <code>int64 cold_micros = 10;</code>
@@ -2156,6 +2197,53 @@
       return zonesBuilder_;
     }
 
+    private double coldPerSecond_ ;
+    /**
+     * <pre>
+     * Requests per second that the target gets from all nodes together while it is cold; 0 if there is
+     * no limit.
+     * </pre>
+     *
+     * <code>double cold_per_second = 15;</code>
+     * @return The coldPerSecond.
+     */
+    @java.lang.Override
+    public double getColdPerSecond() {
+      return coldPerSecond_;
+    }
+    /**
+     * <pre>
+     * Requests per second that the target gets from all nodes together while it is cold; 0 if there is
+     * no limit.
+     * </pre>
+     *
+     * <code>double cold_per_second = 15;</code>
+     * @param value The coldPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdPerSecond(double value) {
+
+      coldPerSecond_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests per second that the target gets from all nodes together while it is cold; 0 if there is
+     * no limit.
+     * </pre>
+     *
+     * <code>double cold_per_second = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdPerSecond() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      coldPerSecond_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.TargetStatus)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatusOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatusOrBuilder.java
@@ -111,7 +111,7 @@
 
   /**
    * <pre>
-   * Remaining time for which the target is slow after its start.
+   * Remaining time for which the target is cold, that is slow as after its start.
    * </pre>
    *
    * <code>int64 cold_micros = 10;</code>
@@ -192,4 +192,15 @@
    */
   org.cuminlatch.wire.proto.call.ZoneStateOrBuilder getZonesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Requests per second that the target gets from all nodes together while it is cold; 0 if there is
+   * no limit.
+   * </pre>
+   *
+   * <code>double cold_per_second = 15;</code>
+   * @return The coldPerSecond.
+   */
+  double getColdPerSecond();
 }
