Keep the rate of cold targets at their gates

Targets crash if they get many requests while they are cold.

ColdTargetControl gives the state of the local target to the gate at each report, and to the other nodes when it changes in a way that they can't foresee (TargetStatus.cold_per_second beside cold_micros). Entry nodes offer cold targets fewer calls. A target counts as cold until the first report to a restarted node, from the return of its zone until the next report, and 4 s after its last report. A gate without a configuration takes the rate from Begin.cold_per_second.

New metrics: target_cold_per_second, attempts_refused_cold; new event: target-cold.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/ColdRateLimit.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/ColdRateLimit.java
@@ -19,6 +19,7 @@
 
   private final PermitBucket bucket = new PermitBucket();
   private ColdState state = ColdState.UNLIMITED;
+  private boolean known;
 
   /**
    * Sets whether the target is cold.
@@ -29,9 +30,24 @@
   public void update(ColdState newState, Instant now) {
     refresh(now);
     state = notNull(newState, "newState");
+    known = true;
     refresh(now);
   }
 
+  /**
+   * Counts the target as cold until the first {@link #update}: its node has not read the
+   * configuration yet, in which an entry node has found a limit.
+   *
+   * @param perSecond rate of a cold target by the configuration of the entry node; 0 if it has none
+   * @param now current time
+   */
+  public void assume(double perSecond, Instant now) {
+    if (!known && perSecond > 0) {
+      state = new ColdState(perSecond, Instant.MIN, Instant.MIN);
+      refresh(now);
+    }
+  }
+
   /**
    * Returns whether the limit applies.
    *
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/ColdRateLimitTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/ColdRateLimitTests.java
@@ -95,6 +95,20 @@
     assertThat(limit.tryAcquire(now), is(false));
   }
 
+  /** Guards against a restarted gate that gets requests before it has read the configuration. */
+  @Test
+  void isTakenFromEntryNodesUntilTheConfigurationIsRead() {
+    cold.assume(0, now);
+    assertThat(limit.permittedPerSecond(now), is(Double.POSITIVE_INFINITY));
+    cold.assume(10, now);
+    assertThat(limit.permittedPerSecond(now), is(10.0));
+
+    cold.update(ColdState.UNLIMITED, now);
+    cold.assume(10, now);
+
+    assertThat(limit.permittedPerSecond(now), is(Double.POSITIVE_INFINITY));
+  }
+
   @Test
   void endsByItself() {
     cold.update(coldFor(10, now.plusSeconds(5)), now);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -241,6 +241,7 @@
         .setExpectedInstance(target.instance())
         .setPriority(caller.priorityOn(route))
         .setAccount(caller.accountName())
+        .setColdPerSecond(entry.coldPerSecond(service))
         .setGoalMicros(Duration.between(entry.now(), goal).toNanos() / 1000)
         .build();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -17,6 +17,7 @@
 import org.cuminlatch.core.admission.CallerPatience;
 import org.cuminlatch.core.admission.LagLimit;
 import org.cuminlatch.core.admission.StopAdmission;
+import org.cuminlatch.core.config.ColdStart;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.RoutePolicy;
 import org.cuminlatch.core.retry.RetryBudget;
@@ -101,7 +102,7 @@
     this.log = log;
     this.metrics = metrics;
     this.regionLink = new LinkBudget(REGION_LINK_BYTES_PER_SECOND, clock.instant());
-    this.balancer = new ServiceBalancer(loads, regionLink);
+    this.balancer = new ServiceBalancer(loads, regionLink, links.coldTargets());
   }
 
   @Override
@@ -289,6 +290,15 @@
         .orElse(HomeRegions.ANY);
   }
 
+  /** Returns the rate of a service's cold targets by the configuration in force, 0 if unlimited. */
+  double coldPerSecond(String service) {
+    return view.get()
+        .table()
+        .map(table -> table.snapshot().coldStarts().get(service))
+        .map(ColdStart::perSecond)
+        .orElse(0.0);
+  }
+
   boolean hasTargetOf(String service, HomeRegions homeRegions) {
     return links.index().serving(service).stream()
         .anyMatch(target -> homeRegions.allows(target.locality()));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/LocalTarget.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/LocalTarget.java
@@ -68,7 +68,8 @@
 
     CompletableFuture<Void> open(TargetReport report);
 
-    CompletableFuture<Void> targetReachable();
+    /** Called on each further report of a target that is unchanged. */
+    CompletableFuture<Void> targetReachable(TargetReport report);
 
     CompletableFuture<Void> close();
 
@@ -150,7 +151,7 @@
         stored.getVersion(),
         stored.getSlots(),
         true,
-        Duration.ZERO);
+        Optional.empty());
   }
 
   @Override
@@ -190,7 +191,8 @@
     return switch (change) {
       case READY -> onReady(report);
       case LEAVES -> onLeave();
-      case NONE -> gate.targetReachable().thenComposeAsync(reachable -> whenExitStored(), control);
+      case NONE ->
+          gate.targetReachable(report).thenComposeAsync(reachable -> whenExitStored(), control);
       case STALE, LEFT_BEFORE -> whenExitStored();
     };
   }
@@ -384,6 +386,6 @@
         .setService(report.service())
         .setVersion(report.version())
         .setSlots(report.slots())
-        .setColdMicros(report.coldLeft().toNanos() / 1000);
+        .setColdMicros(report.coldLeft().orElse(Duration.ZERO).toNanos() / 1000);
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -29,6 +29,7 @@
 import org.cuminlatch.core.move.CallOutcome.Result;
 import org.cuminlatch.core.route.RouteTable;
 import org.cuminlatch.core.spread.ZoneReaderSelection;
+import org.cuminlatch.core.target.ColdState;
 import org.cuminlatch.core.target.TargetReport;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Item;
@@ -99,6 +100,7 @@
   private final ExitRelay exitRelay;
   private final MoveControl moves;
   private final EvacuationControl evacuations;
+  private final ColdTargetControl coldTarget;
   private final Map<String, TargetStatus> peerStatuses = new HashMap<>();
 
   /** Nodes whose connections are silent, so that they may have ended. */
@@ -164,16 +166,19 @@
             rules -> view = view.withRules(rules));
     this.evacuations =
         new EvacuationControl(clock, log, recordCodec, this::readsForZone, evacuationListener());
+    this.coldTarget = new ColdTargetControl(settings.service(), clock, log, coldTargetListener());
   }
 
   private EvacuationControl.Listener evacuationListener() {
     return new EvacuationControl.Listener() {
       @Override
       public void onEvacuatedZones(Set<String> zones) {
+        boolean evacuated = zones.contains(settings.locality().zone());
+        coldTarget.setEvacuated(evacuated);
         traffic.execute(
             () -> {
               links.setEvacuatedZones(zones);
-              gate.setEvacuated(zones.contains(settings.locality().zone()));
+              gate.setEvacuated(evacuated);
             });
       }
 
@@ -189,6 +194,25 @@
     };
   }
 
+  private ColdTargetControl.Listener coldTargetListener() {
+    return new ColdTargetControl.Listener() {
+      @Override
+      public void onStateChange(ColdState state) {
+        traffic.execute(() -> gate.setCold(state));
+      }
+
+      @Override
+      public void onStatusChange() {
+        status = describe();
+      }
+
+      @Override
+      public void tellAll() {
+        publishStatus();
+      }
+    };
+  }
+
   /** Returns the handler of the local target's reports. */
   TargetReportHandler reportHandler() {
     return target;
@@ -198,7 +222,8 @@
     return new LocalTarget.GateControl() {
       @Override
       public CompletableFuture<Void> open(TargetReport report) {
-        coldUntil = clock.instant().plus(report.coldLeft());
+        coldUntil = clock.instant().plus(report.coldLeft().orElse(Duration.ZERO));
+        coldTarget.onReport(report);
         publishStatus();
         return onTraffic(
             () -> {
@@ -208,7 +233,12 @@
       }
 
       @Override
-      public CompletableFuture<Void> targetReachable() {
+      public CompletableFuture<Void> targetReachable(TargetReport report) {
+        report
+            .coldLeft()
+            .filter(left -> !left.isZero())
+            .ifPresent(left -> coldUntil = clock.instant().plus(left));
+        coldTarget.onReport(report);
         return onTraffic(gate::markReachable);
       }
 
@@ -450,6 +480,7 @@
     recordInForce = Optional.of(new ConfigRecordCodec.LazyFrame(item));
     RouteTable table = RouteTable.of(snapshot);
     view = view.withTable(table);
+    coldTarget.onConfiguration(snapshot);
     log.event("configuration")
         .with("version", snapshot.version())
         .with("routes", snapshot.routes().size())
@@ -468,6 +499,7 @@
 
   private void checkPeers() {
     evacuations.tick();
+    coldTarget.tick();
     pullIfBehind();
   }
 
@@ -553,7 +585,9 @@
             .setConfigVersion(view.version())
             .setStoreLost(!lostStreams.isEmpty());
     evacuations.describe(built);
-    return target.describe(built, !gate.isAbsent()).build();
+    target.describe(built, !gate.isAbsent());
+    coldTarget.describe(built);
+    return built.build();
   }
 
   /** Publishes the status of node and target to the traffic loop and all connected nodes. */
@@ -573,6 +607,7 @@
           TargetStatus own = described.toBuilder().setNodeStops(false).build();
           Optional<Member> member = PeerLinks.toMember(own, settings.peers());
           links.setLocalTarget(member, localLink);
+          ColdTargetControl.record(own, links.coldTargets(), clock.instant());
           gate.broadcast(CallFrame.newBuilder().setStatus(described).build());
         });
   }
@@ -626,6 +661,7 @@
     return new PeerLinks.PeerListener() {
       @Override
       public void onStatus(TargetStatus peer, Address node) {
+        ColdTargetControl.record(peer, links.coldTargets(), clock.instant());
         control.execute(() -> onPeerStatus(peer, node));
       }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -46,6 +46,10 @@
     registry.counter("attempts_refused_evacuated").inc();
   }
 
+  void countRefusedCold() {
+    registry.counter("attempts_refused_cold").inc();
+  }
+
   void countRepeated(String service) {
     registry.counter("attempts_repeated{service=\"" + service + "\"}").inc();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -252,11 +252,16 @@
     gauge("gate_waiting", gate::waiting);
     gauge("target_limit_per_second", () -> gate.limitPerSecond().orElse(-1));
     gauge("links_open", links::openLinks);
+    gauge("target_cold_per_second", () -> finiteOr(gate.coldPerSecond(), -1));
     gauge("zones_evacuated", links::evacuatedZones);
     gauge("loop_lag_seconds", () -> lag.value().toNanos() / 1e9);
     gauge("entry_oldest_call_seconds", () -> entry.oldestCall().toMillis() / 1000.0);
   }
 
+  private static double finiteOr(double value, double other) {
+    return Double.isInfinite(value) ? other : value;
+  }
+
   private void gauge(String name, Gauge<Number> gauge) {
     metrics.registry().gauge(name, () -> gauge);
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.core.membership.Member;
+import org.cuminlatch.core.route.ColdTargets;
 import org.cuminlatch.core.route.ServiceIndex;
 import org.cuminlatch.core.target.ExitToken;
 import org.cuminlatch.core.target.TargetExit;
@@ -70,6 +71,7 @@
   private Set<String> observedNodes = Set.of();
   private final Set<TargetExit> excluded = new LinkedHashSet<>();
   private Set<String> evacuatedZones = Set.of();
+  private final ColdTargets coldTargets = new ColdTargets();
   private ServiceIndex index = ServiceIndex.of(List.of());
 
   PeerLinks(CallTransport transport, RandomGenerator random, EventLog log, PeerListener listener) {
@@ -194,6 +196,11 @@
     return index;
   }
 
+  /** Returns the targets of the index that are cold, as their nodes have told. */
+  ColdTargets coldTargets() {
+    return coldTargets;
+  }
+
   Optional<TargetLink> linkTo(String instance) {
     return Optional.ofNullable(linkByInstance.get(instance));
   }
@@ -309,7 +316,13 @@
   }
 
   private static TargetStatus targetFields(TargetStatus status) {
-    return status.toBuilder().clearConfigVersion().clearStoreLost().clearZones().build();
+    return status.toBuilder()
+        .clearConfigVersion()
+        .clearStoreLost()
+        .clearZones()
+        .clearColdMicros()
+        .clearColdPerSecond()
+        .build();
   }
 
   @Override
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cuminlatch.core.admission.AnswerMemory;
+import org.cuminlatch.core.admission.ColdRateLimit;
 import org.cuminlatch.core.admission.GoalQueue;
 import org.cuminlatch.core.admission.GoalRequest;
 import org.cuminlatch.core.admission.RequestRateLimit;
@@ -24,6 +25,7 @@
 import org.cuminlatch.core.admission.StopAdmission;
 import org.cuminlatch.core.move.CallOutcome.Result;
 import org.cuminlatch.core.retry.AttemptId;
+import org.cuminlatch.core.target.ColdState;
 import org.cuminlatch.core.target.TargetReport;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.http.ClientListener;
@@ -89,7 +91,8 @@
   /** Latest start of the target that has said in an answer that it leaves. */
   private Optional<TargetReport> leaving = Optional.empty();
 
-  private RequestRateLimit rateLimit = new RequestRateLimit();
+  private final ColdRateLimit cold = new ColdRateLimit();
+  private RequestRateLimit rateLimit = new RequestRateLimit(cold);
   private GoalQueue slots = new GoalQueue(1, rateLimit);
   private Future<?> permitTimer;
   private Optional<StopAdmission> stop = Optional.empty();
@@ -163,7 +166,7 @@
     report = Optional.of(newReport);
     open = leaving.filter(newReport::isOfSameStart).isEmpty();
     if (!sameStart) {
-      rateLimit = new RequestRateLimit();
+      rateLimit = new RequestRateLimit(cold);
     }
     if (!sameStart || !sameSlots) {
       refuseWaiting(RefusalReason.TARGET_REPLACED);
@@ -195,6 +198,17 @@
     }
   }
 
+  /** Limits the requests to the target while it is cold. */
+  void setCold(ColdState state) {
+    cold.update(state, clock.instant());
+    admitWaiting();
+  }
+
+  /** Returns the limit that applies while the target is cold, infinite if there is none now. */
+  double coldPerSecond() {
+    return cold.perSecond(clock.instant());
+  }
+
   /** Called on a report of the target, which shows that it may be reachable again. */
   void markReachable() {
     connectFailures = 0;
@@ -312,6 +326,7 @@
     }
     Instant now = clock.instant();
     Begin begin = attempt.begin();
+    cold.assume(begin.getColdPerSecond(), now);
     GoalRequest request =
         new GoalRequest(
             attempt.id(),
@@ -621,6 +636,9 @@
 
   private void refuse(GateAttempt attempt, RefusalReason reason) {
     attempts.remove(attempt.id());
+    if (isFull(reason) && cold.applies(clock.instant())) {
+      metrics.countRefusedCold();
+    }
     attempt
         .origin()
         .send(
@@ -642,6 +660,10 @@
         .write();
   }
 
+  private static boolean isFull(RefusalReason reason) {
+    return reason == RefusalReason.QUEUE_FULL || reason == RefusalReason.DEADLINE;
+  }
+
   private void fail(GateAttempt attempt, FailureReason reason) {
     attempts.remove(attempt.id());
     attempt
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -108,7 +108,14 @@
   void reportReady(long bornMillis, long sequence) throws InterruptedException {
     TargetReport report =
         new TargetReport(
-            INSTANCE, bornMillis, sequence, "bookings", "v1", slots, true, Optional.of(Duration.ZERO));
+            INSTANCE,
+            bornMillis,
+            sequence,
+            "bookings",
+            "v1",
+            slots,
+            true,
+            Optional.of(Duration.ZERO));
     onLoop(() -> gate.open(report));
   }
 
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/LocalTargetTests.java
@@ -64,7 +64,8 @@
 
   private CompletionStage<Void> report(long born, long sequence, boolean ready) {
     return target.onReport(
-        new TargetReport(INSTANCE, born, sequence, "bookings", "v1", 2, ready, Optional.of(Duration.ZERO)));
+        new TargetReport(
+            INSTANCE, born, sequence, "bookings", "v1", 2, ready, Optional.of(Duration.ZERO)));
   }
 
   private boolean isDeregistrationAcknowledged() throws Exception {
@@ -246,7 +247,7 @@
     }
 
     @Override
-    public CompletableFuture<Void> targetReachable() {
+    public CompletableFuture<Void> targetReachable(TargetReport report) {
       return CompletableFuture.completedFuture(null);
     }
 
