Keep the request limit of a target over restarts of its node

A target that names a request limit must get at most 1.5 times the limit and 5 requests in 4 s from nodes that have passed on such an answer. Its gate forgets the limit in a restart. Until the first answer it then sends four requests at a time, and after a second without an answer as many as the target has slots.

Entry nodes now remember the limits in the answers that they pass on (NamedLimits) and name them with their attempts (Begin.limit_per_second). A gate that has had no answer yet applies them.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/RequestRateLimit.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/RequestRateLimit.java
@@ -16,8 +16,10 @@
  * it to a request that was sent later: an answer to an earlier request may have been written before
  * the target named the limit. Without a limit, each request is permitted.
  *
- * <p>A target may have named a limit to an earlier process of its node. Until its first answer, it
- * therefore gets only a few requests at a time, unless the answer takes long. Not thread-safe.
+ * <p>A target may have named a limit to an earlier process of its node. Entry nodes that have
+ * passed on such an answer tell it with their attempts, and the limit applies until the first
+ * answer. For attempts of others the target gets only a few requests at a time until its first
+ * answer, unless that takes long. Not thread-safe.
  */
 public final class RequestRateLimit {
 
@@ -68,6 +70,22 @@
     return named.ratePerSecond() != previous;
   }
 
+  /**
+   * Applies a limit that the target has named to an entry node, until its first answer.
+   *
+   * @param perSecond rate in requests per second
+   * @param now current time
+   * @return whether the limit has changed
+   */
+  public boolean assume(double perSecond, Instant now) {
+    if (answered || named.isLimited() || !(perSecond >= 0)) {
+      return false;
+    }
+    named.setRate(perSecond, now);
+    namedAt = now;
+    return named.isLimited();
+  }
+
   /**
    * Takes a permit if there is one.
    *
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -221,7 +221,9 @@
   }
 
   private Begin beginFrame(ByteString firstPart, boolean bodyComplete) {
-    return Begin.newBuilder()
+    Begin.Builder begin = Begin.newBuilder();
+    entry.namedLimits().of(target).ifPresent(begin::setLimitPerSecond);
+    return begin
         .setRoute(route.name())
         .setService(service)
         .setTargetVersion(target.targetVersion())
@@ -279,6 +281,13 @@
     if (ForwardedHeaders.saysLeaving(answer, entry.settings().headers())) {
       entry.links().exclude(target);
     }
+    entry
+        .namedLimits()
+        .onAnswer(
+            target,
+            ForwardedHeaders.requestLimit(answer, entry.settings().headers()),
+            attemptStartedAt,
+            entry.now());
     boolean failure = answer.getStatus() >= 500;
     entry.metrics().recordAnswer(route.name(), answer.getStatus(), since(startedAt));
     if (failure && mayRetry()) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -77,6 +77,7 @@
   private final LinkBudget regionLink;
   private final ServiceBalancer balancer;
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+  private final NamedLimits namedLimits = new NamedLimits();
   private final Map<String, Double> meanAnswerBytes = new HashMap<>();
   private Optional<StopAdmission> stop = Optional.empty();
   private final CallerPatience patience = new CallerPatience();
@@ -290,6 +291,10 @@
         .orElse(HomeRegions.ANY);
   }
 
+  NamedLimits namedLimits() {
+    return namedLimits;
+  }
+
   /** Returns the rate of a service's cold targets by the configuration in force, 0 if unlimited. */
   double coldPerSecond(String service) {
     return view.get()
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
@@ -115,14 +115,29 @@
    */
   static OptionalDouble requestLimit(ClientResponse response, HeaderNames names) {
     Optional<String> text = response.header(names.requestLimit());
-    if (text.isEmpty()) {
-      return OptionalDouble.empty();
+    return text.isEmpty() ? OptionalDouble.empty() : OptionalDouble.of(rate(text.get()));
+  }
+
+  /** Returns the rate limit that an answer of a target's node names, empty if it is unreadable. */
+  static OptionalDouble requestLimit(Answer answer, HeaderNames names) {
+    for (Header header : answer.getHeadersList()) {
+      if (header.getName().equalsIgnoreCase(names.requestLimit())) {
+        try {
+          return OptionalDouble.of(rate(header.getValue()));
+        } catch (IllegalArgumentException unreadable) {
+          return OptionalDouble.empty();
+        }
+      }
     }
-    double perSecond = Double.parseDouble(text.get().trim());
+    return OptionalDouble.empty();
+  }
+
+  private static double rate(String text) {
+    double perSecond = Double.parseDouble(text.trim());
     if (!(perSecond >= 0) || Double.isInfinite(perSecond)) {
-      throw new IllegalArgumentException("not a rate: " + text.get());
+      throw new IllegalArgumentException("not a rate: " + text);
     }
-    return OptionalDouble.of(perSecond);
+    return perSecond;
   }
 
   /** Returns whether an answer says that its target leaves. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -326,7 +326,7 @@
     }
     Instant now = clock.instant();
     Begin begin = attempt.begin();
-    cold.assume(begin.getColdPerSecond(), now);
+    assumeLimits(begin, now);
     GoalRequest request =
         new GoalRequest(
             attempt.id(),
@@ -338,6 +338,14 @@
     awaitPermit(now);
   }
 
+  /** Applies the limits that the entry node knows and that this process has not learned yet. */
+  private void assumeLimits(Begin begin, Instant now) {
+    cold.assume(begin.getColdPerSecond(), now);
+    if (begin.hasLimitPerSecond() && rateLimit.assume(begin.getLimitPerSecond(), now)) {
+      logLimit();
+    }
+  }
+
   /** Admits waiting attempts once the target's rate limit permits the next request. */
   private void awaitPermit(Instant now) {
     if (permitTimer == null) {
@@ -526,13 +534,17 @@
       return;
     }
     if (rateLimit.onAnswer(named, sentAt, clock.instant())) {
-      log.event("target-limit")
-          .with("target", report.map(TargetReport::instance).orElse("-"))
-          .with("perSecond", rateLimit.perSecond().orElse(-1))
-          .write();
+      logLimit();
     }
   }
 
+  private void logLimit() {
+    log.event("target-limit")
+        .with("target", report.map(TargetReport::instance).orElse("-"))
+        .with("perSecond", rateLimit.perSecond().orElse(-1))
+        .write();
+  }
+
   /** Returns the rate limit that the target has named, in requests per second. */
   OptionalDouble limitPerSecond() {
     return rateLimit.perSecond();
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -66,6 +67,7 @@
   private final int slots;
   private volatile ExchangeHandler target = GateFixture::answer;
   private boolean open = true;
+  private OptionalDouble limitKnownToEntry = OptionalDouble.empty();
 
   GateFixture(int slots) throws InterruptedException {
     this(slots, Optional.empty());
@@ -167,29 +169,30 @@
     begin(number, idempotent, "r-1", 1 << 20);
   }
 
+  /** Sets the limit that the entry node names with its attempts. */
+  void setLimitKnownToEntry(double perSecond) {
+    limitKnownToEntry = OptionalDouble.of(perSecond);
+  }
+
   /** Offers an attempt whose answer may be sent as far as its credit in bytes allows. */
   void begin(int number, boolean idempotent, String route, int credit) {
-    gate.onFrame(
-        channel,
-        CallFrames.of(attempt(number))
-            .setBegin(
-                Begin.newBuilder()
-                    .setRoute(route)
-                    .setMethod("GET")
-                    .setPath("/")
-                    .addHeaders(Header.newBuilder().setName("Host").setValue("shop.example"))
-                    .addHeaders(
-                        Header.newBuilder()
-                            .setName(HEADERS.requestId())
-                            .setValue(Integer.toString(number)))
-                    .setDeadlineMicros(TimeUnit.SECONDS.toMicros(60))
-                    .setGoalMicros(TimeUnit.SECONDS.toMicros(60))
-                    .setIdempotent(idempotent)
-                    .setBodyComplete(true)
-                    .setCredit(credit)
-                    .setRequestId(Integer.toString(number))
-                    .setExpectedInstance(INSTANCE))
-            .build());
+    Begin.Builder begin =
+        Begin.newBuilder()
+            .setRoute(route)
+            .setMethod("GET")
+            .setPath("/")
+            .addHeaders(Header.newBuilder().setName("Host").setValue("shop.example"))
+            .addHeaders(
+                Header.newBuilder().setName(HEADERS.requestId()).setValue(Integer.toString(number)))
+            .setDeadlineMicros(TimeUnit.SECONDS.toMicros(60))
+            .setGoalMicros(TimeUnit.SECONDS.toMicros(60))
+            .setIdempotent(idempotent)
+            .setBodyComplete(true)
+            .setCredit(credit)
+            .setRequestId(Integer.toString(number))
+            .setExpectedInstance(INSTANCE);
+    limitKnownToEntry.ifPresent(begin::setLimitPerSecond);
+    gate.onFrame(channel, CallFrames.of(attempt(number)).setBegin(begin).build());
   }
 
   /** Announces that the node of the gate stops after some time. */
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/TargetLimitTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/TargetLimitTests.java
@@ -80,6 +80,23 @@
     assertThat(fixture.gate().running(), is(MAX_BEFORE_ANSWER));
   }
 
+  /** Guards against a restarted gate that sends as many requests as the target has slots. */
+  @Test
+  void keepsTheLimitThatAnEntryNodeKnowsUntilTheFirstAnswer() throws InterruptedException {
+    fixture.setTarget(exchange -> {});
+    fixture.setLimitKnownToEntry(2);
+    fixture.onLoop(() -> beginAll(1, 10));
+    fixture.onLoop(() -> {}); // the attempts are offered in a later task of the loop
+    assertThat(fixture.gate().limitPerSecond(), is(OptionalDouble.of(2)));
+    assertThat(fixture.gate().running(), is(0));
+    fixture.setTarget(GateFixture::answer);
+    GateFixture.await(() -> fixture.received().size() == 1);
+    fixture.awaitFrame(Integer.parseInt(fixture.received().get(0)), KindCase.ANSWER);
+
+    assertThat(fixture.gate().limitPerSecond(), is(OptionalDouble.empty()));
+    GateFixture.await(() -> fixture.received().size() == 10);
+  }
+
   private void beginAll(int first, int last) {
     for (int number = first; number <= last; number++) {
       fixture.begin(number);
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
@@ -59,6 +59,7 @@
             org.cuminlatch.wire.proto.call.Begin.class, org.cuminlatch.wire.proto.call.Begin.Builder.class);
   }
 
+  private int bitField0_;
   public static final int ROUTE_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object route_ = "";
@@ -704,11 +705,24 @@
   private double limitPerSecond_ = 0D;
   /**
    * <pre>
-   * Requests per second that the target accepts, as its answers have told the entry node; 0 if they
-   * name no limit.
+   * Requests per second that the target accepts, as its answers have told the entry node; unset if
+   * they name no limit.
    * </pre>
    *
-   * <code>double limit_per_second = 27;</code>
+   * <code>optional double limit_per_second = 27;</code>
+   * @return Whether the limitPerSecond field is set.
+   */
+  @java.lang.Override
+  public boolean hasLimitPerSecond() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Requests per second that the target accepts, as its answers have told the entry node; unset if
+   * they name no limit.
+   * </pre>
+   *
+   * <code>optional double limit_per_second = 27;</code>
    * @return The limitPerSecond.
    */
   @java.lang.Override
@@ -796,7 +810,7 @@
     if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
       output.writeDouble(26, coldPerSecond_);
     }
-    if (java.lang.Double.doubleToRawLongBits(limitPerSecond_) != 0) {
+    if (((bitField0_ & 0x00000001) != 0)) {
       output.writeDouble(27, limitPerSecond_);
     }
     getUnknownFields().writeTo(output);
@@ -886,7 +900,7 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(26, coldPerSecond_);
     }
-    if (java.lang.Double.doubleToRawLongBits(limitPerSecond_) != 0) {
+    if (((bitField0_ & 0x00000001) != 0)) {
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(27, limitPerSecond_);
     }
@@ -950,9 +964,12 @@
     if (java.lang.Double.doubleToLongBits(getColdPerSecond())
         != java.lang.Double.doubleToLongBits(
             other.getColdPerSecond())) return false;
-    if (java.lang.Double.doubleToLongBits(getLimitPerSecond())
-        != java.lang.Double.doubleToLongBits(
-            other.getLimitPerSecond())) return false;
+    if (hasLimitPerSecond() != other.hasLimitPerSecond()) return false;
+    if (hasLimitPerSecond()) {
+      if (java.lang.Double.doubleToLongBits(getLimitPerSecond())
+          != java.lang.Double.doubleToLongBits(
+              other.getLimitPerSecond())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1017,9 +1034,11 @@
     hash = (37 * hash) + COLD_PER_SECOND_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getColdPerSecond()));
-    hash = (37 * hash) + LIMIT_PER_SECOND_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getLimitPerSecond()));
+    if (hasLimitPerSecond()) {
+      hash = (37 * hash) + LIMIT_PER_SECOND_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getLimitPerSecond()));
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1293,9 +1312,12 @@
       if (((from_bitField0_ & 0x00200000) != 0)) {
         result.coldPerSecond_ = coldPerSecond_;
       }
+      int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00400000) != 0)) {
         result.limitPerSecond_ = limitPerSecond_;
+        to_bitField0_ |= 0x00000001;
       }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -1419,7 +1441,7 @@
       if (java.lang.Double.doubleToRawLongBits(other.getColdPerSecond()) != 0) {
         setColdPerSecond(other.getColdPerSecond());
       }
-      if (java.lang.Double.doubleToRawLongBits(other.getLimitPerSecond()) != 0) {
+      if (other.hasLimitPerSecond()) {
         setLimitPerSecond(other.getLimitPerSecond());
       }
       this.mergeUnknownFields(other.getUnknownFields());
@@ -3146,11 +3168,24 @@
     private double limitPerSecond_ ;
     /**
      * <pre>
-     * Requests per second that the target accepts, as its answers have told the entry node; 0 if they
-     * name no limit.
+     * Requests per second that the target accepts, as its answers have told the entry node; unset if
+     * they name no limit.
+     * </pre>
+     *
+     * <code>optional double limit_per_second = 27;</code>
+     * @return Whether the limitPerSecond field is set.
+     */
+    @java.lang.Override
+    public boolean hasLimitPerSecond() {
+      return ((bitField0_ & 0x00400000) != 0);
+    }
+    /**
+     * <pre>
+     * Requests per second that the target accepts, as its answers have told the entry node; unset if
+     * they name no limit.
      * </pre>
      *
-     * <code>double limit_per_second = 27;</code>
+     * <code>optional double limit_per_second = 27;</code>
      * @return The limitPerSecond.
      */
     @java.lang.Override
@@ -3159,11 +3194,11 @@
     }
     /**
      * <pre>
-     * Requests per second that the target accepts, as its answers have told the entry node; 0 if they
-     * name no limit.
+     * Requests per second that the target accepts, as its answers have told the entry node; unset if
+     * they name no limit.
      * </pre>
      *
-     * <code>double limit_per_second = 27;</code>
+     * <code>optional double limit_per_second = 27;</code>
      * @param value The limitPerSecond to set.
      * @return This builder for chaining.
      */
@@ -3176,11 +3211,11 @@
     }
     /**
      * <pre>
-     * Requests per second that the target accepts, as its answers have told the entry node; 0 if they
-     * name no limit.
+     * Requests per second that the target accepts, as its answers have told the entry node; unset if
+     * they name no limit.
      * </pre>
      *
-     * <code>double limit_per_second = 27;</code>
+     * <code>optional double limit_per_second = 27;</code>
      * @return This builder for chaining.
      */
     public Builder clearLimitPerSecond() {
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/BeginOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/BeginOrBuilder.java
@@ -311,11 +311,21 @@
 
   /**
    * <pre>
-   * Requests per second that the target accepts, as its answers have told the entry node; 0 if they
-   * name no limit.
+   * Requests per second that the target accepts, as its answers have told the entry node; unset if
+   * they name no limit.
    * </pre>
    *
-   * <code>double limit_per_second = 27;</code>
+   * <code>optional double limit_per_second = 27;</code>
+   * @return Whether the limitPerSecond field is set.
+   */
+  boolean hasLimitPerSecond();
+  /**
+   * <pre>
+   * Requests per second that the target accepts, as its answers have told the entry node; unset if
+   * they name no limit.
+   * </pre>
+   *
+   * <code>optional double limit_per_second = 27;</code>
    * @return The limitPerSecond.
    */
   double getLimitPerSecond();
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
@@ -160,7 +160,7 @@
       "uminlatch.call.ConfigPullH\000\0226\n\rconfig_re" +
       "cord\030\021 \001(\0132\035.cuminlatch.call.ConfigRecor" +
       "dH\000B\006\n\004kind\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005v" +
-      "alue\030\002 \001(\t\"\354\003\n\005Begin\022\r\n\005route\030\001 \001(\t\022\017\n\007s" +
+      "alue\030\002 \001(\t\"\206\004\n\005Begin\022\r\n\005route\030\001 \001(\t\022\017\n\007s" +
       "ervice\030\002 \001(\t\022\026\n\016target_version\030\003 \001(\t\022\016\n\006" +
       "method\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007headers\030\006 " +
       "\003(\0132\027.cuminlatch.call.Header\022\027\n\017deadline" +
@@ -172,62 +172,63 @@
       "rvice\030\021 \001(\t\022\031\n\021expected_instance\030\022 \001(\t\022\020" +
       "\n\010priority\030\023 \001(\005\022\023\n\013goal_micros\030\024 \001(\003\022\017\n" +
       "\007account\030\025 \001(\t\022\027\n\017cold_per_second\030\032 \001(\001\022" +
-      "\030\n\020limit_per_second\030\033 \001(\001\"J\n\004Body\022\017\n\007con" +
-      "tent\030\001 \001(\014\022\014\n\004last\030\002 \001(\010\022#\n\004load\030\003 \001(\0132\025" +
-      ".cuminlatch.call.Load\"\027\n\006Credit\022\r\n\005bytes" +
-      "\030\001 \001(\005\"\034\n\006Cancel\022\022\n\nage_micros\030\001 \001(\003\"\034\n\006" +
-      "Rejoin\022\022\n\nage_micros\030\001 \001(\003\"\034\n\tCancelled\022" +
-      "\017\n\007not_run\030\001 \001(\010\"G\n\004Load\022\014\n\004busy\030\001 \001(\005\022\016" +
-      "\n\006queued\030\002 \001(\005\022\r\n\005limit\030\003 \001(\005\022\022\n\nlag_mic" +
-      "ros\030\004 \001(\003\"\233\001\n\006Answer\022\016\n\006status\030\001 \001(\005\022(\n\007" +
-      "headers\030\002 \003(\0132\027.cuminlatch.call.Header\022\026" +
-      "\n\016content_length\030\003 \001(\003\022\014\n\004body\030\004 \001(\014\022\014\n\004" +
-      "last\030\005 \001(\010\022#\n\004load\030\006 \001(\0132\025.cuminlatch.ca" +
-      "ll.Load\"v\n\007Refusal\022.\n\006reason\030\001 \001(\0162\036.cum" +
-      "inlatch.call.RefusalReason\022#\n\004load\030\002 \001(\013" +
-      "2\025.cuminlatch.call.Load\022\026\n\016free_in_micro" +
-      "s\030\003 \001(\003\"^\n\007Failure\022.\n\006reason\030\001 \001(\0162\036.cum" +
-      "inlatch.call.FailureReason\022#\n\004load\030\002 \001(\013" +
-      "2\025.cuminlatch.call.Load\"\025\n\004Ping\022\r\n\005nonce" +
-      "\030\001 \001(\006\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\006\"\330\002\n\014Target" +
-      "Status\022\014\n\004node\030\001 \001(\t\022\016\n\006region\030\002 \001(\t\022\014\n\004" +
-      "zone\030\003 \001(\t\022+\n\005phase\030\004 \001(\0162\034.cuminlatch.c" +
-      "all.TargetPhase\022\020\n\010instance\030\005 \001(\t\022\023\n\013bor" +
-      "n_millis\030\006 \001(\003\022\017\n\007service\030\007 \001(\t\022\017\n\007versi" +
-      "on\030\010 \001(\t\022\r\n\005slots\030\t \001(\005\022\023\n\013cold_micros\030\n" +
-      " \001(\003\022\022\n\nnode_stops\030\013 \001(\010\022\026\n\016config_versi" +
-      "on\030\014 \001(\003\022\022\n\nstore_lost\030\r \001(\010\022)\n\005zones\030\016 " +
-      "\003(\0132\032.cuminlatch.call.ZoneState\022\027\n\017cold_" +
-      "per_second\030\017 \001(\001\"F\n\tZoneState\022\014\n\004zone\030\001 " +
-      "\001(\t\022\021\n\tevacuated\030\002 \001(\010\022\013\n\003era\030\003 \001(\003\022\013\n\003e" +
-      "nd\030\004 \001(\003\"\245\001\n\010MoveFact\022\017\n\007service\030\001 \001(\t\022\r" +
-      "\n\005order\030\002 \001(\003\022)\n\005phase\030\003 \001(\0162\032.cuminlatc" +
-      "h.call.MovePhase\022\026\n\016elapsed_micros\030\004 \001(\003" +
-      "\022\016\n\006stated\030\005 \001(\010\022\017\n\007version\030\006 \001(\t\022\025\n\rlen" +
-      "gth_micros\030\007 \001(\003\"\014\n\nConfigPull\":\n\014Config" +
-      "Record\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\016\n\006of" +
-      "fset\030\003 \001(\003\"\234\001\n\014MoveEvidence\022\020\n\010instance\030" +
-      "\001 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\022" +
-      ".\n\006counts\030\002 \003(\0132\036.cuminlatch.call.Eviden" +
-      "ceCount\022(\n\005moves\030\005 \003(\0132\031.cuminlatch.call" +
-      ".MoveFact\"}\n\rEvidenceCount\022\r\n\005route\030\001 \001(" +
-      "\t\022\r\n\005calls\030\002 \001(\003\022\020\n\010failures\030\003 \001(\003\022\022\n\nco" +
-      "ld_calls\030\004 \001(\003\022\025\n\rcold_failures\030\005 \001(\003\022\021\n" +
-      "\tlatencies\030\006 \003(\003*\350\001\n\rRefusalReason\022\027\n\023RE" +
-      "FUSAL_UNSPECIFIED\020\000\022\014\n\010DRAINING\020\001\022\016\n\nQUE" +
-      "UE_FULL\020\002\022\014\n\010DEADLINE\020\003\022\021\n\rWRONG_VERSION" +
-      "\020\004\022\017\n\013NOT_SERVING\020\005\022\026\n\022TARGET_UNREACHABL" +
-      "E\020\006\022\017\n\013TARGET_SHED\020\007\022\r\n\tWITHDRAWN\020\010\022\021\n\rN" +
-      "OT_KEY_OWNER\020\t\022\016\n\nUNSENDABLE\020\n\022\023\n\017TARGET" +
-      "_REPLACED\020\013*\232\001\n\rFailureReason\022\027\n\023FAILURE" +
-      "_UNSPECIFIED\020\000\022\021\n\rTARGET_BROKEN\020\001\022\022\n\016TAR" +
-      "GET_TIMEOUT\020\002\022\025\n\021CONNECTION_SILENT\020\003\022\022\n\016" +
-      "ANSWER_CROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014KEY_IN" +
-      "_DOUBT\020\006*1\n\013TargetPhase\022\n\n\006ABSENT\020\000\022\t\n\005R" +
-      "EADY\020\001\022\013\n\007LEAVING\020\002*[\n\tMovePhase\022\020\n\014MOVE" +
-      "_RUNNING\020\000\022\022\n\016MOVE_FOUND_BAD\020\001\022\024\n\020MOVE_R" +
-      "OLLED_BACK\020\002\022\022\n\016MOVE_COMPLETED\020\003B\"\n\036org." +
-      "cuminlatch.wire.proto.callP\001b\006proto3"
+      "\035\n\020limit_per_second\030\033 \001(\001H\000\210\001\001B\023\n\021_limit" +
+      "_per_second\"J\n\004Body\022\017\n\007content\030\001 \001(\014\022\014\n\004" +
+      "last\030\002 \001(\010\022#\n\004load\030\003 \001(\0132\025.cuminlatch.ca" +
+      "ll.Load\"\027\n\006Credit\022\r\n\005bytes\030\001 \001(\005\"\034\n\006Canc" +
+      "el\022\022\n\nage_micros\030\001 \001(\003\"\034\n\006Rejoin\022\022\n\nage_" +
+      "micros\030\001 \001(\003\"\034\n\tCancelled\022\017\n\007not_run\030\001 \001" +
+      "(\010\"G\n\004Load\022\014\n\004busy\030\001 \001(\005\022\016\n\006queued\030\002 \001(\005" +
+      "\022\r\n\005limit\030\003 \001(\005\022\022\n\nlag_micros\030\004 \001(\003\"\233\001\n\006" +
+      "Answer\022\016\n\006status\030\001 \001(\005\022(\n\007headers\030\002 \003(\0132" +
+      "\027.cuminlatch.call.Header\022\026\n\016content_leng" +
+      "th\030\003 \001(\003\022\014\n\004body\030\004 \001(\014\022\014\n\004last\030\005 \001(\010\022#\n\004" +
+      "load\030\006 \001(\0132\025.cuminlatch.call.Load\"v\n\007Ref" +
+      "usal\022.\n\006reason\030\001 \001(\0162\036.cuminlatch.call.R" +
+      "efusalReason\022#\n\004load\030\002 \001(\0132\025.cuminlatch." +
+      "call.Load\022\026\n\016free_in_micros\030\003 \001(\003\"^\n\007Fai" +
+      "lure\022.\n\006reason\030\001 \001(\0162\036.cuminlatch.call.F" +
+      "ailureReason\022#\n\004load\030\002 \001(\0132\025.cuminlatch." +
+      "call.Load\"\025\n\004Ping\022\r\n\005nonce\030\001 \001(\006\"\025\n\004Pong" +
+      "\022\r\n\005nonce\030\001 \001(\006\"\330\002\n\014TargetStatus\022\014\n\004node" +
+      "\030\001 \001(\t\022\016\n\006region\030\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022+\n\005" +
+      "phase\030\004 \001(\0162\034.cuminlatch.call.TargetPhas" +
+      "e\022\020\n\010instance\030\005 \001(\t\022\023\n\013born_millis\030\006 \001(\003" +
+      "\022\017\n\007service\030\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\r\n\005sl" +
+      "ots\030\t \001(\005\022\023\n\013cold_micros\030\n \001(\003\022\022\n\nnode_s" +
+      "tops\030\013 \001(\010\022\026\n\016config_version\030\014 \001(\003\022\022\n\nst" +
+      "ore_lost\030\r \001(\010\022)\n\005zones\030\016 \003(\0132\032.cuminlat" +
+      "ch.call.ZoneState\022\027\n\017cold_per_second\030\017 \001" +
+      "(\001\"F\n\tZoneState\022\014\n\004zone\030\001 \001(\t\022\021\n\tevacuat" +
+      "ed\030\002 \001(\010\022\013\n\003era\030\003 \001(\003\022\013\n\003end\030\004 \001(\003\"\245\001\n\010M" +
+      "oveFact\022\017\n\007service\030\001 \001(\t\022\r\n\005order\030\002 \001(\003\022" +
+      ")\n\005phase\030\003 \001(\0162\032.cuminlatch.call.MovePha" +
+      "se\022\026\n\016elapsed_micros\030\004 \001(\003\022\016\n\006stated\030\005 \001" +
+      "(\010\022\017\n\007version\030\006 \001(\t\022\025\n\rlength_micros\030\007 \001" +
+      "(\003\"\014\n\nConfigPull\":\n\014ConfigRecord\022\013\n\003key\030" +
+      "\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\016\n\006offset\030\003 \001(\003\"\234\001\n" +
+      "\014MoveEvidence\022\020\n\010instance\030\001 \001(\t\022\017\n\007servi" +
+      "ce\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\022.\n\006counts\030\002 \003(" +
+      "\0132\036.cuminlatch.call.EvidenceCount\022(\n\005mov" +
+      "es\030\005 \003(\0132\031.cuminlatch.call.MoveFact\"}\n\rE" +
+      "videnceCount\022\r\n\005route\030\001 \001(\t\022\r\n\005calls\030\002 \001" +
+      "(\003\022\020\n\010failures\030\003 \001(\003\022\022\n\ncold_calls\030\004 \001(\003" +
+      "\022\025\n\rcold_failures\030\005 \001(\003\022\021\n\tlatencies\030\006 \003" +
+      "(\003*\350\001\n\rRefusalReason\022\027\n\023REFUSAL_UNSPECIF" +
+      "IED\020\000\022\014\n\010DRAINING\020\001\022\016\n\nQUEUE_FULL\020\002\022\014\n\010D" +
+      "EADLINE\020\003\022\021\n\rWRONG_VERSION\020\004\022\017\n\013NOT_SERV" +
+      "ING\020\005\022\026\n\022TARGET_UNREACHABLE\020\006\022\017\n\013TARGET_" +
+      "SHED\020\007\022\r\n\tWITHDRAWN\020\010\022\021\n\rNOT_KEY_OWNER\020\t" +
+      "\022\016\n\nUNSENDABLE\020\n\022\023\n\017TARGET_REPLACED\020\013*\232\001" +
+      "\n\rFailureReason\022\027\n\023FAILURE_UNSPECIFIED\020\000" +
+      "\022\021\n\rTARGET_BROKEN\020\001\022\022\n\016TARGET_TIMEOUT\020\002\022" +
+      "\025\n\021CONNECTION_SILENT\020\003\022\022\n\016ANSWER_CROSSED" +
+      "\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014KEY_IN_DOUBT\020\006*1\n\013Ta" +
+      "rgetPhase\022\n\n\006ABSENT\020\000\022\t\n\005READY\020\001\022\013\n\007LEAV" +
+      "ING\020\002*[\n\tMovePhase\022\020\n\014MOVE_RUNNING\020\000\022\022\n\016" +
+      "MOVE_FOUND_BAD\020\001\022\024\n\020MOVE_ROLLED_BACK\020\002\022\022" +
+      "\n\016MOVE_COMPLETED\020\003B\"\n\036org.cuminlatch.wir" +
+      "e.proto.callP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
