Ask a target that has run before whether it leaves or is limited

A node must not send a request to a target 3 s after it has passed on an answer that says that the target leaves. It forgot that in a restart if the exit was not in the store and no other node told it in time: LeavingTargetFaultTests sent requests to such a target through its own node, and through an entry node when both had been restarted (2 of 4 cases failed). A restarted entry node and a link that was cut while the target's node restarted were no fault.

Before the first request of a process to a target that has run before, the gate now sends a health check (TargetCheck) and applies what the answer says about leaving and about a request limit.

LeavingTargetFaultTests (4 of 4), TargetCheckTests, TargetLeavingTests, LostExitTests, ColdTargetTests and the tests of node.mesh pass (one run each).

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
@@ -18,7 +18,7 @@
  * @param callerLimits limits on the requests that a caller sends
  * @param accounts client accounts by name; if there are any, callers of routes that are not public
  *     need a key
- * @param coldStarts limits on the requests of cold targets, by service
+ * @param serviceSettings settings of the services that have any, by service
  */
 public record Snapshot(
     long version,
@@ -29,7 +29,7 @@
     Map<ResourceKey, ResourceStatus> resources,
     CallerLimits callerLimits,
     Map<String, ClientAccount> accounts,
-    Map<String, ColdStart> coldStarts) {
+    Map<String, ServiceSettings> serviceSettings) {
 
   /** Validates the components and copies the maps. */
   public Snapshot {
@@ -41,11 +41,11 @@
     resources = Map.copyOf(notNull(resources, "resources"));
     notNull(callerLimits, "callerLimits");
     accounts = Map.copyOf(notNull(accounts, "accounts"));
-    coldStarts = Map.copyOf(notNull(coldStarts, "coldStarts"));
+    serviceSettings = Map.copyOf(notNull(serviceSettings, "serviceSettings"));
   }
 
   /**
-   * Creates a snapshot without limits on cold targets.
+   * Creates a snapshot without settings of services.
    *
    * @param version configuration version
    * @param stateHash hash over the state
@@ -106,6 +106,16 @@
     this(version, stateHash, routes, services, moves, Map.of());
   }
 
+  /**
+   * Returns the settings of a service.
+   *
+   * @param service name of the service
+   * @return its settings, or {@link ServiceSettings#NONE}
+   */
+  public ServiceSettings settingsOf(String service) {
+    return serviceSettings.getOrDefault(service, ServiceSettings.NONE);
+  }
+
   /**
    * Returns the resources whose newest record this instance cannot read.
    *
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ColdTargetControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ColdTargetControl.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.Optional;
 import org.cuminlatch.core.config.Snapshot;
 import org.cuminlatch.core.route.ColdTargets;
 import org.cuminlatch.core.target.ColdState;
@@ -61,7 +60,7 @@
 
   /** Handles a configuration that comes into force. */
   void onConfiguration(Snapshot snapshot) {
-    tracker.setLimit(Optional.ofNullable(snapshot.coldStarts().get(service)));
+    tracker.setLimit(snapshot.settingsOf(service).coldStart());
     boolean first = !configured;
     configured = true;
     update(first);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -299,7 +299,7 @@
   double coldPerSecond(String service) {
     return view.get()
         .table()
-        .map(table -> table.snapshot().coldStarts().get(service))
+        .flatMap(table -> table.snapshot().settingsOf(service).coldStart())
         .map(ColdStart::perSecond)
         .orElse(0.0);
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -481,6 +481,8 @@
     RouteTable table = RouteTable.of(snapshot);
     view = view.withTable(table);
     coldTarget.onConfiguration(snapshot);
+    Optional<String> healthPath = snapshot.settingsOf(settings.service()).healthPath();
+    traffic.execute(() -> gate.setHealthPath(healthPath));
     log.event("configuration")
         .with("version", snapshot.version())
         .with("routes", snapshot.routes().size())
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -46,6 +46,10 @@
     registry.counter("attempts_refused_evacuated").inc();
   }
 
+  void countTargetCheck(String outcome) {
+    registry.counter("target_checks{outcome=\"" + outcome + "\"}").inc();
+  }
+
   void countRefusedCold() {
     registry.counter("attempts_refused_cold").inc();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -81,6 +81,7 @@
   private final EventLog log;
   private final MeshMetrics metrics;
   private final GateCallback callback;
+  private final TargetCheck check;
   private final Map<AttemptId, GateAttempt> attempts = new HashMap<>();
   private final List<GateAttempt> arrived = new ArrayList<>();
   private final AnswerMemory answerMemory =
@@ -121,6 +122,7 @@
     this.log = log;
     this.metrics = metrics;
     this.callback = callback;
+    this.check = new TargetCheck(loop, target, clock, names, log, metrics, new CheckListener());
     this.lastAnswerAt = clock.instant();
     target.listenForUnsolicitedBytes(this::onUnsolicitedBytes);
   }
@@ -167,6 +169,7 @@
     open = leaving.filter(newReport::isOfSameStart).isEmpty();
     if (!sameStart) {
       rateLimit = new RequestRateLimit(cold);
+      check.onStart(newReport);
     }
     if (!sameStart || !sameSlots) {
       refuseWaiting(RefusalReason.TARGET_REPLACED);
@@ -198,6 +201,11 @@
     }
   }
 
+  /** Sets the path of the target's health check, empty if it has none. */
+  void setHealthPath(Optional<String> path) {
+    check.setHealthPath(path);
+  }
+
   /** Limits the requests to the target while it is cold. */
   void setCold(ColdState state) {
     cold.update(state, clock.instant());
@@ -309,6 +317,9 @@
   }
 
   private void offerArrived() {
+    if (check.isRunning()) {
+      return; // they are offered when the check has ended
+    }
     List<GateAttempt> batch = List.copyOf(arrived);
     arrived.clear();
     for (GateAttempt attempt : batch) {
@@ -366,7 +377,7 @@
 
   private Optional<RefusalReason> refusalReason(GateAttempt attempt) {
     Begin begin = attempt.begin();
-    if (report.isEmpty()) {
+    if (report.isEmpty() || check.awaitsConfiguration()) {
       return Optional.of(RefusalReason.NOT_SERVING);
     }
     if (!begin.getExpectedInstance().equals(report.get().instance())) {
@@ -508,6 +519,28 @@
     }
   }
 
+  /** Applies what the check of a target says that has run before this process. */
+  private final class CheckListener implements TargetCheck.Listener {
+
+    @Override
+    public void onAnswer(ClientResponse response, Instant sentAt) {
+      if (response.header(names.requestLimit()).isPresent()) {
+        updateRateLimit(response, sentAt);
+      }
+      closeIfLeaving(response);
+    }
+
+    @Override
+    public void onReplaced() {
+      markAbsent("another target answered at its address");
+    }
+
+    @Override
+    public void onEnd() {
+      offerArrived();
+    }
+  }
+
   private void onUnsolicitedBytes(UnsolicitedBytes unsolicited) {
     metrics.countUnsolicitedBytes("target", unsolicited.position());
     log.event("unsolicited-bytes")
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -52,6 +52,8 @@
           "leaving",
           "account");
 
+  static final String HEALTH_PATH = "/healthz";
+
   private static final int WAIT_SECONDS = 20;
   private static final String INSTANCE = "i-1";
 
@@ -66,6 +68,7 @@
   private final SlotGate gate;
   private final int slots;
   private volatile ExchangeHandler target = GateFixture::answer;
+  private volatile ExchangeHandler healthCheck = exchange -> {};
   private boolean open = true;
   private OptionalDouble limitKnownToEntry = OptionalDouble.empty();
 
@@ -122,8 +125,12 @@
   }
 
   private void receive(ServerExchange exchange) {
-    received.add(exchange.header(HEADERS.requestId()).orElseThrow());
-    target.handle(exchange);
+    if (exchange.requestTarget().equals(HEALTH_PATH)) {
+      healthCheck.handle(exchange);
+    } else {
+      received.add(exchange.header(HEADERS.requestId()).orElseThrow());
+      target.handle(exchange);
+    }
   }
 
   /** Answers a request of the gate with 200. */
@@ -137,6 +144,11 @@
     exchange.respond(status, all, new byte[0]);
   }
 
+  /** Sets how the target answers health checks. */
+  void setHealthCheck(ExchangeHandler handler) {
+    healthCheck = handler;
+  }
+
   void setTarget(ExchangeHandler handler) {
     target = handler;
   }
