--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -171,6 +171,11 @@
     return new AttemptId(1, number);
   }
 
+  /** Sets the limit that the entry node names with its attempts. */
+  void setLimitKnownToEntry(double perSecond) {
+    limitKnownToEntry = OptionalDouble.of(perSecond);
+  }
+
   /** Offers an attempt that can be repeated to the gate; must be called on the loop. */
   void begin(int number) {
     begin(number, true);
@@ -181,11 +186,6 @@
     begin(number, idempotent, "r-1", 1 << 20);
   }
 
-  /** Sets the limit that the entry node names with its attempts. */
-  void setLimitKnownToEntry(double perSecond) {
-    limitKnownToEntry = OptionalDouble.of(perSecond);
-  }
-
   /** Offers an attempt whose answer may be sent as far as its credit in bytes allows. */
   void begin(int number, boolean idempotent, String route, int credit) {
     Begin.Builder begin =
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/NamedLimitsTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/NamedLimitsTests.java
@@ -40,7 +40,7 @@
   }
 
   @Test
-  void holdUntilALaterAttemptIsAnsweredWithout() {
+  void holdUntilLaterAttemptIsAnsweredWithout() {
     limits.onAnswer(target(1), LIMIT, start, start.plusSeconds(1));
     limits.onAnswer(target(1), NONE, start, start.plusSeconds(2));
     assertThat(limits.of(target(1)), is(LIMIT));
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/TargetCheckTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/TargetCheckTests.java
@@ -69,7 +69,7 @@
   }
 
   @Test
-  void limitsAttemptsIfTheTargetNamesALimit() throws Exception {
+  void limitsAttemptsIfTheTargetNamesLimit() throws Exception {
     fixture.setTarget(exchange -> {});
     setHealthPath(Optional.of(GateFixture.HEALTH_PATH));
     fixture.onLoop(() -> fixture.begin(1));
