--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -1,8 +1,6 @@
 package org.cuminlatch.node.mesh;
 
 import io.netty.channel.EventLoop;
-import io.netty.util.NetUtil;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -13,11 +11,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.ConfigurationPullSchedule;
@@ -38,9 +36,12 @@
 import org.cuminlatch.wire.proto.call.Begin;
 import org.cuminlatch.wire.proto.call.CallFrame;
 import org.cuminlatch.wire.proto.call.ConfigRecord;
+import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.MoveEvidence;
 import org.cuminlatch.wire.proto.call.MoveFact;
 import org.cuminlatch.wire.proto.call.TargetStatus;
+import org.cuminlatch.wire.proto.call.ValidityAnswer;
+import org.cuminlatch.wire.proto.call.ValidityQuery;
 
 /**
  * Maintains the control state of a node: the configuration in force, the other nodes and the local
@@ -86,8 +87,6 @@
   /** Period of the evidence of targets of old versions, in ticks of the moves. */
   private static final int OLD_VERSION_EVIDENCE_TICKS = 2;
 
-  private static final Duration REGISTER_RETRY_DELAY = Duration.ofMillis(500);
-
   private final MeshSettings settings;
   private final EventLoop control;
   private final EventLoop traffic;
@@ -95,7 +94,7 @@
   private final EventLog log;
   private final KeyedStore store;
   private final OperatorRecordCodec recordCodec;
-  private final Set<Address> nodeAddresses = new HashSet<>();
+  private final NodeDirectory nodes;
   private final LocalTarget target;
   private final ExitRelay exitRelay;
   private final MoveControl moves;
@@ -112,7 +111,6 @@
   private final ConfigurationPullSchedule pullSchedule = new ConfigurationPullSchedule();
   private boolean versionUpdateScheduled;
   private final Set<Stream> lostStreams = EnumSet.noneOf(Stream.class);
-  private boolean registered;
   private int evidenceTicks;
   private volatile Instant coldUntil = Instant.MIN;
   private volatile boolean movesActive;
@@ -121,6 +119,8 @@
   private SlotGate gate;
   private PeerLinks links;
   private LocalLink localLink;
+  private KeyProofs keyProofs;
+  private StoreFollower operatorFollower;
   private volatile RoutingView view = RoutingView.EMPTY;
   private volatile boolean stopping;
   private volatile TargetStatus status;
@@ -146,6 +146,15 @@
     this.status = TargetStatus.getDefaultInstance();
     this.sentStatus = status;
     this.target = new LocalTarget(settings.peers().toString(), control, store, log, gateControl());
+    this.nodes =
+        new NodeDirectory(
+            settings.peers(),
+            settings.node(),
+            control,
+            store,
+            log,
+            peerStatuses::containsKey,
+            known -> traffic.execute(() -> links.setNodes(known)));
     this.exitRelay =
         new ExitRelay(
             settings.node(),
@@ -261,8 +270,9 @@
     return all;
   }
 
-  void connect(SlotGate slotGate, PeerLinks peerLinks, LocalLink link) {
+  void connect(SlotGate slotGate, PeerLinks peerLinks, LocalLink link, KeyProofs proofs) {
     gate = slotGate;
+    keyProofs = proofs;
     links = peerLinks;
     localLink = link;
     status = describe();
@@ -273,9 +283,12 @@
     control.execute(
         () -> {
           target.readStored();
-          moves.readStatements();
-          newFollower(operatorSubscription(), this::onStoredOperatorRecord, () -> {}).start();
-          newFollower(nodeSubscription(), this::onNodeRecord, this::onNodesRead).start();
+          operatorFollower =
+              newFollower(
+                  operatorSubscription(), this::onStoredOperatorRecord, keyProofs::onStoreRead);
+          operatorFollower.start();
+          newFollower(nodeSubscription(), nodes::onRecord, (page, askedAt) -> nodes.onPageRead())
+              .start();
         });
     control.scheduleWithFixedDelay(
         this::checkPeers,
@@ -308,19 +321,39 @@
   private StoreFollower.Subscription operatorSubscription() {
     return new StoreFollower.Subscription(
         Stream.OPERATOR,
-        CONFIGURATION_WAIT_TIMEOUT,
+        configurationWait(),
         CONFIGURATION_FIRST_DELAY,
         CONFIGURATION_BATCH_DELAY,
+        settings.revocationBound().isPresent(),
         this::readsForZone);
   }
 
+  /**
+   * Returns a shorter wait if keys must be refused sooner, as a read proves what held before it.
+   */
+  private Duration configurationWait() {
+    Duration longest =
+        settings
+            .revocationBound()
+            .map(bound -> bound.multipliedBy(3).dividedBy(10))
+            .orElse(CONFIGURATION_WAIT_TIMEOUT);
+    return longest.compareTo(CONFIGURATION_WAIT_TIMEOUT) < 0 ? longest : CONFIGURATION_WAIT_TIMEOUT;
+  }
+
   private StoreFollower.Subscription nodeSubscription() {
     return new StoreFollower.Subscription(
-        Stream.NODES, NODES_WAIT_TIMEOUT, NODES_FIRST_DELAY, NODES_BATCH_DELAY, () -> true);
+        Stream.NODES,
+        NODES_WAIT_TIMEOUT,
+        NODES_FIRST_DELAY,
+        NODES_BATCH_DELAY,
+        false,
+        this::readsForZone);
   }
 
   private StoreFollower newFollower(
-      StoreFollower.Subscription subscription, Consumer<Item> itemConsumer, Runnable afterPage) {
+      StoreFollower.Subscription subscription,
+      Consumer<Item> itemConsumer,
+      BiConsumer<Page, Duration> afterPage) {
     StoreFollower.ItemListener listener =
         new StoreFollower.ItemListener() {
           @Override
@@ -336,8 +369,8 @@
           }
 
           @Override
-          public void onPageRead() {
-            afterPage.run();
+          public void onPageRead(Page page, Duration askedAt) {
+            afterPage.accept(page, askedAt);
           }
 
           @Override
@@ -345,7 +378,18 @@
             MeshControl.this.updateLostStreams(subscription.stream(), lost);
           }
         };
-    return new StoreFollower(control, store, subscription, random, log, listener);
+    return new StoreFollower(
+        control, store, subscription, random, log, keyProofs.clock(), listener);
+  }
+
+  /** Reads the operators' records once, unless the store is known to be lost. */
+  void readOperatorRecords() {
+    control.execute(
+        () -> {
+          if (lostStreams.isEmpty()) {
+            operatorFollower.readNow();
+          }
+        });
   }
 
   private void updateLostStreams(Stream stream, boolean lost) {
@@ -459,18 +503,21 @@
 
   private void onStoredOperatorRecord(Item item) {
     if (!evacuations.onRecord(item)) {
-      onOperatorRecord(item);
+      onOperatorRecord(item)
+          .flatMap(OperatorRecordCodec.Decoded::configuration)
+          .ifPresent(snapshot -> keyProofs.onStoredVersion(snapshot.version()));
     }
   }
 
-  private void onOperatorRecord(Item item) {
+  private Optional<OperatorRecordCodec.Decoded> onOperatorRecord(Item item) {
     Optional<OperatorRecordCodec.Decoded> decoded = recordCodec.decode(item);
     if (decoded.isEmpty()) {
       log.event("record-ignored").with("key", item.key()).with("offset", item.offset()).write();
-      return;
+      return decoded;
     }
     decoded.get().configuration().ifPresent(snapshot -> applyConfiguration(snapshot, item));
     decoded.get().order().ifPresent(moves::onOrder);
+    return decoded;
   }
 
   private void applyConfiguration(Snapshot snapshot, Item item) {
@@ -531,48 +578,6 @@
     return distance(peer) == Distance.SAME_ZONE;
   }
 
-  private void onNodeRecord(Item item) {
-    Address address = Address.parse(item.key());
-    if (!NetUtil.isValidIpV4Address(address.host())
-        && !NetUtil.isValidIpV6Address(address.host())) {
-      // a name would have to be looked up on the traffic loop
-      throw new IllegalArgumentException("address of a node must have a numeric host");
-    }
-    if (address.equals(settings.peers())) {
-      registered = item.value().length > 0;
-    } else if (item.value().length == 0) {
-      nodeAddresses.remove(address);
-    } else {
-      nodeAddresses.add(address);
-    }
-  }
-
-  private void onNodesRead() {
-    if (!registered) {
-      registered = true;
-      register();
-    }
-    Set<Address> known = Set.copyOf(nodeAddresses);
-    traffic.execute(() -> links.setNodes(known));
-  }
-
-  /** Stores the node's address, only once because it stays the same across restarts. */
-  private void register() {
-    store
-        .append(
-            Stream.NODES,
-            settings.peers().toString(),
-            settings.node().getBytes(StandardCharsets.UTF_8),
-            OptionalLong.empty())
-        .whenComplete(
-            (end, error) -> {
-              if (error != null) {
-                control.schedule(
-                    this::register, REGISTER_RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
-              }
-            });
-  }
-
   private CompletableFuture<Void> onTraffic(Runnable task) {
     return CompletableFuture.runAsync(task, traffic);
   }
@@ -637,6 +642,11 @@
         control.execute(() -> target.onExitConfirmed(token, peer));
       }
 
+      @Override
+      public void onHello(Hello hello) {
+        control.execute(() -> nodes.onHello(hello));
+      }
+
       @Override
       public void onTargetReplaced() {
         evidence.clear();
@@ -652,6 +662,11 @@
         return moveFacts.isEmpty() ? Optional.empty() : Optional.of(evidenceFrame());
       }
 
+      @Override
+      public Optional<CallFrame> validityAnswer(ValidityQuery query) {
+        return keyProofs.answer(query);
+      }
+
       @Override
       public TargetStatus targetStatus() {
         return status;
@@ -689,6 +704,11 @@
         control.execute(() -> onPeerRecord(record));
       }
 
+      @Override
+      public void onValidityAnswer(ValidityAnswer answer, String node) {
+        keyProofs.onAnswer(answer, node);
+      }
+
       @Override
       public void onEvidence(CallFrame frame) {
         control.execute(() -> moves.onEvidence(frame.getEvidence()));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -29,6 +29,7 @@
 import org.cuminlatch.node.http.HttpServer;
 import org.cuminlatch.node.http.ServerExchange;
 import org.cuminlatch.wire.call.CallTransport;
+import org.cuminlatch.wire.proto.call.Hello;
 
 /**
  * Runs a node on an operator's platform, with traffic on one event loop and control state on
@@ -111,10 +112,14 @@
             metrics,
             control.gateCallback());
     CallTransport transport = CallTransport.withGroup(trafficGroup);
-    this.links = new PeerLinks(transport, random, log, control.peerListener());
+    this.links = new PeerLinks(transport, hello(settings), random, log, control.peerListener());
+    KeyProofs keyProofs =
+        new KeyProofs(
+            settings, traffic, links, control::view, control::readOperatorRecords, log, metrics);
     this.entry =
-        new EntryHandler(traffic, settings, clock, random, links, control::view, lag, log, metrics);
-    control.connect(gate, links, new LocalLink(traffic, gate));
+        new EntryHandler(
+            traffic, settings, clock, random, links, control::view, keyProofs, lag, log, metrics);
+    control.connect(gate, links, new LocalLink(traffic, gate), keyProofs);
     this.callers =
         HttpServer.listen(
             trafficGroup, socketAddress(settings.callers()), configuredLimits(), log, entry);
@@ -127,12 +132,14 @@
     HttpServer.listen(
         controlGroup, socketAddress(settings.metrics()), defaultLimits(), log, this::serveMetrics);
     addGauges();
+    gauge("key_proof_age_seconds", keyProofs::ageSeconds);
     repeat(
         SWEEP_INTERVAL,
         () -> {
           lag.tick();
           logLagChange();
           gate.sweep();
+          keyProofs.tick();
         });
     repeat(LINK_CHECK_INTERVAL, links::check);
     control.start();
@@ -204,6 +211,13 @@
     return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   }
 
+  private static Hello hello(MeshSettings settings) {
+    return Hello.newBuilder()
+        .setAddress(settings.peers().toString())
+        .setNode(settings.node())
+        .build();
+  }
+
   private static InetSocketAddress socketAddress(Address address) {
     return new InetSocketAddress(address.host(), address.port());
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -23,9 +23,11 @@
 import org.cuminlatch.wire.proto.call.CallFrame;
 import org.cuminlatch.wire.proto.call.ConfigPull;
 import org.cuminlatch.wire.proto.call.ConfigRecord;
+import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.Ping;
 import org.cuminlatch.wire.proto.call.TargetPhase;
 import org.cuminlatch.wire.proto.call.TargetStatus;
+import org.cuminlatch.wire.proto.call.ValidityAnswer;
 
 /**
  * Maintains the connections to the gates of all other nodes; used on the traffic loop.
@@ -60,6 +62,7 @@
   private static final int MAX_EXCLUDED = 1024;
 
   private final CallTransport transport;
+  private final CallFrame hello;
   private final RandomGenerator random;
   private final EventLog log;
   private final PeerListener listener;
@@ -74,8 +77,14 @@
   private final ColdTargets coldTargets = new ColdTargets();
   private ServiceIndex index = ServiceIndex.of(List.of());
 
-  PeerLinks(CallTransport transport, RandomGenerator random, EventLog log, PeerListener listener) {
+  PeerLinks(
+      CallTransport transport,
+      Hello hello,
+      RandomGenerator random,
+      EventLog log,
+      PeerListener listener) {
     this.transport = transport;
+    this.hello = CallFrame.newBuilder().setHello(hello).build();
     this.random = random;
     this.log = log;
     this.listener = listener;
@@ -96,6 +105,9 @@
 
     /** Called when a node sends the configuration that was requested from it. */
     void onConfiguration(ConfigRecord record);
+
+    /** Called when a node answers a query about the validity of keys. */
+    void onValidityAnswer(ValidityAnswer answer, String node);
   }
 
   /** Sets the local target, empty while it takes no requests. */
@@ -205,6 +217,13 @@
     return Optional.ofNullable(linkByInstance.get(instance));
   }
 
+  /** Returns the links to nodes whose status is known and that are not silent. */
+  List<PeerLink> responsive() {
+    return links.values().stream()
+        .filter(link -> link.isOpen() && !link.isSuspect() && link.status().isPresent())
+        .toList();
+  }
+
   int openLinks() {
     return (int) links.values().stream().filter(PeerLink::isOpen).count();
   }
@@ -265,6 +284,7 @@
               } else if (links.get(link.address()) == link) {
                 link.onConnected(channel);
                 linkByChannel.put(channel, link);
+                channel.send(hello);
               } else {
                 channel.close();
               }
@@ -287,6 +307,9 @@
       case STATUS -> updateStatus(link, frame.getStatus());
       case EVIDENCE -> listener.onEvidence(frame);
       case CONFIG_RECORD -> listener.onConfiguration(frame.getConfigRecord());
+      case VALIDITY_ANSWER ->
+          listener.onValidityAnswer(
+              frame.getValidityAnswer(), link.status().map(TargetStatus::getNode).orElse(""));
       case PONG -> {}
       default -> link.dispatch(frame, CallFrames.attempt(frame));
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -41,11 +41,13 @@
 import org.cuminlatch.wire.proto.call.Cancelled;
 import org.cuminlatch.wire.proto.call.Failure;
 import org.cuminlatch.wire.proto.call.FailureReason;
+import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.Load;
 import org.cuminlatch.wire.proto.call.Pong;
 import org.cuminlatch.wire.proto.call.Refusal;
 import org.cuminlatch.wire.proto.call.RefusalReason;
 import org.cuminlatch.wire.proto.call.TargetStatus;
+import org.cuminlatch.wire.proto.call.ValidityQuery;
 
 /**
  * Gate of the local target: assigns the target's slots to attempts and sends them to the target.
@@ -147,6 +149,9 @@
      */
     void onExitConfirmed(long token, String peer);
 
+    /** Called when another node opens a connection. */
+    void onHello(Hello hello);
+
     /** Called when the local target was replaced, restarted or given another number of slots. */
     void onTargetReplaced();
 
@@ -156,6 +161,11 @@
     /** Returns the frame with the evidence on moves for a node that connects. */
     Optional<CallFrame> moveEvidenceFrame();
 
+    /**
+     * Returns the frame that answers a query about the validity of keys, empty if there is none.
+     */
+    Optional<CallFrame> validityAnswer(ValidityQuery query);
+
     /** Returns the status that is sent to a node that connects. */
     TargetStatus targetStatus();
   }
@@ -274,7 +284,10 @@
           find(id).ifPresent(attempt -> addCredit(attempt, frame.getCredit().getBytes()));
       case CANCEL -> cancel(channel, id);
       case CONFIG_PULL -> callback.configurationFrame().ifPresent(channel::send);
+      case VALIDITY_QUERY ->
+          callback.validityAnswer(frame.getValidityQuery()).ifPresent(channel::send);
       case PING -> onPing(channel, frame.getPing().getNonce());
+      case HELLO -> callback.onHello(frame.getHello());
       default -> channel.close();
     }
   }
