Take the cold time from the health check of a restarted node

A restarted node counts its target as cold until the next report, for up to 1.5 s. The health check that it begins with tells earlier: its answer names the remaining time in X-Cuminlatch-Cold-Ms. After a report, or after the return of the zone to service, only reports count.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/target/ColdTracker.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/target/ColdTracker.java
@@ -25,6 +25,7 @@
   private Optional<ColdStart> limit = Optional.empty();
   private long bornMillis;
   private Instant startedAt = Instant.MIN;
+  private boolean reported;
   private Optional<Duration> reportedLeft = Optional.empty();
   private Optional<Instant> reportedAt = Optional.empty();
 
@@ -51,12 +52,29 @@
       startedAt = usable ? reportedStart : now;
       bornMillis = report.bornMillis();
     }
+    reported = true;
     reportedLeft = report.coldLeft();
     reportedAt = Optional.of(now);
   }
 
+  /**
+   * Applies what the target has answered to a health check of this process, unless it has reported
+   * meanwhile.
+   *
+   * @param coldLeft remaining time for which the target is cold
+   * @param now current time
+   */
+  public void onHealthAnswer(Duration coldLeft, Instant now) {
+    if (!reported) {
+      reported = true;
+      reportedLeft = Optional.of(coldLeft);
+      reportedAt = Optional.of(now);
+    }
+  }
+
   /** Counts the target as cold until its next report, as it may have become cold meanwhile. */
   public void expectReport() {
+    reported = true;
     reportedAt = Optional.empty();
   }
 
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/target/ColdTrackerTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/target/ColdTrackerTests.java
@@ -82,6 +82,19 @@
     assertThat(isColdAt(BORN), is(false));
   }
 
+  @Test
+  void isToldByTheHealthCheckOnlyBeforeTheFirstReport() {
+    tracker.setLimit(LIMIT);
+    tracker.onHealthAnswer(Duration.ofSeconds(2), BORN);
+    assertThat(isColdAt(BORN.plusMillis(1999)), is(true));
+    assertThat(isColdAt(BORN.plusSeconds(2)), is(false));
+
+    tracker.expectReport();
+    tracker.onHealthAnswer(Duration.ZERO, BORN);
+
+    assertThat(isColdAt(BORN), is(true));
+  }
+
   /** Guards against a target that has become cold while its reports were lost. */
   @Test
   void isAssumedOnceTheLastReportIsTooOld() {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ColdTargetControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ColdTargetControl.java
@@ -74,6 +74,12 @@
     }
   }
 
+  /** Handles the answer to the health check with which this process began. */
+  void onHealthAnswer(Duration coldLeft) {
+    tracker.onHealthAnswer(coldLeft, clock.instant());
+    update(false);
+  }
+
   /** Expects a report when the zone of the target is returned to service. */
   void setEvacuated(boolean nowEvacuated) {
     if (evacuated && !nowEvacuated) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ForwardedHeaders.java
@@ -140,6 +140,19 @@
     return perSecond;
   }
 
+  /** Returns for how long a target is cold by its answer to a health check, empty if unreadable. */
+  static Optional<Duration> coldLeft(ClientResponse response, HeaderNames names) {
+    try {
+      return response
+          .header(names.coldLeftMillis())
+          .map(text -> Double.parseDouble(text.trim()))
+          .filter(millis -> millis >= 0)
+          .map(millis -> Duration.ofNanos((long) (millis * 1e6)));
+    } catch (NumberFormatException unreadable) {
+      return Optional.empty();
+    }
+  }
+
   /** Returns whether an answer says that its target leaves. */
   static boolean saysLeaving(ClientResponse response, HeaderNames names) {
     return response.header(names.leaving()).filter(LEAVING_VALUE::equals).isPresent();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/HeaderNames.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/HeaderNames.java
@@ -14,6 +14,8 @@
  * @param requestLimit requests per second that the target accepts from all nodes together
  * @param leaving 1 if the target leaves and must get no further requests
  * @param account name of the client account that sent the request
+ * @param coldLeftMillis remaining time for which the target is cold, in milliseconds; in answers to
+ *     health checks
  */
 public record HeaderNames(
     String requestId,
@@ -24,7 +26,8 @@
     String instance,
     String requestLimit,
     String leaving,
-    String account) {
+    String account,
+    String coldLeftMillis) {
 
   /** Checks the fields. */
   public HeaderNames {
@@ -37,5 +40,6 @@
     notBlank(requestLimit, "requestLimit");
     notBlank(leaving, "leaving");
     notBlank(account, "account");
+    notBlank(coldLeftMillis, "coldLeftMillis");
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -637,6 +637,11 @@
         control.execute(() -> target.onLeavingAnswer(leaving));
       }
 
+      @Override
+      public void onColdLeft(Duration coldLeft) {
+        control.execute(() -> coldTarget.onHealthAnswer(coldLeft));
+      }
+
       @Override
       public void onExitConfirmed(long token, String peer) {
         control.execute(() -> target.onExitConfirmed(token, peer));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -141,6 +141,9 @@
     /** Called when an answer of the local target says that it leaves; the gate is closed then. */
     void onTargetLeaves(TargetReport target);
 
+    /** Called when the target has said in an answer to a health check for how long it is cold. */
+    void onColdLeft(Duration coldLeft);
+
     /**
      * Called when another node tells what it knows of a target's exit.
      *
@@ -541,6 +544,7 @@
         updateRateLimit(response, sentAt);
       }
       closeIfLeaving(response);
+      ForwardedHeaders.coldLeft(response, names).ifPresent(callback::onColdLeft);
     }
 
     @Override
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -52,7 +52,8 @@
           "instance",
           "limit",
           "leaving",
-          "account");
+          "account",
+          "cold");
 
   static final String HEALTH_PATH = "/healthz";
 
@@ -312,6 +313,9 @@
     @Override
     public void onTargetLeaves(TargetReport target) {}
 
+    @Override
+    public void onColdLeft(Duration coldLeft) {}
+
     @Override
     public void onExitConfirmed(long token, String peer) {}
 
