Tell other nodes of cold targets only while there is a target

A target that had left or crashed would have been told as cold to all nodes every 4 s, as its last report grows old, and a node that starts would have told it before its target was known. Nothing is told before the first report and after the exit; while reports are missing, a minute is told, which the next report corrects.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ColdTargetControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/ColdTargetControl.java
@@ -22,12 +22,19 @@
   /** Difference in the end of the cold period from which the other nodes are told. */
   private static final Duration TELL_DIFFERENCE = Duration.ofSeconds(1);
 
+  /**
+   * Cold time that is told while a report is missing; the next report corrects it. Long enough that
+   * a target that no longer reports causes few messages.
+   */
+  private static final Duration MISSING_REPORT_PERIOD = Duration.ofMinutes(1);
+
   private final String service;
   private final InstantSource clock;
   private final EventLog log;
   private final Listener listener;
   private final ColdTracker tracker = new ColdTracker();
   private boolean configured;
+  private boolean hasTarget;
   private boolean evacuated;
   private ColdState state = ColdState.UNLIMITED;
   private boolean cold;
@@ -68,10 +75,16 @@
 
   /** Handles a report; one with number 0 stands for a target that has not reported yet. */
   void onReport(TargetReport report) {
+    hasTarget = true;
     if (report.sequence() > 0) {
       tracker.onReport(report, clock.instant());
-      update(false);
     }
+    update(false);
+  }
+
+  /** Handles the exit of the target. */
+  void onLeave() {
+    hasTarget = false;
   }
 
   /** Handles the answer to the health check with which this process began. */
@@ -93,7 +106,7 @@
   void tick() {
     Instant now = clock.instant();
     boolean nowCold = state.isCold(now);
-    if (nowCold != cold || nowCold && !now.isBefore(toldUntil)) {
+    if (hasTarget && (nowCold != cold || nowCold && !now.isBefore(toldUntil))) {
       update(false);
     }
   }
@@ -112,9 +125,12 @@
       listener.onStateChange(newState);
     }
     state = newState;
+    if (!hasTarget) {
+      return;
+    }
     boolean nowCold = state.isCold(now);
     Instant until =
-        now.isBefore(state.coldUntil()) ? state.coldUntil() : now.plus(ColdTracker.REPORT_VALIDITY);
+        now.isBefore(state.coldUntil()) ? state.coldUntil() : now.plus(MISSING_REPORT_PERIOD);
     left = nowCold ? Duration.between(now, until) : Duration.ZERO;
     boolean changed = nowCold != cold;
     if (changed) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -253,6 +253,7 @@
 
       @Override
       public CompletableFuture<Void> close() {
+        coldTarget.onLeave();
         publishStatus();
         return onTraffic(gate::close);
       }
