--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/route/ColdTargetsTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/route/ColdTargetsTests.java
@@ -231,7 +231,12 @@
     }
 
     private ReportedLoad load() {
-      return new ReportedLoad(queue.busy(), queue.queued(), queue.effectiveSlots(now));
+      return new ReportedLoad(
+          queue.busy(),
+          queue.queued(),
+          queue.effectiveSlots(now),
+          Duration.ZERO,
+          queue.meanServiceTime());
     }
 
     private double perSecond(int count) {
@@ -247,6 +252,7 @@
 
     for (int i = 0; i < COLD_TARGETS; i++) {
       Target target = targets.get("i-" + i);
+      System.out.println("XX " + load + " " + target.perSecond(target.served) + "/" + target.perSecond(target.offered) + " refused " + refusedCalls);
       assertThat(target.perSecond(target.offered), lessThanOrEqualTo(COLD_PER_SECOND));
       assertThat(target.perSecond(target.served), greaterThan(load * COLD_PER_SECOND / 2));
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -16,6 +16,7 @@
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.admission.CallerPatience;
 import org.cuminlatch.core.admission.LagLimit;
+import org.cuminlatch.core.admission.RequestOrigin;
 import org.cuminlatch.core.admission.StopAdmission;
 import org.cuminlatch.core.config.ColdStart;
 import org.cuminlatch.core.config.Route;
@@ -27,6 +28,7 @@
 import org.cuminlatch.core.route.RequestHead;
 import org.cuminlatch.core.route.ServiceBalancer;
 import org.cuminlatch.core.route.TargetLoads;
+import org.cuminlatch.node.event.Decimals;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.http.ExchangeHandler;
 import org.cuminlatch.node.http.ServerExchange;
@@ -69,6 +71,7 @@
   private final InstantSource clock;
   private final RandomGenerator random;
   private final PeerLinks links;
+  private final CallOrigins origins;
   private final Supplier<RoutingView> view;
   private final KeyProofs keyProofs;
   private final LoopLag lag;
@@ -90,6 +93,7 @@
       InstantSource clock,
       RandomGenerator random,
       PeerLinks links,
+      CallOrigins origins,
       Supplier<RoutingView> view,
       KeyProofs keyProofs,
       LoopLag lag,
@@ -100,6 +104,7 @@
     this.clock = clock;
     this.random = random;
     this.links = links;
+    this.origins = origins;
     this.view = view;
     this.keyProofs = keyProofs;
     this.lag = lag;
@@ -146,14 +151,17 @@
       reject(exchange, id, 401, "no client account holds the key of the request");
       return;
     }
+    RequestOrigin origin = origins.of(caller, !authorization.isEmpty(), route.get());
     Optional<Duration> retryAfter =
-        LagLimit.retryAfter(caller.priorityOn(route.get()), lag.value());
+        LagLimit.retryAfter(origin.nested() ? 0 : caller.priorityOn(route.get()), lag.value());
     if (retryAfter.isPresent()) {
       refuse(exchange, id, "node is behind", retryAfter.get().toMillis() / 1000.0);
       return;
     }
     Instant arrivedAt = estimatedArrival(exchange);
     Optional<Duration> callerTimeout = EntryCall.callerTimeout(this, exchange);
+    callerTimeout.ifPresent(
+        timeout -> origins.observe(caller, route.get(), arrivedAt.plus(timeout)));
     Duration waited =
         callerTimeout
             .map(timeout -> patience.waitedBefore(route.get().name(), timeout))
@@ -182,6 +190,7 @@
             id,
             route.get(),
             caller,
+            origin,
             service,
             new EntryCall.Times(arrivedAt, goal, deadline));
     calls.add(call);
@@ -248,7 +257,7 @@
         .with("config", view.get().version())
         .write();
     metrics.countRefused(reason);
-    String after = String.format(Locale.ROOT, "%.3f", retrySeconds);
+    String after = Decimals.withThreePlaces(retrySeconds);
     exchange.respond(
         503,
         List.of(Map.entry("Retry-After", after)),
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -118,7 +118,17 @@
             settings, traffic, links, control::view, control::readOperatorRecords, log, metrics);
     this.entry =
         new EntryHandler(
-            traffic, settings, clock, random, links, control::view, keyProofs, lag, log, metrics);
+            traffic,
+            settings,
+            clock,
+            random,
+            links,
+            new CallOrigins(gate::runsUntil),
+            control::view,
+            keyProofs,
+            lag,
+            log,
+            metrics);
     control.connect(gate, links, new LocalLink(traffic, gate), keyProofs);
     this.callers =
         HttpServer.listen(
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -18,6 +18,7 @@
 import org.cuminlatch.core.admission.ColdRateLimit;
 import org.cuminlatch.core.admission.GoalQueue;
 import org.cuminlatch.core.admission.GoalRequest;
+import org.cuminlatch.core.admission.RequestOrigin;
 import org.cuminlatch.core.admission.RequestRateLimit;
 import org.cuminlatch.core.admission.SlotDecision;
 import org.cuminlatch.core.admission.SlotDecision.Kind;
@@ -72,6 +73,9 @@
   /** Time without any answer after which a target with outstanding requests is probed. */
   private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(600);
 
+  /** Difference between two deadlines that may be due to the time that messages take. */
+  private static final Duration SAME_DEADLINE_TOLERANCE = Duration.ofMillis(25);
+
   /** Size of the answers that wait for slow callers at which no more large ones are requested. */
   private static final int MAX_WAITING_ANSWER_BYTES = 16 << 20;
 
@@ -247,6 +251,18 @@
     return running;
   }
 
+  /** Returns whether the target runs a request whose deadline is the given one, within a bound. */
+  boolean runsUntil(Instant deadline) {
+    return attempts.values().stream()
+        .anyMatch(
+            attempt ->
+                attempt.isDispatched()
+                    && Duration.between(attempt.deadline(), deadline)
+                            .abs()
+                            .compareTo(SAME_DEADLINE_TOLERANCE)
+                        <= 0);
+  }
+
   int waiting() {
     return slots.queued();
   }
@@ -360,8 +376,13 @@
             begin.getRoute(),
             begin.getPriority(),
             attempt.arrivedAt().plusNanos(begin.getGoalMicros() * 1000),
-            attempt.deadline());
-    apply(new SlotDecision(attempt.id(), slots.offer(request, now)));
+            attempt.deadline(),
+            new RequestOrigin(begin.getNested(), begin.getAccount(), begin.getAccountWeight()));
+    Kind kind = slots.offer(request, now);
+    if (kind != Kind.ADMITTED && slots.isOverShare(request)) {
+      metrics.countOverShare(begin.getAccount());
+    }
+    apply(new SlotDecision(attempt.id(), kind));
     awaitPermit(now);
   }
 
@@ -711,6 +732,7 @@
                         .setLoad(load())
                         .setFreeInMicros(slots.expectedWait(clock.instant()).toNanos() / 1000))
                 .build());
+    metrics.countGateRefusal(reason.name(), attempt.begin().getNested());
     log.request("gate-refused", attempt.begin().getRequestId())
         .with("route", attempt.begin().getRoute())
         .with("target", attempt.begin().getExpectedInstance())
@@ -718,6 +740,8 @@
         .with("running", running)
         .with("waiting", slots.queued())
         .with("limit", slots.effectiveSlots(clock.instant()))
+        .with("account", attempt.begin().getAccount())
+        .with("nested", String.valueOf(attempt.begin().getNested()))
         .with("goalMillis", attempt.begin().getGoalMicros() / 1000)
         .write();
   }
@@ -743,6 +767,7 @@
         .setQueued(slots.queued())
         .setLimit(slots.effectiveSlots(now))
         .setLagMicros(lag.value().toNanos() / 1000)
+        .setServiceMicros(slots.meanServiceTime().toNanos() / 1000)
         .build();
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
@@ -685,6 +685,36 @@
     }
   }
 
+  public static final int NESTED_FIELD_NUMBER = 24;
+  private boolean nested_ = false;
+  /**
+   * <pre>
+   * Whether a target made the request while it ran another one.
+   * </pre>
+   *
+   * <code>bool nested = 24;</code>
+   * @return The nested.
+   */
+  @java.lang.Override
+  public boolean getNested() {
+    return nested_;
+  }
+
+  public static final int ACCOUNT_WEIGHT_FIELD_NUMBER = 25;
+  private double accountWeight_ = 0D;
+  /**
+   * <pre>
+   * Weight of the account in the shares of the target's slots; 0 if the configuration gives none.
+   * </pre>
+   *
+   * <code>double account_weight = 25;</code>
+   * @return The accountWeight.
+   */
+  @java.lang.Override
+  public double getAccountWeight() {
+    return accountWeight_;
+  }
+
   public static final int COLD_PER_SECOND_FIELD_NUMBER = 26;
   private double coldPerSecond_ = 0D;
   /**
@@ -807,6 +837,12 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 21, account_);
     }
+    if (nested_ != false) {
+      output.writeBool(24, nested_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(accountWeight_) != 0) {
+      output.writeDouble(25, accountWeight_);
+    }
     if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
       output.writeDouble(26, coldPerSecond_);
     }
@@ -896,6 +932,14 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(21, account_);
     }
+    if (nested_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(24, nested_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(accountWeight_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(25, accountWeight_);
+    }
     if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(26, coldPerSecond_);
@@ -961,6 +1005,11 @@
         != other.getGoalMicros()) return false;
     if (!getAccount()
         .equals(other.getAccount())) return false;
+    if (getNested()
+        != other.getNested()) return false;
+    if (java.lang.Double.doubleToLongBits(getAccountWeight())
+        != java.lang.Double.doubleToLongBits(
+            other.getAccountWeight())) return false;
     if (java.lang.Double.doubleToLongBits(getColdPerSecond())
         != java.lang.Double.doubleToLongBits(
             other.getColdPerSecond())) return false;
@@ -1031,6 +1080,12 @@
         getGoalMicros());
     hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
     hash = (53 * hash) + getAccount().hashCode();
+    hash = (37 * hash) + NESTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getNested());
+    hash = (37 * hash) + ACCOUNT_WEIGHT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getAccountWeight()));
     hash = (37 * hash) + COLD_PER_SECOND_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getColdPerSecond()));
@@ -1201,6 +1256,8 @@
       priority_ = 0;
       goalMicros_ = 0L;
       account_ = "";
+      nested_ = false;
+      accountWeight_ = 0D;
       coldPerSecond_ = 0D;
       limitPerSecond_ = 0D;
       return this;
@@ -1310,10 +1367,16 @@
         result.account_ = account_;
       }
       if (((from_bitField0_ & 0x00200000) != 0)) {
+        result.nested_ = nested_;
+      }
+      if (((from_bitField0_ & 0x00400000) != 0)) {
+        result.accountWeight_ = accountWeight_;
+      }
+      if (((from_bitField0_ & 0x00800000) != 0)) {
         result.coldPerSecond_ = coldPerSecond_;
       }
       int to_bitField0_ = 0;
-      if (((from_bitField0_ & 0x00400000) != 0)) {
+      if (((from_bitField0_ & 0x01000000) != 0)) {
         result.limitPerSecond_ = limitPerSecond_;
         to_bitField0_ |= 0x00000001;
       }
@@ -1438,6 +1501,12 @@
         bitField0_ |= 0x00100000;
         onChanged();
       }
+      if (other.getNested() != false) {
+        setNested(other.getNested());
+      }
+      if (java.lang.Double.doubleToRawLongBits(other.getAccountWeight()) != 0) {
+        setAccountWeight(other.getAccountWeight());
+      }
       if (java.lang.Double.doubleToRawLongBits(other.getColdPerSecond()) != 0) {
         setColdPerSecond(other.getColdPerSecond());
       }
@@ -1583,14 +1652,24 @@
               bitField0_ |= 0x00100000;
               break;
             } // case 170
+            case 192: {
+              nested_ = input.readBool();
+              bitField0_ |= 0x00200000;
+              break;
+            } // case 192
+            case 201: {
+              accountWeight_ = input.readDouble();
+              bitField0_ |= 0x00400000;
+              break;
+            } // case 201
             case 209: {
               coldPerSecond_ = input.readDouble();
-              bitField0_ |= 0x00200000;
+              bitField0_ |= 0x00800000;
               break;
             } // case 209
             case 217: {
               limitPerSecond_ = input.readDouble();
-              bitField0_ |= 0x00400000;
+              bitField0_ |= 0x01000000;
               break;
             } // case 217
             default: {
@@ -3118,6 +3197,94 @@
       return this;
     }
 
+    private boolean nested_ ;
+    /**
+     * <pre>
+     * Whether a target made the request while it ran another one.
+     * </pre>
+     *
+     * <code>bool nested = 24;</code>
+     * @return The nested.
+     */
+    @java.lang.Override
+    public boolean getNested() {
+      return nested_;
+    }
+    /**
+     * <pre>
+     * Whether a target made the request while it ran another one.
+     * </pre>
+     *
+     * <code>bool nested = 24;</code>
+     * @param value The nested to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNested(boolean value) {
+
+      nested_ = value;
+      bitField0_ |= 0x00200000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether a target made the request while it ran another one.
+     * </pre>
+     *
+     * <code>bool nested = 24;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNested() {
+      bitField0_ = (bitField0_ & ~0x00200000);
+      nested_ = false;
+      onChanged();
+      return this;
+    }
+
+    private double accountWeight_ ;
+    /**
+     * <pre>
+     * Weight of the account in the shares of the target's slots; 0 if the configuration gives none.
+     * </pre>
+     *
+     * <code>double account_weight = 25;</code>
+     * @return The accountWeight.
+     */
+    @java.lang.Override
+    public double getAccountWeight() {
+      return accountWeight_;
+    }
+    /**
+     * <pre>
+     * Weight of the account in the shares of the target's slots; 0 if the configuration gives none.
+     * </pre>
+     *
+     * <code>double account_weight = 25;</code>
+     * @param value The accountWeight to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountWeight(double value) {
+
+      accountWeight_ = value;
+      bitField0_ |= 0x00400000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Weight of the account in the shares of the target's slots; 0 if the configuration gives none.
+     * </pre>
+     *
+     * <code>double account_weight = 25;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccountWeight() {
+      bitField0_ = (bitField0_ & ~0x00400000);
+      accountWeight_ = 0D;
+      onChanged();
+      return this;
+    }
+
     private double coldPerSecond_ ;
     /**
      * <pre>
@@ -3145,7 +3312,7 @@
     public Builder setColdPerSecond(double value) {
 
       coldPerSecond_ = value;
-      bitField0_ |= 0x00200000;
+      bitField0_ |= 0x00800000;
       onChanged();
       return this;
     }
@@ -3159,7 +3326,7 @@
      * @return This builder for chaining.
      */
     public Builder clearColdPerSecond() {
-      bitField0_ = (bitField0_ & ~0x00200000);
+      bitField0_ = (bitField0_ & ~0x00800000);
       coldPerSecond_ = 0D;
       onChanged();
       return this;
@@ -3177,7 +3344,7 @@
      */
     @java.lang.Override
     public boolean hasLimitPerSecond() {
-      return ((bitField0_ & 0x00400000) != 0);
+      return ((bitField0_ & 0x01000000) != 0);
     }
     /**
      * <pre>
@@ -3205,7 +3372,7 @@
     public Builder setLimitPerSecond(double value) {
 
       limitPerSecond_ = value;
-      bitField0_ |= 0x00400000;
+      bitField0_ |= 0x01000000;
       onChanged();
       return this;
     }
@@ -3219,7 +3386,7 @@
      * @return This builder for chaining.
      */
     public Builder clearLimitPerSecond() {
-      bitField0_ = (bitField0_ & ~0x00400000);
+      bitField0_ = (bitField0_ & ~0x01000000);
       limitPerSecond_ = 0D;
       onChanged();
       return this;
