Divide calls between cold and warm targets by what they can serve

Entry nodes left a cold target out of most choices and then compared it by cost with warm ones. Now a call goes to the cold targets of the own region with the probability of their part of what the region's targets can serve, and to the warm ones otherwise, or if the chosen cold one has reported no room.

ColdTargetsTests, ServiceBalancerTests and HomeRegionsTests pass.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ColdTargets.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ColdTargets.java
@@ -8,7 +8,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.random.RandomGenerator;
+import java.util.Optional;
+import org.cuminlatch.core.membership.Locality;
 import org.cuminlatch.core.membership.Member;
 
 /**
@@ -16,15 +17,15 @@
  * offered.
  *
  * <p>While it is cold, a target gets only a limited number of requests per second from all nodes
- * together. A node knows neither what the others send nor what the target has just got. It
- * therefore leaves a cold target out of most choices, so that the target is offered a share of the
- * calls that corresponds to its rate: at most that rate if the warm targets are fully loaded. Not
- * thread-safe.
+ * together. A node knows neither what the others send nor what the target has just got. Each node
+ * therefore divides its calls between cold and warm targets in proportion to what they can serve.
+ * Together, the nodes then offer a cold target at most its rate, unless all targets are overloaded.
+ * Not thread-safe.
  */
 public final class ColdTargets {
 
-  /** Latency that is assumed before any warm target of the service has answered. */
-  private static final double INITIAL_LATENCY_SECONDS = 0.1;
+  /** Service time that is assumed before any warm target of the service has answered. */
+  private static final double INITIAL_SERVICE_SECONDS = 0.1;
 
   private final Map<String, Cold> byInstance = new HashMap<>();
 
@@ -59,28 +60,54 @@
   }
 
   /**
-   * Returns the members that a call is offered to: all warm ones, and each cold one with a
-   * probability that corresponds to its rate.
+   * Divides the candidates of a call.
    *
-   * @param members members that may run the call
-   * @param loads observed latencies
+   * @param candidates members that may run the call
+   * @param ownLocality locality of the node that sends the call
+   * @param loads observed loads
    * @param now current time
-   * @param random source of randomness
-   * @return the members; all of them if all are cold
+   * @return the division; empty if all candidates are warm or all are cold
    */
-  List<Member> offered(
-      List<Member> members, TargetLoads loads, Instant now, RandomGenerator random) {
-    if (byInstance.isEmpty() || members.stream().allMatch(member -> isCold(member, now))) {
-      return members;
+  Optional<Division> divide(
+      List<Member> candidates, Locality ownLocality, TargetLoads loads, Instant now) {
+    if (byInstance.isEmpty()) {
+      return Optional.empty();
     }
-    double latencySeconds = warmLatencySeconds(members, loads, now);
-    List<Member> offered = new ArrayList<>(members.size());
-    for (Member member : members) {
-      if (!isCold(member, now) || random.nextDouble() < shareOfWarm(member, latencySeconds)) {
-        offered.add(member);
-      }
+    List<Member> cold = new ArrayList<>();
+    List<Member> warm = new ArrayList<>(candidates.size());
+    for (Member member : candidates) {
+      (isCold(member, now) ? cold : warm).add(member);
     }
-    return offered;
+    if (cold.isEmpty() || warm.isEmpty()) {
+      return Optional.empty();
+    }
+    // the targets of another region are for the calls of its own nodes, if these have any
+    boolean ownRegionServes = candidates.stream().anyMatch(member -> near(member, ownLocality));
+    List<Member> offered =
+        ownRegionServes ? cold.stream().filter(member -> near(member, ownLocality)).toList() : cold;
+    double coldPerSecond =
+        offered.stream().mapToDouble(member -> byInstance.get(member.instance()).perSecond()).sum();
+    double warmSlots =
+        warm.stream()
+            .filter(member -> !ownRegionServes || near(member, ownLocality))
+            .mapToDouble(Member::slots)
+            .sum();
+    double warmPerSecond = warmSlots / serviceSeconds(warm, loads, now);
+    return Optional.of(
+        new Division(offered, warm, coldPerSecond / (coldPerSecond + warmPerSecond)));
+  }
+
+  /**
+   * Division of the candidates of a call.
+   *
+   * @param cold cold targets that get a share of the calls; may be empty
+   * @param warm warm targets
+   * @param coldShare share of the calls for the cold targets
+   */
+  record Division(List<Member> cold, List<Member> warm, double coldShare) {}
+
+  private static boolean near(Member member, Locality ownLocality) {
+    return ownLocality.distanceTo(member.locality()) != Locality.Distance.OTHER_REGION;
   }
 
   private boolean isCold(Member member, Instant now) {
@@ -88,18 +115,11 @@
     return cold != null && now.isBefore(cold.until());
   }
 
-  /** Returns the rate of a cold target in relation to that of a fully loaded warm one. */
-  private double shareOfWarm(Member member, double latencySeconds) {
-    double warmPerSecond = Math.max(1, member.slots()) / latencySeconds;
-    return byInstance.get(member.instance()).perSecond() / warmPerSecond;
-  }
-
-  private double warmLatencySeconds(List<Member> members, TargetLoads loads, Instant now) {
+  private static double serviceSeconds(List<Member> members, TargetLoads loads, Instant now) {
     return members.stream()
-        .filter(member -> !isCold(member, now))
-        .mapToDouble(member -> loads.of(member.instance(), now).lastLatencyMillis() / 1e3)
-        .filter(latency -> latency > 0)
+        .mapToDouble(member -> loads.of(member.instance(), now).serviceMillis() / 1e3)
+        .filter(seconds -> seconds > 0)
         .average()
-        .orElse(INITIAL_LATENCY_SECONDS);
+        .orElse(INITIAL_SERVICE_SECONDS);
   }
 }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceBalancer.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/ServiceBalancer.java
@@ -70,11 +70,11 @@
     List<Member> members = index.serving(service);
     for (List<Member> group : versionGroups(members, rule, context.homeRegions(), random)) {
       List<Member> candidates = context.candidates(group);
-      List<Member> offered = coldTargets.offered(candidates, loads, context.now(), random);
-      Optional<TargetChooser.Choice> choice = choose(offered, context, random);
-      if (choice.isEmpty() && offered.size() < candidates.size()) {
-        choice = choose(candidates, context, random);
-      }
+      Optional<TargetChooser.Choice> choice =
+          coldTargets
+              .divide(candidates, context.ownLocality(), loads, context.now())
+              .flatMap(division -> chooseOf(division, context, random))
+              .or(() -> choose(candidates, context, random));
       if (choice.isPresent()) {
         return choice.map(chosen -> new ChosenTarget(chosen.member(), chosen.reason()));
       }
@@ -82,6 +82,20 @@
     return Optional.empty();
   }
 
+  /** Returns a cold target for a share of the calls if it has room, otherwise a warm one. */
+  private Optional<TargetChooser.Choice> chooseOf(
+      ColdTargets.Division division, Context context, RandomGenerator random) {
+    Optional<TargetChooser.Choice> cold =
+        random.nextDouble() < division.coldShare()
+            ? choose(division.cold(), context, random).filter(choice -> hasRoom(choice, context))
+            : Optional.empty();
+    return cold.or(() -> choose(division.warm(), context, random));
+  }
+
+  private boolean hasRoom(TargetChooser.Choice choice, Context context) {
+    return chooser.pressure(choice.member(), context.now()) < TargetChooser.ZONE_SPILL_PRESSURE;
+  }
+
   private Optional<TargetChooser.Choice> choose(
       List<Member> candidates, Context context, RandomGenerator random) {
     return inNearestLocality(candidates, context, random)
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
@@ -174,9 +174,11 @@
     return latencyMillis * decay(latencyUpdatedAt, now, LATENCY_HALF_LIFE);
   }
 
-  /** Returns the latest smoothed latency, however old it is; 0 before the first answer. */
-  synchronized double lastLatencyMillis() {
-    return latencyMillis;
+  /** Returns the latest known service time or else latency; 0 before the first answer. */
+  synchronized double serviceMillis() {
+    return report != null && !report.serviceTime().isZero()
+        ? report.serviceTime().toNanos() / 1e6
+        : latencyMillis;
   }
 
   private double weight(Instant now) {
