Check only targets that can become cold before their first request

After each restart of a node its gate asked the target by a health check whether it leaves or names a limit, held attempts for up to 0.3 s and refused those of other nodes for up to 1 s before the configuration. Only targets that can become cold are checked now, as too many requests make them crash.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -19,6 +19,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.ConfigurationPullSchedule;
+import org.cuminlatch.core.config.ServiceSettings;
 import org.cuminlatch.core.config.Snapshot;
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.core.membership.Locality;
@@ -529,8 +530,9 @@
     RouteTable table = RouteTable.of(snapshot);
     view = view.withTable(table);
     coldTarget.onConfiguration(snapshot);
-    Optional<String> healthPath = snapshot.settingsOf(settings.service()).healthPath();
-    traffic.execute(() -> gate.setHealthPath(healthPath));
+    ServiceSettings service = snapshot.settingsOf(settings.service());
+    Optional<String> checkPath = service.coldStart().flatMap(cold -> service.healthPath());
+    traffic.execute(() -> gate.setCheckPath(checkPath));
     log.event("configuration")
         .with("version", snapshot.version())
         .with("routes", snapshot.routes().size())
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -218,9 +218,9 @@
     }
   }
 
-  /** Sets the path of the target's health check, empty if it has none. */
-  void setHealthPath(Optional<String> path) {
-    check.setHealthPath(path);
+  /** Sets the path of the health check of a restarted node, empty if the target needs none. */
+  void setCheckPath(Optional<String> path) {
+    check.setPath(path);
   }
 
   /** Limits the requests to the target while it is cold. */
@@ -414,7 +414,7 @@
 
   private Optional<RefusalReason> refusalReason(GateAttempt attempt) {
     Begin begin = attempt.begin();
-    if (report.isEmpty() || check.awaitsConfiguration()) {
+    if (report.isEmpty() || (begin.getColdPerSecond() > 0 && check.awaitsConfiguration())) {
       return Optional.of(RefusalReason.NOT_SERVING);
     }
     if (!begin.getExpectedInstance().equals(report.get().instance())) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/TargetCheck.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/TargetCheck.java
@@ -19,9 +19,13 @@
 import org.cuminlatch.node.http.ResponseOwner;
 
 /**
- * Sends a health check to a target that may have told an earlier process of its node that it leaves
- * or names a request limit, before it gets a request. All answers of such a target say so, also
- * those to health checks, which it may get at any time. Used on the traffic loop.
+ * Sends a health check to a target that may have told an earlier process of its node that it is
+ * cold, leaves or names a request limit, before it gets a request. All answers of such a target say
+ * so, also those to health checks, which it may get at any time. Used on the traffic loop.
+ *
+ * <p>Only targets that can become cold are checked, as too many requests make them crash. For the
+ * others, the delay and the check would cost callers more at each restart than the few requests
+ * that are sent before the first answer.
  */
 final class TargetCheck {
 
@@ -77,8 +81,8 @@
     void onEnd();
   }
 
-  /** Sets the path of the configuration in force, empty if targets have no health check. */
-  void setHealthPath(Optional<String> path) {
+  /** Sets the path of the configuration in force, empty if the target is not to be checked. */
+  void setPath(Optional<String> path) {
     healthPath = Optional.of(path);
     check.ifPresent(Check::startIfConfigured);
   }
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -73,6 +73,7 @@
   private volatile ExchangeHandler target = GateFixture::answer;
   private volatile ExchangeHandler healthCheck = exchange -> {};
   private boolean open = true;
+  private double coldKnownToEntry;
   private OptionalDouble limitKnownToEntry = OptionalDouble.empty();
 
   GateFixture(int slots) throws InterruptedException {
@@ -184,6 +185,13 @@
     begin(number, true);
   }
 
+  /** Offers an attempt of an entry node that knows the limit of cold targets. */
+  void beginCold(int number, double coldPerSecond) {
+    coldKnownToEntry = coldPerSecond;
+    begin(number);
+    coldKnownToEntry = 0;
+  }
+
   /** Offers an attempt to the gate; must be called on the loop. */
   void begin(int number, boolean idempotent) {
     begin(number, idempotent, "r-1", 1 << 20);
@@ -207,6 +215,7 @@
             .setRequestId(Integer.toString(number))
             .setExpectedInstance(INSTANCE);
     limitKnownToEntry.ifPresent(begin::setLimitPerSecond);
+    begin.setColdPerSecond(coldKnownToEntry);
     gate.onFrame(channel, CallFrames.of(attempt(number)).setBegin(begin).build());
   }
 
