--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/config/Snapshot.java
@@ -18,6 +18,7 @@
  * @param callerLimits limits on the requests that a caller sends
  * @param accounts client accounts by name; if there are any, callers of routes that are not public
  *     need a key
+ * @param serviceSettings settings of the services that have any, by service
  */
 public record Snapshot(
     long version,
@@ -27,7 +28,8 @@
     Map<String, MoveState> moves,
     Map<ResourceKey, ResourceStatus> resources,
     CallerLimits callerLimits,
-    Map<String, ClientAccount> accounts) {
+    Map<String, ClientAccount> accounts,
+    Map<String, ServiceSettings> serviceSettings) {
 
   /** Validates the components and copies the maps. */
   public Snapshot {
@@ -39,6 +41,31 @@
     resources = Map.copyOf(notNull(resources, "resources"));
     notNull(callerLimits, "callerLimits");
     accounts = Map.copyOf(notNull(accounts, "accounts"));
+    serviceSettings = Map.copyOf(notNull(serviceSettings, "serviceSettings"));
+  }
+
+  /**
+   * Creates a snapshot without settings of services.
+   *
+   * @param version configuration version
+   * @param stateHash hash over the state
+   * @param routes routes by name
+   * @param services services by name
+   * @param moves moves by name
+   * @param resources version and readability of each resource
+   * @param callerLimits limits on the requests that a caller sends
+   * @param accounts client accounts by name
+   */
+  public Snapshot(
+      long version,
+      String stateHash,
+      Map<String, Route> routes,
+      Map<String, ServiceState> services,
+      Map<String, MoveState> moves,
+      Map<ResourceKey, ResourceStatus> resources,
+      CallerLimits callerLimits,
+      Map<String, ClientAccount> accounts) {
+    this(version, stateHash, routes, services, moves, resources, callerLimits, accounts, Map.of());
   }
 
   /**
@@ -79,6 +106,16 @@
     this(version, stateHash, routes, services, moves, Map.of());
   }
 
+  /**
+   * Returns the settings of a service.
+   *
+   * @param service name of the service
+   * @return its settings, or {@link ServiceSettings#NONE}
+   */
+  public ServiceSettings settingsOf(String service) {
+    return serviceSettings.getOrDefault(service, ServiceSettings.NONE);
+  }
+
   /**
    * Returns the resources whose newest record this instance cannot read.
    *
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -18,6 +18,7 @@
 import org.cuminlatch.core.admission.LagLimit;
 import org.cuminlatch.core.admission.RequestOrigin;
 import org.cuminlatch.core.admission.StopAdmission;
+import org.cuminlatch.core.config.ColdStart;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.RoutePolicy;
 import org.cuminlatch.core.retry.RetryBudget;
@@ -80,6 +81,7 @@
   private final LinkBudget regionLink;
   private final ServiceBalancer balancer;
   private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+  private final NamedLimits namedLimits = new NamedLimits();
   private final Map<String, Double> meanAnswerBytes = new HashMap<>();
   private Optional<StopAdmission> stop = Optional.empty();
   private final CallerPatience patience = new CallerPatience();
@@ -109,7 +111,7 @@
     this.log = log;
     this.metrics = metrics;
     this.regionLink = new LinkBudget(REGION_LINK_BYTES_PER_SECOND, clock.instant());
-    this.balancer = new ServiceBalancer(loads, regionLink);
+    this.balancer = new ServiceBalancer(loads, regionLink, links.coldTargets());
   }
 
   @Override
@@ -309,6 +311,19 @@
         .orElse(HomeRegions.ANY);
   }
 
+  NamedLimits namedLimits() {
+    return namedLimits;
+  }
+
+  /** Returns the rate of a service's cold targets by the configuration in force, 0 if unlimited. */
+  double coldPerSecond(String service) {
+    return view.get()
+        .table()
+        .flatMap(table -> table.snapshot().settingsOf(service).coldStart())
+        .map(ColdStart::perSecond)
+        .orElse(0.0);
+  }
+
   boolean hasTargetOf(String service, HomeRegions homeRegions) {
     return links.index().serving(service).stream()
         .anyMatch(target -> homeRegions.allows(target.locality()));
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -51,7 +52,10 @@
           "instance",
           "limit",
           "leaving",
-          "account");
+          "account",
+          "cold");
+
+  static final String HEALTH_PATH = "/healthz";
 
   private static final int WAIT_SECONDS = 20;
   private static final String INSTANCE = "i-1";
@@ -67,7 +71,10 @@
   private final SlotGate gate;
   private final int slots;
   private volatile ExchangeHandler target = GateFixture::answer;
+  private volatile ExchangeHandler healthCheck = exchange -> {};
   private boolean open = true;
+  private double coldKnownToEntry;
+  private OptionalDouble limitKnownToEntry = OptionalDouble.empty();
 
   GateFixture(int slots) throws InterruptedException {
     this(slots, Optional.empty());
@@ -110,13 +117,24 @@
   void reportReady(long bornMillis, long sequence) throws InterruptedException {
     TargetReport report =
         new TargetReport(
-            INSTANCE, bornMillis, sequence, "bookings", "v1", slots, true, Duration.ZERO);
+            INSTANCE,
+            bornMillis,
+            sequence,
+            "bookings",
+            "v1",
+            slots,
+            true,
+            Optional.of(Duration.ZERO));
     onLoop(() -> gate.open(report));
   }
 
   private void receive(ServerExchange exchange) {
-    received.add(exchange.header(HEADERS.requestId()).orElseThrow());
-    target.handle(exchange);
+    if (exchange.requestTarget().equals(HEALTH_PATH)) {
+      healthCheck.handle(exchange);
+    } else {
+      received.add(exchange.header(HEADERS.requestId()).orElseThrow());
+      target.handle(exchange);
+    }
   }
 
   /** Answers a request of the gate with 200. */
@@ -130,6 +148,11 @@
     exchange.respond(status, all, new byte[0]);
   }
 
+  /** Sets how the target answers health checks. */
+  void setHealthCheck(ExchangeHandler handler) {
+    healthCheck = handler;
+  }
+
   void setTarget(ExchangeHandler handler) {
     target = handler;
   }
@@ -152,11 +175,23 @@
     return new AttemptId(1, number);
   }
 
+  /** Sets the limit that the entry node names with its attempts. */
+  void setLimitKnownToEntry(double perSecond) {
+    limitKnownToEntry = OptionalDouble.of(perSecond);
+  }
+
   /** Offers an attempt that can be repeated to the gate; must be called on the loop. */
   void begin(int number) {
     begin(number, true);
   }
 
+  /** Offers an attempt of an entry node that knows the limit of cold targets. */
+  void beginCold(int number, double coldPerSecond) {
+    coldKnownToEntry = coldPerSecond;
+    begin(number);
+    coldKnownToEntry = 0;
+  }
+
   /** Offers an attempt to the gate; must be called on the loop. */
   void begin(int number, boolean idempotent) {
     begin(number, idempotent, "r-1", 1 << 20);
@@ -164,27 +199,24 @@
 
   /** Offers an attempt whose answer may be sent as far as its credit in bytes allows. */
   void begin(int number, boolean idempotent, String route, int credit) {
-    gate.onFrame(
-        channel,
-        CallFrames.of(attempt(number))
-            .setBegin(
-                Begin.newBuilder()
-                    .setRoute(route)
-                    .setMethod("GET")
-                    .setPath("/")
-                    .addHeaders(Header.newBuilder().setName("Host").setValue("shop.example"))
-                    .addHeaders(
-                        Header.newBuilder()
-                            .setName(HEADERS.requestId())
-                            .setValue(Integer.toString(number)))
-                    .setDeadlineMicros(TimeUnit.SECONDS.toMicros(60))
-                    .setGoalMicros(TimeUnit.SECONDS.toMicros(60))
-                    .setIdempotent(idempotent)
-                    .setBodyComplete(true)
-                    .setCredit(credit)
-                    .setRequestId(Integer.toString(number))
-                    .setExpectedInstance(INSTANCE))
-            .build());
+    Begin.Builder begin =
+        Begin.newBuilder()
+            .setRoute(route)
+            .setMethod("GET")
+            .setPath("/")
+            .addHeaders(Header.newBuilder().setName("Host").setValue("shop.example"))
+            .addHeaders(
+                Header.newBuilder().setName(HEADERS.requestId()).setValue(Integer.toString(number)))
+            .setDeadlineMicros(TimeUnit.SECONDS.toMicros(60))
+            .setGoalMicros(TimeUnit.SECONDS.toMicros(60))
+            .setIdempotent(idempotent)
+            .setBodyComplete(true)
+            .setCredit(credit)
+            .setRequestId(Integer.toString(number))
+            .setExpectedInstance(INSTANCE);
+    limitKnownToEntry.ifPresent(begin::setLimitPerSecond);
+    begin.setColdPerSecond(coldKnownToEntry);
+    gate.onFrame(channel, CallFrames.of(attempt(number)).setBegin(begin).build());
   }
 
   /** Announces that the node of the gate stops after some time. */
@@ -290,6 +322,9 @@
     @Override
     public void onTargetLeaves(TargetReport target) {}
 
+    @Override
+    public void onColdLeft(Duration coldLeft) {}
+
     @Override
     public void onExitConfirmed(long token, String peer) {}
 
