--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/route/TargetLoad.java
@@ -174,6 +174,13 @@
     return latencyMillis * decay(latencyUpdatedAt, now, LATENCY_HALF_LIFE);
   }
 
+  /** Returns the latest known service time or else latency; 0 before the first answer. */
+  synchronized double serviceMillis() {
+    return report != null && !report.serviceTime().isZero()
+        ? report.serviceTime().toNanos() / 1e6
+        : latencyMillis;
+  }
+
   private double weight(Instant now) {
     double age = Duration.between(firstSeen, now).toNanos();
     return Math.max(MIN_WEIGHT, Math.min(1, age / policy.slowStart().toNanos()));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -19,6 +19,7 @@
 import java.util.function.ObjLongConsumer;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.ConfigurationPullSchedule;
+import org.cuminlatch.core.config.ServiceSettings;
 import org.cuminlatch.core.config.Snapshot;
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.core.membership.Locality;
@@ -27,6 +28,7 @@
 import org.cuminlatch.core.move.CallOutcome.Result;
 import org.cuminlatch.core.route.RouteTable;
 import org.cuminlatch.core.spread.ZoneReaderSelection;
+import org.cuminlatch.core.target.ColdState;
 import org.cuminlatch.core.target.TargetReport;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.mesh.KeyedStore.Item;
@@ -99,6 +101,7 @@
   private final ExitRelay exitRelay;
   private final MoveControl moves;
   private final EvacuationControl evacuations;
+  private final ColdTargetControl coldTarget;
   private final Map<String, TargetStatus> peerStatuses = new HashMap<>();
 
   /** Nodes whose connections are silent, so that they may have ended. */
@@ -180,16 +183,19 @@
             rules -> view = view.withRules(rules));
     this.evacuations =
         new EvacuationControl(clock, log, recordCodec, this::readsForZone, evacuationListener());
+    this.coldTarget = new ColdTargetControl(settings.service(), clock, log, coldTargetListener());
   }
 
   private EvacuationControl.Listener evacuationListener() {
     return new EvacuationControl.Listener() {
       @Override
       public void onEvacuatedZones(Set<String> zones) {
+        boolean evacuated = zones.contains(settings.locality().zone());
+        coldTarget.setEvacuated(evacuated);
         traffic.execute(
             () -> {
               links.setEvacuatedZones(zones);
-              gate.setEvacuated(zones.contains(settings.locality().zone()));
+              gate.setEvacuated(evacuated);
             });
       }
 
@@ -210,6 +216,25 @@
     return eras;
   }
 
+  private ColdTargetControl.Listener coldTargetListener() {
+    return new ColdTargetControl.Listener() {
+      @Override
+      public void onStateChange(ColdState state) {
+        traffic.execute(() -> gate.setCold(state));
+      }
+
+      @Override
+      public void onStatusChange() {
+        status = describe();
+      }
+
+      @Override
+      public void tellAll() {
+        publishStatus();
+      }
+    };
+  }
+
   /** Returns the handler of the local target's reports. */
   TargetReportHandler reportHandler() {
     return target;
@@ -219,7 +244,8 @@
     return new LocalTarget.GateControl() {
       @Override
       public CompletableFuture<Void> open(TargetReport report) {
-        coldUntil = clock.instant().plus(report.coldLeft());
+        coldUntil = clock.instant().plus(report.coldLeft().orElse(Duration.ZERO));
+        coldTarget.onReport(report);
         publishStatus();
         return onTraffic(
             () -> {
@@ -229,12 +255,18 @@
       }
 
       @Override
-      public CompletableFuture<Void> targetReachable() {
+      public CompletableFuture<Void> targetReachable(TargetReport report) {
+        report
+            .coldLeft()
+            .filter(left -> !left.isZero())
+            .ifPresent(left -> coldUntil = clock.instant().plus(left));
+        coldTarget.onReport(report);
         return onTraffic(gate::markReachable);
       }
 
       @Override
       public CompletableFuture<Void> close() {
+        coldTarget.onLeave();
         publishStatus();
         return onTraffic(gate::close);
       }
@@ -552,6 +584,10 @@
     recordInForce = Optional.of(new ConfigRecordCodec.LazyFrame(item));
     RouteTable table = RouteTable.of(snapshot);
     view = view.withTable(table);
+    coldTarget.onConfiguration(snapshot);
+    ServiceSettings service = snapshot.settingsOf(settings.service());
+    Optional<String> checkPath = service.coldStart().flatMap(cold -> service.healthPath());
+    traffic.execute(() -> gate.setCheckPath(checkPath));
     log.event("configuration")
         .with("version", snapshot.version())
         .with("routes", snapshot.routes().size())
@@ -575,6 +611,7 @@
       eras.recordContact();
     }
     evacuations.tick();
+    coldTarget.tick();
     pullIfBehind();
   }
 
@@ -626,7 +663,9 @@
             .setStoreLost(!lostStreams.isEmpty())
             .setStoreEra(eras.latest());
     evacuations.describe(built);
-    return target.describe(built, !gate.isAbsent()).build();
+    target.describe(built, !gate.isAbsent());
+    coldTarget.describe(built);
+    return built.build();
   }
 
   /** Publishes the status of node and target to the traffic loop and all connected nodes. */
@@ -646,6 +685,7 @@
           TargetStatus own = described.toBuilder().setNodeStops(false).build();
           Optional<Member> member = PeerLinks.toMember(own, settings.peers());
           links.setLocalTarget(member, localLink);
+          ColdTargetControl.record(own, links.coldTargets(), clock.instant());
           gate.broadcast(CallFrame.newBuilder().setStatus(described).build());
         });
   }
@@ -668,6 +708,11 @@
         control.execute(() -> target.onLeavingAnswer(leaving));
       }
 
+      @Override
+      public void onColdLeft(Duration coldLeft) {
+        control.execute(() -> coldTarget.onHealthAnswer(coldLeft));
+      }
+
       @Override
       public void onExitConfirmed(long token, String peer) {
         control.execute(() -> target.onExitConfirmed(token, peer));
@@ -709,6 +754,7 @@
     return new PeerLinks.PeerListener() {
       @Override
       public void onStatus(TargetStatus peer, Address node) {
+        ColdTargetControl.record(peer, links.coldTargets(), clock.instant());
         control.execute(() -> onPeerStatus(peer, node));
       }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.cuminlatch.core.admission.AnswerMemory;
+import org.cuminlatch.core.admission.ColdRateLimit;
 import org.cuminlatch.core.admission.GoalQueue;
 import org.cuminlatch.core.admission.GoalRequest;
 import org.cuminlatch.core.admission.RequestOrigin;
@@ -25,6 +26,7 @@
 import org.cuminlatch.core.admission.StopAdmission;
 import org.cuminlatch.core.move.CallOutcome.Result;
 import org.cuminlatch.core.retry.AttemptId;
+import org.cuminlatch.core.target.ColdState;
 import org.cuminlatch.core.target.TargetReport;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.http.ClientListener;
@@ -85,6 +87,7 @@
   private final EventLog log;
   private final MeshMetrics metrics;
   private final GateCallback callback;
+  private final TargetCheck check;
   private final Map<AttemptId, GateAttempt> attempts = new HashMap<>();
   private final List<GateAttempt> arrived = new ArrayList<>();
   private final AnswerMemory answerMemory =
@@ -95,7 +98,8 @@
   /** Latest start of the target that has said in an answer that it leaves. */
   private Optional<TargetReport> leaving = Optional.empty();
 
-  private RequestRateLimit rateLimit = new RequestRateLimit();
+  private final ColdRateLimit cold = new ColdRateLimit();
+  private RequestRateLimit rateLimit = new RequestRateLimit(cold);
   private GoalQueue slots = new GoalQueue(1, rateLimit);
   private Future<?> permitTimer;
   private Optional<StopAdmission> stop = Optional.empty();
@@ -124,6 +128,7 @@
     this.log = log;
     this.metrics = metrics;
     this.callback = callback;
+    this.check = new TargetCheck(loop, target, clock, names, log, metrics, new CheckListener());
     this.lastAnswerAt = clock.instant();
     target.listenForUnsolicitedBytes(this::onUnsolicitedBytes);
   }
@@ -140,6 +145,9 @@
     /** Called when an answer of the local target says that it leaves; the gate is closed then. */
     void onTargetLeaves(TargetReport target);
 
+    /** Called when the target has said in an answer to a health check for how long it is cold. */
+    void onColdLeft(Duration coldLeft);
+
     /**
      * Called when another node tells what it knows of a target's exit.
      *
@@ -177,7 +185,8 @@
     report = Optional.of(newReport);
     open = leaving.filter(newReport::isOfSameStart).isEmpty();
     if (!sameStart) {
-      rateLimit = new RequestRateLimit();
+      rateLimit = new RequestRateLimit(cold);
+      check.onStart(newReport);
     }
     if (!sameStart || !sameSlots) {
       refuseWaiting(RefusalReason.TARGET_REPLACED);
@@ -209,6 +218,22 @@
     }
   }
 
+  /** Sets the path of the health check of a restarted node, empty if the target needs none. */
+  void setCheckPath(Optional<String> path) {
+    check.setPath(path);
+  }
+
+  /** Limits the requests to the target while it is cold. */
+  void setCold(ColdState state) {
+    cold.update(state, clock.instant());
+    admitWaiting();
+  }
+
+  /** Returns the limit that applies while the target is cold, infinite if there is none now. */
+  double coldPerSecond() {
+    return cold.perSecond(clock.instant());
+  }
+
   /** Called on a report of the target, which shows that it may be reachable again. */
   void markReachable() {
     connectFailures = 0;
@@ -324,6 +349,9 @@
   }
 
   private void offerArrived() {
+    if (check.isRunning()) {
+      return; // they are offered when the check has ended
+    }
     List<GateAttempt> batch = List.copyOf(arrived);
     arrived.clear();
     for (GateAttempt attempt : batch) {
@@ -341,6 +369,7 @@
     }
     Instant now = clock.instant();
     Begin begin = attempt.begin();
+    assumeLimits(begin, now);
     GoalRequest request =
         new GoalRequest(
             attempt.id(),
@@ -357,6 +386,14 @@
     awaitPermit(now);
   }
 
+  /** Applies the limits that the entry node knows and that this process has not learned yet. */
+  private void assumeLimits(Begin begin, Instant now) {
+    cold.assume(begin.getColdPerSecond(), now);
+    if (begin.hasLimitPerSecond() && rateLimit.assume(begin.getLimitPerSecond(), now)) {
+      logLimit();
+    }
+  }
+
   /** Admits waiting attempts once the target's rate limit permits the next request. */
   private void awaitPermit(Instant now) {
     if (permitTimer == null) {
@@ -377,7 +414,7 @@
 
   private Optional<RefusalReason> refusalReason(GateAttempt attempt) {
     Begin begin = attempt.begin();
-    if (report.isEmpty()) {
+    if (report.isEmpty() || (begin.getColdPerSecond() > 0 && check.awaitsConfiguration())) {
       return Optional.of(RefusalReason.NOT_SERVING);
     }
     if (!begin.getExpectedInstance().equals(report.get().instance())) {
@@ -519,6 +556,29 @@
     }
   }
 
+  /** Applies what the check of a target says that has run before this process. */
+  private final class CheckListener implements TargetCheck.Listener {
+
+    @Override
+    public void onAnswer(ClientResponse response, Instant sentAt) {
+      if (response.header(names.requestLimit()).isPresent()) {
+        updateRateLimit(response, sentAt);
+      }
+      closeIfLeaving(response);
+      ForwardedHeaders.coldLeft(response, names).ifPresent(callback::onColdLeft);
+    }
+
+    @Override
+    public void onReplaced() {
+      markAbsent("another target answered at its address");
+    }
+
+    @Override
+    public void onEnd() {
+      offerArrived();
+    }
+  }
+
   private void onUnsolicitedBytes(UnsolicitedBytes unsolicited) {
     metrics.countUnsolicitedBytes("target", unsolicited.position());
     log.event("unsolicited-bytes")
@@ -545,13 +605,17 @@
       return;
     }
     if (rateLimit.onAnswer(named, sentAt, clock.instant())) {
-      log.event("target-limit")
-          .with("target", report.map(TargetReport::instance).orElse("-"))
-          .with("perSecond", rateLimit.perSecond().orElse(-1))
-          .write();
+      logLimit();
     }
   }
 
+  private void logLimit() {
+    log.event("target-limit")
+        .with("target", report.map(TargetReport::instance).orElse("-"))
+        .with("perSecond", rateLimit.perSecond().orElse(-1))
+        .write();
+  }
+
   /** Returns the rate limit that the target has named, in requests per second. */
   OptionalDouble limitPerSecond() {
     return rateLimit.perSecond();
@@ -655,6 +719,9 @@
 
   private void refuse(GateAttempt attempt, RefusalReason reason) {
     attempts.remove(attempt.id());
+    if (isFull(reason) && cold.applies(clock.instant())) {
+      metrics.countRefusedCold();
+    }
     attempt
         .origin()
         .send(
@@ -679,6 +746,10 @@
         .write();
   }
 
+  private static boolean isFull(RefusalReason reason) {
+    return reason == RefusalReason.QUEUE_FULL || reason == RefusalReason.DEADLINE;
+  }
+
   private void fail(GateAttempt attempt, FailureReason reason) {
     attempts.remove(attempt.id());
     attempt
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Begin.java
@@ -59,6 +59,7 @@
             org.cuminlatch.wire.proto.call.Begin.class, org.cuminlatch.wire.proto.call.Begin.Builder.class);
   }
 
+  private int bitField0_;
   public static final int ROUTE_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object route_ = "";
@@ -714,6 +715,51 @@
     return accountWeight_;
   }
 
+  public static final int COLD_PER_SECOND_FIELD_NUMBER = 26;
+  private double coldPerSecond_ = 0D;
+  /**
+   * <pre>
+   * Requests per second that a cold target of the service gets, by the configuration in force at
+   * the entry node; 0 if there is no limit.
+   * </pre>
+   *
+   * <code>double cold_per_second = 26;</code>
+   * @return The coldPerSecond.
+   */
+  @java.lang.Override
+  public double getColdPerSecond() {
+    return coldPerSecond_;
+  }
+
+  public static final int LIMIT_PER_SECOND_FIELD_NUMBER = 27;
+  private double limitPerSecond_ = 0D;
+  /**
+   * <pre>
+   * Requests per second that the target accepts, as its answers have told the entry node; unset if
+   * they name no limit.
+   * </pre>
+   *
+   * <code>optional double limit_per_second = 27;</code>
+   * @return Whether the limitPerSecond field is set.
+   */
+  @java.lang.Override
+  public boolean hasLimitPerSecond() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Requests per second that the target accepts, as its answers have told the entry node; unset if
+   * they name no limit.
+   * </pre>
+   *
+   * <code>optional double limit_per_second = 27;</code>
+   * @return The limitPerSecond.
+   */
+  @java.lang.Override
+  public double getLimitPerSecond() {
+    return limitPerSecond_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -797,6 +843,12 @@
     if (java.lang.Double.doubleToRawLongBits(accountWeight_) != 0) {
       output.writeDouble(25, accountWeight_);
     }
+    if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
+      output.writeDouble(26, coldPerSecond_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeDouble(27, limitPerSecond_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -888,6 +940,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(25, accountWeight_);
     }
+    if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(26, coldPerSecond_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(27, limitPerSecond_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -950,6 +1010,15 @@
     if (java.lang.Double.doubleToLongBits(getAccountWeight())
         != java.lang.Double.doubleToLongBits(
             other.getAccountWeight())) return false;
+    if (java.lang.Double.doubleToLongBits(getColdPerSecond())
+        != java.lang.Double.doubleToLongBits(
+            other.getColdPerSecond())) return false;
+    if (hasLimitPerSecond() != other.hasLimitPerSecond()) return false;
+    if (hasLimitPerSecond()) {
+      if (java.lang.Double.doubleToLongBits(getLimitPerSecond())
+          != java.lang.Double.doubleToLongBits(
+              other.getLimitPerSecond())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1017,6 +1086,14 @@
     hash = (37 * hash) + ACCOUNT_WEIGHT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getAccountWeight()));
+    hash = (37 * hash) + COLD_PER_SECOND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getColdPerSecond()));
+    if (hasLimitPerSecond()) {
+      hash = (37 * hash) + LIMIT_PER_SECOND_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getLimitPerSecond()));
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1181,6 +1258,8 @@
       account_ = "";
       nested_ = false;
       accountWeight_ = 0D;
+      coldPerSecond_ = 0D;
+      limitPerSecond_ = 0D;
       return this;
     }
 
@@ -1293,6 +1372,15 @@
       if (((from_bitField0_ & 0x00400000) != 0)) {
         result.accountWeight_ = accountWeight_;
       }
+      if (((from_bitField0_ & 0x00800000) != 0)) {
+        result.coldPerSecond_ = coldPerSecond_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x01000000) != 0)) {
+        result.limitPerSecond_ = limitPerSecond_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -1419,6 +1507,12 @@
       if (java.lang.Double.doubleToRawLongBits(other.getAccountWeight()) != 0) {
         setAccountWeight(other.getAccountWeight());
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getColdPerSecond()) != 0) {
+        setColdPerSecond(other.getColdPerSecond());
+      }
+      if (other.hasLimitPerSecond()) {
+        setLimitPerSecond(other.getLimitPerSecond());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1568,6 +1662,16 @@
               bitField0_ |= 0x00400000;
               break;
             } // case 201
+            case 209: {
+              coldPerSecond_ = input.readDouble();
+              bitField0_ |= 0x00800000;
+              break;
+            } // case 209
+            case 217: {
+              limitPerSecond_ = input.readDouble();
+              bitField0_ |= 0x01000000;
+              break;
+            } // case 217
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3181,6 +3285,113 @@
       return this;
     }
 
+    private double coldPerSecond_ ;
+    /**
+     * <pre>
+     * Requests per second that a cold target of the service gets, by the configuration in force at
+     * the entry node; 0 if there is no limit.
+     * </pre>
+     *
+     * <code>double cold_per_second = 26;</code>
+     * @return The coldPerSecond.
+     */
+    @java.lang.Override
+    public double getColdPerSecond() {
+      return coldPerSecond_;
+    }
+    /**
+     * <pre>
+     * Requests per second that a cold target of the service gets, by the configuration in force at
+     * the entry node; 0 if there is no limit.
+     * </pre>
+     *
+     * <code>double cold_per_second = 26;</code>
+     * @param value The coldPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdPerSecond(double value) {
+
+      coldPerSecond_ = value;
+      bitField0_ |= 0x00800000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests per second that a cold target of the service gets, by the configuration in force at
+     * the entry node; 0 if there is no limit.
+     * </pre>
+     *
+     * <code>double cold_per_second = 26;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdPerSecond() {
+      bitField0_ = (bitField0_ & ~0x00800000);
+      coldPerSecond_ = 0D;
+      onChanged();
+      return this;
+    }
+
+    private double limitPerSecond_ ;
+    /**
+     * <pre>
+     * Requests per second that the target accepts, as its answers have told the entry node; unset if
+     * they name no limit.
+     * </pre>
+     *
+     * <code>optional double limit_per_second = 27;</code>
+     * @return Whether the limitPerSecond field is set.
+     */
+    @java.lang.Override
+    public boolean hasLimitPerSecond() {
+      return ((bitField0_ & 0x01000000) != 0);
+    }
+    /**
+     * <pre>
+     * Requests per second that the target accepts, as its answers have told the entry node; unset if
+     * they name no limit.
+     * </pre>
+     *
+     * <code>optional double limit_per_second = 27;</code>
+     * @return The limitPerSecond.
+     */
+    @java.lang.Override
+    public double getLimitPerSecond() {
+      return limitPerSecond_;
+    }
+    /**
+     * <pre>
+     * Requests per second that the target accepts, as its answers have told the entry node; unset if
+     * they name no limit.
+     * </pre>
+     *
+     * <code>optional double limit_per_second = 27;</code>
+     * @param value The limitPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLimitPerSecond(double value) {
+
+      limitPerSecond_ = value;
+      bitField0_ |= 0x01000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests per second that the target accepts, as its answers have told the entry node; unset if
+     * they name no limit.
+     * </pre>
+     *
+     * <code>optional double limit_per_second = 27;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLimitPerSecond() {
+      bitField0_ = (bitField0_ & ~0x01000000);
+      limitPerSecond_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.Begin)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/BeginOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/BeginOrBuilder.java
@@ -317,4 +317,36 @@
    * @return The accountWeight.
    */
   double getAccountWeight();
+
+  /**
+   * <pre>
+   * Requests per second that a cold target of the service gets, by the configuration in force at
+   * the entry node; 0 if there is no limit.
+   * </pre>
+   *
+   * <code>double cold_per_second = 26;</code>
+   * @return The coldPerSecond.
+   */
+  double getColdPerSecond();
+
+  /**
+   * <pre>
+   * Requests per second that the target accepts, as its answers have told the entry node; unset if
+   * they name no limit.
+   * </pre>
+   *
+   * <code>optional double limit_per_second = 27;</code>
+   * @return Whether the limitPerSecond field is set.
+   */
+  boolean hasLimitPerSecond();
+  /**
+   * <pre>
+   * Requests per second that the target accepts, as its answers have told the entry node; unset if
+   * they name no limit.
+   * </pre>
+   *
+   * <code>optional double limit_per_second = 27;</code>
+   * @return The limitPerSecond.
+   */
+  double getLimitPerSecond();
 }
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatus.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatus.java
@@ -337,7 +337,7 @@
   private long coldMicros_ = 0L;
   /**
    * <pre>
-   * Remaining time for which the target is slow after its start.
+   * Remaining time for which the target is cold, that is slow as after its start.
    * </pre>
    *
    * <code>int64 cold_micros = 10;</code>
@@ -454,6 +454,22 @@
     return zones_.get(index);
   }
 
+  public static final int COLD_PER_SECOND_FIELD_NUMBER = 15;
+  private double coldPerSecond_ = 0D;
+  /**
+   * <pre>
+   * Requests per second that the target gets from all nodes together while it is cold; 0 if there is
+   * no limit.
+   * </pre>
+   *
+   * <code>double cold_per_second = 15;</code>
+   * @return The coldPerSecond.
+   */
+  @java.lang.Override
+  public double getColdPerSecond() {
+    return coldPerSecond_;
+  }
+
   public static final int STORE_ERA_FIELD_NUMBER = 16;
   private long storeEra_ = 0L;
   /**
@@ -525,6 +541,9 @@
     for (int i = 0; i < zones_.size(); i++) {
       output.writeMessage(14, zones_.get(i));
     }
+    if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
+      output.writeDouble(15, coldPerSecond_);
+    }
     if (storeEra_ != 0L) {
       output.writeInt64(16, storeEra_);
     }
@@ -587,6 +606,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(14, zones_.get(i));
     }
+    if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(15, coldPerSecond_);
+    }
     if (storeEra_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(16, storeEra_);
@@ -633,6 +656,9 @@
         != other.getStoreLost()) return false;
     if (!getZonesList()
         .equals(other.getZonesList())) return false;
+    if (java.lang.Double.doubleToLongBits(getColdPerSecond())
+        != java.lang.Double.doubleToLongBits(
+            other.getColdPerSecond())) return false;
     if (getStoreEra()
         != other.getStoreEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -681,6 +707,9 @@
       hash = (37 * hash) + ZONES_FIELD_NUMBER;
       hash = (53 * hash) + getZonesList().hashCode();
     }
+    hash = (37 * hash) + COLD_PER_SECOND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getColdPerSecond()));
     hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getStoreEra());
@@ -839,6 +868,7 @@
         zonesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00002000);
+      coldPerSecond_ = 0D;
       storeEra_ = 0L;
       return this;
     }
@@ -926,6 +956,9 @@
         result.storeLost_ = storeLost_;
       }
       if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.coldPerSecond_ = coldPerSecond_;
+      }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
         result.storeEra_ = storeEra_;
       }
     }
@@ -1019,6 +1052,9 @@
           }
         }
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getColdPerSecond()) != 0) {
+        setColdPerSecond(other.getColdPerSecond());
+      }
       if (other.getStoreEra() != 0L) {
         setStoreEra(other.getStoreEra());
       }
@@ -1126,9 +1162,14 @@
               }
               break;
             } // case 114
+            case 121: {
+              coldPerSecond_ = input.readDouble();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 121
             case 128: {
               storeEra_ = input.readInt64();
-              bitField0_ |= 0x00004000;
+              bitField0_ |= 0x00008000;
               break;
             } // case 128
             default: {
@@ -1710,7 +1751,7 @@
     private long coldMicros_ ;
     /**
      * <pre>
-     * Remaining time for which the target is slow after its start.
+     * Remaining time for which the target is cold, that is slow as after its start.
      * </pre>
      *
      * <code>int64 cold_micros = 10;</code>
@@ -1722,7 +1763,7 @@
     }
     /**
      * <pre>
-     * Remaining time for which the target is slow after its start.
+     * Remaining time for which the target is cold, that is slow as after its start.
      * </pre>
      *
      * <code>int64 cold_micros = 10;</code>
@@ -1738,7 +1779,7 @@
     }
     /**
      * <pre>
-     * Remaining time for which the target is slow after its start.
+     * Remaining time for which the target is cold, that is slow as after its start.
      * </pre>
      *
      * <code>int64 cold_micros = 10;</code>
@@ -2195,6 +2236,53 @@
       return zonesBuilder_;
     }
 
+    private double coldPerSecond_ ;
+    /**
+     * <pre>
+     * Requests per second that the target gets from all nodes together while it is cold; 0 if there is
+     * no limit.
+     * </pre>
+     *
+     * <code>double cold_per_second = 15;</code>
+     * @return The coldPerSecond.
+     */
+    @java.lang.Override
+    public double getColdPerSecond() {
+      return coldPerSecond_;
+    }
+    /**
+     * <pre>
+     * Requests per second that the target gets from all nodes together while it is cold; 0 if there is
+     * no limit.
+     * </pre>
+     *
+     * <code>double cold_per_second = 15;</code>
+     * @param value The coldPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdPerSecond(double value) {
+
+      coldPerSecond_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests per second that the target gets from all nodes together while it is cold; 0 if there is
+     * no limit.
+     * </pre>
+     *
+     * <code>double cold_per_second = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdPerSecond() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      coldPerSecond_ = 0D;
+      onChanged();
+      return this;
+    }
+
     private long storeEra_ ;
     /**
      * <pre>
@@ -2220,7 +2308,7 @@
     public Builder setStoreEra(long value) {
 
       storeEra_ = value;
-      bitField0_ |= 0x00004000;
+      bitField0_ |= 0x00008000;
       onChanged();
       return this;
     }
@@ -2233,7 +2321,7 @@
      * @return This builder for chaining.
      */
     public Builder clearStoreEra() {
-      bitField0_ = (bitField0_ & ~0x00004000);
+      bitField0_ = (bitField0_ & ~0x00008000);
       storeEra_ = 0L;
       onChanged();
       return this;
