--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -16,7 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
-import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.config.ConfigurationPullSchedule;
 import org.cuminlatch.core.config.ServiceSettings;
@@ -95,6 +95,7 @@
   private final EventLog log;
   private final KeyedStore store;
   private final OperatorRecordCodec recordCodec;
+  private final StoreEraControl eras;
   private final NodeDirectory nodes;
   private final LocalTarget target;
   private final ExitRelay exitRelay;
@@ -122,6 +123,7 @@
   private LocalLink localLink;
   private KeyProofs keyProofs;
   private StoreFollower operatorFollower;
+  private StoreFollower nodeFollower;
   private volatile RoutingView view = RoutingView.EMPTY;
   private volatile boolean stopping;
   private volatile TargetStatus status;
@@ -146,13 +148,16 @@
     this.recordCodec = recordCodec;
     this.status = TargetStatus.getDefaultInstance();
     this.sentStatus = status;
-    this.target = new LocalTarget(settings.peers().toString(), control, store, log, gateControl());
+    this.eras = new StoreEraControl(control, clock, random, log);
+    this.target =
+        new LocalTarget(settings.peers().toString(), control, store, eras, log, gateControl());
     this.nodes =
         new NodeDirectory(
             settings.peers(),
             settings.node(),
             control,
             store,
+            eras,
             log,
             peerStatuses::containsKey,
             known -> traffic.execute(() -> links.setNodes(known)));
@@ -161,6 +166,7 @@
             settings.node(),
             control,
             store,
+            eras,
             random,
             log,
             (node, exit) -> traffic.execute(() -> links.confirmExitStored(node, exit)));
@@ -170,6 +176,7 @@
             control,
             clock,
             store,
+            eras,
             recordCodec,
             log,
             this::allStatuses,
@@ -204,6 +211,11 @@
     };
   }
 
+  /** Returns what this node knows of the era of the store. */
+  StoreEraControl eras() {
+    return eras;
+  }
+
   private ColdTargetControl.Listener coldTargetListener() {
     return new ColdTargetControl.Listener() {
       @Override
@@ -282,6 +294,8 @@
   }
 
   void start() {
+    eras.listen(this::onStoreReturned);
+    store.listenForEra(eras::onStoreEra);
     control.execute(
         () -> {
           target.readStored();
@@ -289,8 +303,10 @@
               newFollower(
                   operatorSubscription(), this::onStoredOperatorRecord, keyProofs::onStoreRead);
           operatorFollower.start();
-          newFollower(nodeSubscription(), nodes::onRecord, (page, askedAt) -> nodes.onPageRead())
-              .start();
+          nodeFollower =
+              newFollower(
+                  nodeSubscription(), nodes::onRecord, (page, askedAt) -> nodes.onPageRead());
+          nodeFollower.start();
         });
     control.scheduleWithFixedDelay(
         this::checkPeers,
@@ -304,6 +320,37 @@
         TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Reads the streams anew and writes again what the store may have lost. Other nodes are told by
+   * the nodes that read the store for their zone, as with other changes.
+   */
+  private void onStoreReturned() {
+    operatorFollower.restart();
+    nodeFollower.restart();
+    keyProofs
+        .onStoreReturned()
+        .ifPresent(
+            delay ->
+                control.schedule(this::readForFirstProof, delay.toMillis(), TimeUnit.MILLISECONDS));
+    moves.onStoreReturned();
+    nodes.onStoreReturned();
+    target.onStoreReturned();
+    exitRelay.onStoreReturned(
+        node -> peerStatuses.containsKey(node) && !peerStatuses.get(node).getStoreLost());
+    eras.spread(this::writeExitsOfOthers);
+    if (readsForZone()) {
+      publishStatus();
+    } else {
+      status = describe();
+    }
+  }
+
+  private void readForFirstProof() {
+    if (readsForZone()) {
+      readOperatorRecords();
+    }
+  }
+
   RoutingView view() {
     return view;
   }
@@ -354,13 +401,13 @@
 
   private StoreFollower newFollower(
       StoreFollower.Subscription subscription,
-      Consumer<Item> itemConsumer,
+      ObjLongConsumer<Item> itemConsumer,
       BiConsumer<Page, Duration> afterPage) {
     StoreFollower.ItemListener listener =
         new StoreFollower.ItemListener() {
           @Override
-          public void onItem(Item item) {
-            itemConsumer.accept(item);
+          public void onItem(Item item, long era) {
+            itemConsumer.accept(item, era);
           }
 
           @Override
@@ -372,6 +419,7 @@
 
           @Override
           public void onPageRead(Page page, Duration askedAt) {
+            eras.onStoreEra(page.eraOrNone());
             afterPage.accept(page, askedAt);
           }
 
@@ -428,6 +476,7 @@
 
   private void onPeerStatus(TargetStatus peer, Address node) {
     peerStatuses.put(peer.getNode(), peer);
+    eras.onPeerEra(peer.getStoreEra(), peer.getNode());
     evacuations.onStatus(peer);
     updateObservedNodes();
     exitRelay.onStatus(peer, node);
@@ -458,7 +507,8 @@
         moveFacts = moves.moveFacts();
         movesActive = moves.isActive();
         evidenceTicks++;
-        if (evidenceTicks % evidencePeriodTicks() == 0) {
+        // once the last statement is written, the other nodes need not read it
+        if (evidenceTicks % evidencePeriodTicks() == 0 || !movesActive) {
           traffic.execute(this::sendEvidence);
         }
       }
@@ -503,14 +553,20 @@
     }
   }
 
-  private void onStoredOperatorRecord(Item item) {
-    if (!evacuations.onRecord(item)) {
-      onOperatorRecord(item)
-          .flatMap(OperatorRecordCodec.Decoded::configuration)
-          .ifPresent(snapshot -> keyProofs.onStoredVersion(snapshot.version()));
+  private void onStoredOperatorRecord(Item item, long era) {
+    if (evacuations.onRecord(item, era)) {
+      return;
     }
+    Optional<OperatorRecordCodec.Decoded> decoded = onOperatorRecord(item);
+    decoded
+        .flatMap(OperatorRecordCodec.Decoded::configuration)
+        .ifPresent(snapshot -> keyProofs.onStoredVersion(snapshot.version()));
+    decoded
+        .flatMap(OperatorRecordCodec.Decoded::order)
+        .ifPresent(order -> moves.onStoredOrder(order, era));
   }
 
+  /** Applies a configuration from the store or another node, which sends nothing else. */
   private Optional<OperatorRecordCodec.Decoded> onOperatorRecord(Item item) {
     Optional<OperatorRecordCodec.Decoded> decoded = recordCodec.decode(item);
     if (decoded.isEmpty()) {
@@ -518,7 +574,6 @@
       return decoded;
     }
     decoded.get().configuration().ifPresent(snapshot -> applyConfiguration(snapshot, item));
-    decoded.get().order().ifPresent(moves::onOrder);
     return decoded;
   }
 
@@ -537,6 +592,8 @@
         .with("version", snapshot.version())
         .with("routes", snapshot.routes().size())
         .write();
+    // what nodes that connect are told; a restarted one may have read an older copy of the store
+    status = describe();
     if (!versionUpdateScheduled && readsForZone()) {
       versionUpdateScheduled = true;
       control.schedule(
@@ -550,11 +607,21 @@
   }
 
   private void checkPeers() {
+    if (peerStatuses.values().stream().anyMatch(this::confirmsEra)) {
+      eras.recordContact();
+    }
     evacuations.tick();
     coldTarget.tick();
     pullIfBehind();
   }
 
+  /** Returns whether a connected node can read the store and knows of no later era. */
+  private boolean confirmsEra(TargetStatus peer) {
+    return !peer.getStoreLost()
+        && peer.getStoreEra() == eras.latest()
+        && !suspectNodes.contains(peer.getNode());
+  }
+
   /** Requests a configuration that the store has not delivered from the nearest node with it. */
   private void pullIfBehind() {
     long own = view.version();
@@ -593,7 +660,8 @@
             .setZone(settings.locality().zone())
             .setNodeStops(stopping)
             .setConfigVersion(view.version())
-            .setStoreLost(!lostStreams.isEmpty());
+            .setStoreLost(!lostStreams.isEmpty())
+            .setStoreEra(eras.latest());
     evacuations.describe(built);
     target.describe(built, !gate.isAbsent());
     coldTarget.describe(built);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -343,6 +343,7 @@
         .clearConfigVersion()
         .clearStoreLost()
         .clearZones()
+        .clearStoreEra()
         .clearColdMicros()
         .clearColdPerSecond()
         .build();
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatus.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatus.java
@@ -470,6 +470,21 @@
     return coldPerSecond_;
   }
 
+  public static final int STORE_ERA_FIELD_NUMBER = 16;
+  private long storeEra_ = 0L;
+  /**
+   * <pre>
+   * Latest era of the store that the node knows of; 0 if the store names none.
+   * </pre>
+   *
+   * <code>int64 store_era = 16;</code>
+   * @return The storeEra.
+   */
+  @java.lang.Override
+  public long getStoreEra() {
+    return storeEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -529,6 +544,9 @@
     if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
       output.writeDouble(15, coldPerSecond_);
     }
+    if (storeEra_ != 0L) {
+      output.writeInt64(16, storeEra_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -592,6 +610,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(15, coldPerSecond_);
     }
+    if (storeEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(16, storeEra_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -637,6 +659,8 @@
     if (java.lang.Double.doubleToLongBits(getColdPerSecond())
         != java.lang.Double.doubleToLongBits(
             other.getColdPerSecond())) return false;
+    if (getStoreEra()
+        != other.getStoreEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -686,6 +710,9 @@
     hash = (37 * hash) + COLD_PER_SECOND_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getColdPerSecond()));
+    hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStoreEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -842,6 +869,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00002000);
       coldPerSecond_ = 0D;
+      storeEra_ = 0L;
       return this;
     }
 
@@ -930,6 +958,9 @@
       if (((from_bitField0_ & 0x00004000) != 0)) {
         result.coldPerSecond_ = coldPerSecond_;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.storeEra_ = storeEra_;
+      }
     }
 
     @java.lang.Override
@@ -1024,6 +1055,9 @@
       if (java.lang.Double.doubleToRawLongBits(other.getColdPerSecond()) != 0) {
         setColdPerSecond(other.getColdPerSecond());
       }
+      if (other.getStoreEra() != 0L) {
+        setStoreEra(other.getStoreEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1133,6 +1167,11 @@
               bitField0_ |= 0x00004000;
               break;
             } // case 121
+            case 128: {
+              storeEra_ = input.readInt64();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 128
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2244,6 +2283,50 @@
       return this;
     }
 
+    private long storeEra_ ;
+    /**
+     * <pre>
+     * Latest era of the store that the node knows of; 0 if the store names none.
+     * </pre>
+     *
+     * <code>int64 store_era = 16;</code>
+     * @return The storeEra.
+     */
+    @java.lang.Override
+    public long getStoreEra() {
+      return storeEra_;
+    }
+    /**
+     * <pre>
+     * Latest era of the store that the node knows of; 0 if the store names none.
+     * </pre>
+     *
+     * <code>int64 store_era = 16;</code>
+     * @param value The storeEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreEra(long value) {
+
+      storeEra_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Latest era of the store that the node knows of; 0 if the store names none.
+     * </pre>
+     *
+     * <code>int64 store_era = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreEra() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      storeEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.TargetStatus)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatusOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/TargetStatusOrBuilder.java
@@ -203,4 +203,14 @@
    * @return The coldPerSecond.
    */
   double getColdPerSecond();
+
+  /**
+   * <pre>
+   * Latest era of the store that the node knows of; 0 if the store names none.
+   * </pre>
+   *
+   * <code>int64 store_era = 16;</code>
+   * @return The storeEra.
+   */
+  long getStoreEra();
 }
