--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -185,13 +185,6 @@
     begin(number, true);
   }
 
-  /** Offers an attempt of an entry node that knows the limit of cold targets. */
-  void beginCold(int number, double coldPerSecond) {
-    coldKnownToEntry = coldPerSecond;
-    begin(number);
-    coldKnownToEntry = 0;
-  }
-
   /** Offers an attempt to the gate; must be called on the loop. */
   void begin(int number, boolean idempotent) {
     begin(number, idempotent, "r-1", 1 << 20);
@@ -219,6 +212,13 @@
     gate.onFrame(channel, CallFrames.of(attempt(number)).setBegin(begin).build());
   }
 
+  /** Offers an attempt of an entry node that knows the limit of cold targets. */
+  void beginCold(int number, double coldPerSecond) {
+    coldKnownToEntry = coldPerSecond;
+    begin(number);
+    coldKnownToEntry = 0;
+  }
+
   /** Announces that the node of the gate stops after some time. */
   void announceStop(Duration period) throws InterruptedException {
     onLoop(
