--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -18,6 +18,7 @@
 import org.cuminlatch.core.config.RoutePolicy.Repeatability;
 import org.cuminlatch.core.membership.Locality.Distance;
 import org.cuminlatch.core.membership.Member;
+import org.cuminlatch.core.quota.QuotaClient.QuotaToken;
 import org.cuminlatch.core.retry.AttemptId;
 import org.cuminlatch.core.retry.CallTreePosition;
 import org.cuminlatch.core.route.HomeRegions;
@@ -71,6 +72,7 @@
   private final String id;
   private final Route route;
   private final CallerIdentity caller;
+  private final Optional<QuotaToken> token;
   private final RequestOrigin origin;
   private final String service;
   private final boolean idempotent;
@@ -112,12 +114,14 @@
       CallerIdentity caller,
       RequestOrigin origin,
       String service,
-      Times times) {
+      Times times,
+      Optional<QuotaToken> token) {
     this.entry = entry;
     this.exchange = exchange;
     this.id = id;
     this.route = route;
     this.caller = caller;
+    this.token = token;
     this.origin = origin;
     this.service = service;
     this.startedAt = times.arrivedAt();
@@ -451,6 +455,9 @@
 
   private void handleCallerLeft() {
     if (!ended) {
+      if (attempt == null) {
+        token.ifPresent(entry::giveBack);
+      }
       endEarly("caller left");
       cancelAttempt();
     }
@@ -504,6 +511,7 @@
     } else {
       String reason =
           entry.hasTargetOf(service, homeRegions()) ? lastReason : "no target of " + service;
+      token.ifPresent(entry::giveBack);
       entry.refuse(exchange, id, reason, retryAfterSeconds());
     }
     finish();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -18,9 +18,12 @@
 import org.cuminlatch.core.admission.LagLimit;
 import org.cuminlatch.core.admission.RequestOrigin;
 import org.cuminlatch.core.admission.StopAdmission;
+import org.cuminlatch.core.config.ClientAccount;
 import org.cuminlatch.core.config.ColdStart;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.RoutePolicy;
+import org.cuminlatch.core.quota.QuotaClient;
+import org.cuminlatch.core.quota.QuotaClient.QuotaToken;
 import org.cuminlatch.core.retry.RetryBudget;
 import org.cuminlatch.core.route.HomeRegions;
 import org.cuminlatch.core.route.LinkBudget;
@@ -64,6 +67,15 @@
   private static final String AUTHORIZATION = "authorization";
   private static final int MAX_REQUEST_ID_CHARS = 128;
   private static final double DEFAULT_RETRY_AFTER_SECONDS = 0.5;
+
+  /**
+   * Bounds of the delay after which a caller over its quota should retry. A quota that is used up
+   * has room for a few requests at any time, so that callers return soon, and not together.
+   */
+  private static final double MIN_QUOTA_RETRY_AFTER_SECONDS = 0.3;
+
+  private static final double MAX_QUOTA_RETRY_AFTER_SECONDS = 1.2;
+
   private static final String NO_HOME_TARGET = "no target in the home regions of ";
 
   private final EventLoop loop;
@@ -74,6 +86,7 @@
   private final CallOrigins origins;
   private final Supplier<RoutingView> view;
   private final KeyProofs keyProofs;
+  private final QuotaControl quotas;
   private final LoopLag lag;
   private final EventLog log;
   private final MeshMetrics metrics;
@@ -96,6 +109,7 @@
       CallOrigins origins,
       Supplier<RoutingView> view,
       KeyProofs keyProofs,
+      QuotaControl quotas,
       LoopLag lag,
       EventLog log,
       MeshMetrics metrics) {
@@ -107,6 +121,7 @@
     this.origins = origins;
     this.view = view;
     this.keyProofs = keyProofs;
+    this.quotas = quotas;
     this.lag = lag;
     this.log = log;
     this.metrics = metrics;
@@ -183,20 +198,63 @@
       refuse(exchange, id, NO_HOME_TARGET + service, DEFAULT_RETRY_AFTER_SECONDS);
       return;
     }
+    EntryCall.Times times = new EntryCall.Times(arrivedAt, goal, deadline);
+    Optional<ClientAccount> limited = caller.account().filter(known -> known.quota().isPresent());
+    if (limited.isEmpty()) {
+      start(exchange, id, route.get(), caller, origin, service, times, Optional.empty());
+      return;
+    }
+    boolean[] left = new boolean[1];
+    exchange.onCallerDisconnected(() -> left[0] = true);
+    quotas.acquire(
+        limited.get().name(),
+        new QuotaClient.Waiter() {
+          @Override
+          public void onToken(QuotaToken token) {
+            start(exchange, id, route.get(), caller, origin, service, times, Optional.of(token));
+          }
+
+          @Override
+          public void onRefused() {
+            refuseOverQuota(exchange, id, limited.get().name());
+          }
+
+          @Override
+          public boolean isGone() {
+            return left[0];
+          }
+        });
+  }
+
+  private void start(
+      ServerExchange exchange,
+      String id,
+      Route route,
+      CallerIdentity caller,
+      RequestOrigin origin,
+      String service,
+      EntryCall.Times times,
+      Optional<QuotaToken> token) {
     EntryCall call =
-        new EntryCall(
-            this,
-            exchange,
-            id,
-            route.get(),
-            caller,
-            origin,
-            service,
-            new EntryCall.Times(arrivedAt, goal, deadline));
+        new EntryCall(this, exchange, id, route, caller, origin, service, times, token);
     calls.add(call);
     call.start();
   }
 
+  /** Takes back the token of a request that has not run. */
+  void giveBack(QuotaToken token) {
+    quotas.giveBack(token);
+  }
+
+  /** Refuses a request over the quota; the refused callers return spread over some time. */
+  private void refuseOverQuota(ServerExchange exchange, String id, String account) {
+    double retryAfter =
+        MIN_QUOTA_RETRY_AFTER_SECONDS
+            + random.nextDouble() * (MAX_QUOTA_RETRY_AFTER_SECONDS - MIN_QUOTA_RETRY_AFTER_SECONDS);
+    metrics.countOverQuota(account);
+    refuse(exchange, id, 429, "over the quota of the account", retryAfter);
+  }
+
   @Override
   public boolean mayOverlap(ServerExchange exchange) {
     return view.get()
@@ -250,8 +308,13 @@
 
   /** Answers with 503 that a request was not executed, and after which time to retry it. */
   void refuse(ServerExchange exchange, String id, String reason, double retrySeconds) {
+    refuse(exchange, id, 503, reason, retrySeconds);
+  }
+
+  private void refuse(
+      ServerExchange exchange, String id, int status, String reason, double retrySeconds) {
     log.request("refused", id)
-        .with("status", 503)
+        .with("status", status)
         .with("reason", reason)
         .with("retryAfter", retrySeconds)
         .with("config", view.get().version())
@@ -259,7 +322,7 @@
     metrics.countRefused(reason);
     String after = Decimals.withThreePlaces(retrySeconds);
     exchange.respond(
-        503,
+        status,
         List.of(Map.entry("Retry-After", after)),
         (reason + "\n").getBytes(StandardCharsets.UTF_8));
   }
@@ -379,7 +442,7 @@
   }
 
   boolean isIdle() {
-    return calls.isEmpty();
+    return calls.isEmpty() && !quotas.hasWaiting();
   }
 
   Duration oldestCall() {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -40,6 +40,8 @@
 import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.MoveEvidence;
 import org.cuminlatch.wire.proto.call.MoveFact;
+import org.cuminlatch.wire.proto.call.QuotaGrants;
+import org.cuminlatch.wire.proto.call.QuotaRequest;
 import org.cuminlatch.wire.proto.call.TargetStatus;
 import org.cuminlatch.wire.proto.call.ValidityAnswer;
 import org.cuminlatch.wire.proto.call.ValidityQuery;
@@ -122,6 +124,7 @@
   private PeerLinks links;
   private LocalLink localLink;
   private KeyProofs keyProofs;
+  private QuotaControl quotas;
   private StoreFollower operatorFollower;
   private StoreFollower nodeFollower;
   private volatile RoutingView view = RoutingView.EMPTY;
@@ -284,9 +287,15 @@
     return all;
   }
 
-  void connect(SlotGate slotGate, PeerLinks peerLinks, LocalLink link, KeyProofs proofs) {
+  void connect(
+      SlotGate slotGate,
+      PeerLinks peerLinks,
+      LocalLink link,
+      KeyProofs proofs,
+      QuotaControl quotaControl) {
     gate = slotGate;
     keyProofs = proofs;
+    quotas = quotaControl;
     links = peerLinks;
     localLink = link;
     status = describe();
@@ -743,6 +752,11 @@
         return keyProofs.answer(query);
       }
 
+      @Override
+      public Optional<CallFrame> quotaGrants(QuotaRequest request) {
+        return quotas.answer(request);
+      }
+
       @Override
       public TargetStatus targetStatus() {
         return status;
@@ -785,6 +799,11 @@
         keyProofs.onAnswer(answer, node);
       }
 
+      @Override
+      public void onQuotaGrants(QuotaGrants grants) {
+        quotas.onGrants(grants);
+      }
+
       @Override
       public void onEvidence(CallFrame frame) {
         control.execute(() -> moves.onEvidence(frame.getEvidence()));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -72,6 +72,15 @@
     registry.counter("key_inquiries{source=\"" + source + "\"}").inc();
   }
 
+  void countOverQuota(String account) {
+    registry.counter("calls_over_quota{account=\"" + account + "\"}").inc();
+  }
+
+  /** Counts tokens of quotas that this node has granted to nodes, itself included. */
+  void countQuotaTokens(long tokens) {
+    registry.counter("quota_tokens_granted").inc(tokens);
+  }
+
   void recordAnswer(String route, int status, Duration took) {
     registry.counter("calls_answered{class=\"" + status / 100 + "xx\"}").inc();
     registry.timer("call_seconds{route=\"" + route + "\"}").update(took);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -116,6 +116,8 @@
     KeyProofs keyProofs =
         new KeyProofs(
             settings, traffic, links, control::view, control::readOperatorRecords, log, metrics);
+    QuotaControl quotas =
+        new QuotaControl(settings.peers(), traffic, links, control::view, log, metrics);
     this.entry =
         new EntryHandler(
             traffic,
@@ -126,10 +128,11 @@
             new CallOrigins(gate::runsUntil),
             control::view,
             keyProofs,
+            quotas,
             lag,
             log,
             metrics);
-    control.connect(gate, links, new LocalLink(traffic, gate), keyProofs);
+    control.connect(gate, links, new LocalLink(traffic, gate), keyProofs, quotas);
     this.callers =
         HttpServer.listen(
             trafficGroup, socketAddress(settings.callers()), configuredLimits(), log, entry);
@@ -143,6 +146,7 @@
         controlGroup, socketAddress(settings.metrics()), defaultLimits(), log, this::serveMetrics);
     addGauges();
     gauge("key_proof_age_seconds", keyProofs::ageSeconds);
+    quotas.addGauges(metrics.registry());
     repeat(
         SWEEP_INTERVAL,
         () -> {
@@ -150,6 +154,7 @@
           logLagChange();
           gate.sweep();
           keyProofs.tick();
+          quotas.tick();
         });
     repeat(LINK_CHECK_INTERVAL, links::check);
     control.start();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -25,6 +25,7 @@
 import org.cuminlatch.wire.proto.call.ConfigRecord;
 import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.Ping;
+import org.cuminlatch.wire.proto.call.QuotaGrants;
 import org.cuminlatch.wire.proto.call.TargetPhase;
 import org.cuminlatch.wire.proto.call.TargetStatus;
 import org.cuminlatch.wire.proto.call.ValidityAnswer;
@@ -67,6 +68,7 @@
   private final EventLog log;
   private final PeerListener listener;
   private final Map<Address, PeerLink> links = new HashMap<>();
+  private Set<Address> knownNodes = Set.of();
   private final Map<CallChannel, PeerLink> linkByChannel = new HashMap<>();
   private final Map<String, TargetLink> linkByInstance = new HashMap<>();
   private Optional<Member> localTarget = Optional.empty();
@@ -108,6 +110,9 @@
 
     /** Called when a node answers a query about the validity of keys. */
     void onValidityAnswer(ValidityAnswer answer, String node);
+
+    /** Called when a node grants tokens of quotas that were requested from it. */
+    void onQuotaGrants(QuotaGrants grants);
   }
 
   /** Sets the local target, empty while it takes no requests. */
@@ -196,6 +201,7 @@
         closeLink(links.remove(known));
       }
     }
+    knownNodes = Set.copyOf(addresses);
     check();
   }
 
@@ -224,6 +230,19 @@
         .toList();
   }
 
+  /** Returns the addresses of all other nodes; the same object until they change. */
+  Set<Address> knownNodes() {
+    return knownNodes;
+  }
+
+  /** Sends a frame to a node if it is connected. */
+  void sendTo(Address node, CallFrame frame) {
+    PeerLink link = links.get(node);
+    if (link != null) {
+      link.send(frame);
+    }
+  }
+
   int openLinks() {
     return (int) links.values().stream().filter(PeerLink::isOpen).count();
   }
@@ -310,6 +329,7 @@
       case VALIDITY_ANSWER ->
           listener.onValidityAnswer(
               frame.getValidityAnswer(), link.status().map(TargetStatus::getNode).orElse(""));
+      case QUOTA_GRANTS -> listener.onQuotaGrants(frame.getQuotaGrants());
       case PONG -> {}
       default -> link.dispatch(frame, CallFrames.attempt(frame));
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -45,6 +45,7 @@
 import org.cuminlatch.wire.proto.call.Hello;
 import org.cuminlatch.wire.proto.call.Load;
 import org.cuminlatch.wire.proto.call.Pong;
+import org.cuminlatch.wire.proto.call.QuotaRequest;
 import org.cuminlatch.wire.proto.call.Refusal;
 import org.cuminlatch.wire.proto.call.RefusalReason;
 import org.cuminlatch.wire.proto.call.TargetStatus;
@@ -173,6 +174,9 @@
      */
     Optional<CallFrame> validityAnswer(ValidityQuery query);
 
+    /** Returns the frame that answers a request for tokens of quotas, empty if it is unusable. */
+    Optional<CallFrame> quotaGrants(QuotaRequest request);
+
     /** Returns the status that is sent to a node that connects. */
     TargetStatus targetStatus();
   }
@@ -305,6 +309,7 @@
       case CONFIG_PULL -> callback.configurationFrame().ifPresent(channel::send);
       case VALIDITY_QUERY ->
           callback.validityAnswer(frame.getValidityQuery()).ifPresent(channel::send);
+      case QUOTA_REQUEST -> callback.quotaGrants(frame.getQuotaRequest()).ifPresent(channel::send);
       case PING -> onPing(channel, frame.getPing().getNonce());
       case HELLO -> callback.onHello(frame.getHello());
       default -> channel.close();
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -36,6 +36,7 @@
 import org.cuminlatch.wire.proto.call.Credit;
 import org.cuminlatch.wire.proto.call.Header;
 import org.cuminlatch.wire.proto.call.Hello;
+import org.cuminlatch.wire.proto.call.QuotaRequest;
 import org.cuminlatch.wire.proto.call.TargetStatus;
 import org.cuminlatch.wire.proto.call.ValidityQuery;
 
@@ -349,6 +350,11 @@
       return Optional.empty();
     }
 
+    @Override
+    public Optional<CallFrame> quotaGrants(QuotaRequest request) {
+      return Optional.empty();
+    }
+
     @Override
     public TargetStatus targetStatus() {
       return TargetStatus.getDefaultInstance();
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
@@ -146,6 +146,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_cuminlatch_call_EvidenceCount_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cuminlatch_call_QuotaRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cuminlatch_call_QuotaRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cuminlatch_call_QuotaNeed_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cuminlatch_call_QuotaNeed_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cuminlatch_call_QuotaGrants_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cuminlatch_call_QuotaGrants_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_cuminlatch_call_QuotaTokens_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_cuminlatch_call_QuotaTokens_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -155,7 +175,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\ncall.proto\022\017cuminlatch.call\"\202\007\n\tCallFr" +
+      "\n\ncall.proto\022\017cuminlatch.call\"\360\007\n\tCallFr" +
       "ame\022\024\n\014attempt_high\030\001 \001(\006\022\023\n\013attempt_low" +
       "\030\002 \001(\006\022\'\n\005begin\030\003 \001(\0132\026.cuminlatch.call." +
       "BeginH\000\022%\n\004body\030\004 \001(\0132\025.cuminlatch.call." +
@@ -177,84 +197,96 @@
       "dH\000\0228\n\016validity_query\030\022 \001(\0132\036.cuminlatch" +
       ".call.ValidityQueryH\000\022:\n\017validity_answer" +
       "\030\023 \001(\0132\037.cuminlatch.call.ValidityAnswerH" +
-      "\000\022\'\n\005hello\030\026 \001(\0132\026.cuminlatch.call.Hello" +
-      "H\000B\006\n\004kind\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005va" +
-      "lue\030\002 \001(\t\"\256\004\n\005Begin\022\r\n\005route\030\001 \001(\t\022\017\n\007se" +
-      "rvice\030\002 \001(\t\022\026\n\016target_version\030\003 \001(\t\022\016\n\006m" +
-      "ethod\030\004 \001(\t\022\014\n\004path\030\005 \001(\t\022(\n\007headers\030\006 \003" +
-      "(\0132\027.cuminlatch.call.Header\022\027\n\017deadline_" +
-      "micros\030\007 \001(\003\022\r\n\005depth\030\010 \001(\005\022\017\n\007retried\030\t" +
-      " \001(\010\022\022\n\nidempotent\030\n \001(\010\022\027\n\017idempotency_" +
-      "key\030\013 \001(\t\022\014\n\004body\030\014 \001(\014\022\025\n\rbody_complete" +
-      "\030\r \001(\010\022\026\n\016content_length\030\016 \001(\003\022\016\n\006credit" +
-      "\030\017 \001(\005\022\022\n\nrequest_id\030\020 \001(\t\022\026\n\016origin_ser" +
-      "vice\030\021 \001(\t\022\031\n\021expected_instance\030\022 \001(\t\022\020\n" +
-      "\010priority\030\023 \001(\005\022\023\n\013goal_micros\030\024 \001(\003\022\017\n\007" +
-      "account\030\025 \001(\t\022\016\n\006nested\030\030 \001(\010\022\026\n\016account" +
-      "_weight\030\031 \001(\001\022\027\n\017cold_per_second\030\032 \001(\001\022\035" +
-      "\n\020limit_per_second\030\033 \001(\001H\000\210\001\001B\023\n\021_limit_" +
-      "per_second\"J\n\004Body\022\017\n\007content\030\001 \001(\014\022\014\n\004l" +
-      "ast\030\002 \001(\010\022#\n\004load\030\003 \001(\0132\025.cuminlatch.cal" +
-      "l.Load\"\027\n\006Credit\022\r\n\005bytes\030\001 \001(\005\"\034\n\006Cance" +
-      "l\022\022\n\nage_micros\030\001 \001(\003\"\034\n\006Rejoin\022\022\n\nage_m" +
-      "icros\030\001 \001(\003\"\034\n\tCancelled\022\017\n\007not_run\030\001 \001(" +
-      "\010\"_\n\004Load\022\014\n\004busy\030\001 \001(\005\022\016\n\006queued\030\002 \001(\005\022" +
-      "\r\n\005limit\030\003 \001(\005\022\022\n\nlag_micros\030\004 \001(\003\022\026\n\016se" +
-      "rvice_micros\030\005 \001(\003\"\233\001\n\006Answer\022\016\n\006status\030" +
-      "\001 \001(\005\022(\n\007headers\030\002 \003(\0132\027.cuminlatch.call" +
-      ".Header\022\026\n\016content_length\030\003 \001(\003\022\014\n\004body\030" +
-      "\004 \001(\014\022\014\n\004last\030\005 \001(\010\022#\n\004load\030\006 \001(\0132\025.cumi" +
-      "nlatch.call.Load\"v\n\007Refusal\022.\n\006reason\030\001 " +
-      "\001(\0162\036.cuminlatch.call.RefusalReason\022#\n\004l" +
-      "oad\030\002 \001(\0132\025.cuminlatch.call.Load\022\026\n\016free" +
-      "_in_micros\030\003 \001(\003\"^\n\007Failure\022.\n\006reason\030\001 " +
-      "\001(\0162\036.cuminlatch.call.FailureReason\022#\n\004l" +
-      "oad\030\002 \001(\0132\025.cuminlatch.call.Load\"&\n\005Hell" +
-      "o\022\017\n\007address\030\001 \001(\t\022\014\n\004node\030\002 \001(\t\"\025\n\004Ping" +
-      "\022\r\n\005nonce\030\001 \001(\006\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\006\"\353" +
-      "\002\n\014TargetStatus\022\014\n\004node\030\001 \001(\t\022\016\n\006region\030" +
-      "\002 \001(\t\022\014\n\004zone\030\003 \001(\t\022+\n\005phase\030\004 \001(\0162\034.cum" +
-      "inlatch.call.TargetPhase\022\020\n\010instance\030\005 \001" +
-      "(\t\022\023\n\013born_millis\030\006 \001(\003\022\017\n\007service\030\007 \001(\t" +
-      "\022\017\n\007version\030\010 \001(\t\022\r\n\005slots\030\t \001(\005\022\023\n\013cold" +
-      "_micros\030\n \001(\003\022\022\n\nnode_stops\030\013 \001(\010\022\026\n\016con" +
-      "fig_version\030\014 \001(\003\022\022\n\nstore_lost\030\r \001(\010\022)\n" +
-      "\005zones\030\016 \003(\0132\032.cuminlatch.call.ZoneState" +
-      "\022\027\n\017cold_per_second\030\017 \001(\001\022\021\n\tstore_era\030\020" +
-      " \001(\003\"F\n\tZoneState\022\014\n\004zone\030\001 \001(\t\022\021\n\tevacu" +
-      "ated\030\002 \001(\010\022\013\n\003era\030\003 \001(\003\022\013\n\003end\030\004 \001(\003\"\335\001\n" +
-      "\010MoveFact\022\017\n\007service\030\001 \001(\t\022\r\n\005order\030\002 \001(" +
-      "\003\022)\n\005phase\030\003 \001(\0162\032.cuminlatch.call.MoveP" +
-      "hase\022\026\n\016elapsed_micros\030\004 \001(\003\022\016\n\006stated\030\005" +
-      " \001(\010\022\017\n\007version\030\006 \001(\t\022\025\n\rlength_micros\030\007" +
-      " \001(\003\022\017\n\007read_as\030\010 \001(\003\022\022\n\nstated_era\030\t \001(" +
-      "\003\022\021\n\tended_era\030\n \001(\003\"\014\n\nConfigPull\":\n\014Co" +
-      "nfigRecord\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\016" +
-      "\n\006offset\030\003 \001(\003\"\036\n\rValidityQuery\022\r\n\005nonce" +
-      "\030\001 \001(\006\"D\n\016ValidityAnswer\022\r\n\005nonce\030\001 \001(\006\022" +
-      "\017\n\007version\030\002 \001(\003\022\022\n\nage_micros\030\003 \001(\003\"\234\001\n" +
-      "\014MoveEvidence\022\020\n\010instance\030\001 \001(\t\022\017\n\007servi" +
-      "ce\030\003 \001(\t\022\017\n\007version\030\004 \001(\t\022.\n\006counts\030\002 \003(" +
-      "\0132\036.cuminlatch.call.EvidenceCount\022(\n\005mov" +
-      "es\030\005 \003(\0132\031.cuminlatch.call.MoveFact\"}\n\rE" +
-      "videnceCount\022\r\n\005route\030\001 \001(\t\022\r\n\005calls\030\002 \001" +
-      "(\003\022\020\n\010failures\030\003 \001(\003\022\022\n\ncold_calls\030\004 \001(\003" +
-      "\022\025\n\rcold_failures\030\005 \001(\003\022\021\n\tlatencies\030\006 \003" +
-      "(\003*\350\001\n\rRefusalReason\022\027\n\023REFUSAL_UNSPECIF" +
-      "IED\020\000\022\014\n\010DRAINING\020\001\022\016\n\nQUEUE_FULL\020\002\022\014\n\010D" +
-      "EADLINE\020\003\022\021\n\rWRONG_VERSION\020\004\022\017\n\013NOT_SERV" +
-      "ING\020\005\022\026\n\022TARGET_UNREACHABLE\020\006\022\017\n\013TARGET_" +
-      "SHED\020\007\022\r\n\tWITHDRAWN\020\010\022\021\n\rNOT_KEY_OWNER\020\t" +
-      "\022\016\n\nUNSENDABLE\020\n\022\023\n\017TARGET_REPLACED\020\013*\232\001" +
-      "\n\rFailureReason\022\027\n\023FAILURE_UNSPECIFIED\020\000" +
-      "\022\021\n\rTARGET_BROKEN\020\001\022\022\n\016TARGET_TIMEOUT\020\002\022" +
-      "\025\n\021CONNECTION_SILENT\020\003\022\022\n\016ANSWER_CROSSED" +
-      "\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014KEY_IN_DOUBT\020\006*1\n\013Ta" +
-      "rgetPhase\022\n\n\006ABSENT\020\000\022\t\n\005READY\020\001\022\013\n\007LEAV" +
-      "ING\020\002*[\n\tMovePhase\022\020\n\014MOVE_RUNNING\020\000\022\022\n\016" +
-      "MOVE_FOUND_BAD\020\001\022\024\n\020MOVE_ROLLED_BACK\020\002\022\022" +
-      "\n\016MOVE_COMPLETED\020\003B\"\n\036org.cuminlatch.wir" +
-      "e.proto.callP\001b\006proto3"
+      "\000\0226\n\rquota_request\030\024 \001(\0132\035.cuminlatch.ca" +
+      "ll.QuotaRequestH\000\0224\n\014quota_grants\030\025 \001(\0132" +
+      "\034.cuminlatch.call.QuotaGrantsH\000\022\'\n\005hello" +
+      "\030\026 \001(\0132\026.cuminlatch.call.HelloH\000B\006\n\004kind" +
+      "\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"" +
+      "\256\004\n\005Begin\022\r\n\005route\030\001 \001(\t\022\017\n\007service\030\002 \001(" +
+      "\t\022\026\n\016target_version\030\003 \001(\t\022\016\n\006method\030\004 \001(" +
+      "\t\022\014\n\004path\030\005 \001(\t\022(\n\007headers\030\006 \003(\0132\027.cumin" +
+      "latch.call.Header\022\027\n\017deadline_micros\030\007 \001" +
+      "(\003\022\r\n\005depth\030\010 \001(\005\022\017\n\007retried\030\t \001(\010\022\022\n\nid" +
+      "empotent\030\n \001(\010\022\027\n\017idempotency_key\030\013 \001(\t\022" +
+      "\014\n\004body\030\014 \001(\014\022\025\n\rbody_complete\030\r \001(\010\022\026\n\016" +
+      "content_length\030\016 \001(\003\022\016\n\006credit\030\017 \001(\005\022\022\n\n" +
+      "request_id\030\020 \001(\t\022\026\n\016origin_service\030\021 \001(\t" +
+      "\022\031\n\021expected_instance\030\022 \001(\t\022\020\n\010priority\030" +
+      "\023 \001(\005\022\023\n\013goal_micros\030\024 \001(\003\022\017\n\007account\030\025 " +
+      "\001(\t\022\016\n\006nested\030\030 \001(\010\022\026\n\016account_weight\030\031 " +
+      "\001(\001\022\027\n\017cold_per_second\030\032 \001(\001\022\035\n\020limit_pe" +
+      "r_second\030\033 \001(\001H\000\210\001\001B\023\n\021_limit_per_second" +
+      "\"J\n\004Body\022\017\n\007content\030\001 \001(\014\022\014\n\004last\030\002 \001(\010\022" +
+      "#\n\004load\030\003 \001(\0132\025.cuminlatch.call.Load\"\027\n\006" +
+      "Credit\022\r\n\005bytes\030\001 \001(\005\"\034\n\006Cancel\022\022\n\nage_m" +
+      "icros\030\001 \001(\003\"\034\n\006Rejoin\022\022\n\nage_micros\030\001 \001(" +
+      "\003\"\034\n\tCancelled\022\017\n\007not_run\030\001 \001(\010\"_\n\004Load\022" +
+      "\014\n\004busy\030\001 \001(\005\022\016\n\006queued\030\002 \001(\005\022\r\n\005limit\030\003" +
+      " \001(\005\022\022\n\nlag_micros\030\004 \001(\003\022\026\n\016service_micr" +
+      "os\030\005 \001(\003\"\233\001\n\006Answer\022\016\n\006status\030\001 \001(\005\022(\n\007h" +
+      "eaders\030\002 \003(\0132\027.cuminlatch.call.Header\022\026\n" +
+      "\016content_length\030\003 \001(\003\022\014\n\004body\030\004 \001(\014\022\014\n\004l" +
+      "ast\030\005 \001(\010\022#\n\004load\030\006 \001(\0132\025.cuminlatch.cal" +
+      "l.Load\"v\n\007Refusal\022.\n\006reason\030\001 \001(\0162\036.cumi" +
+      "nlatch.call.RefusalReason\022#\n\004load\030\002 \001(\0132" +
+      "\025.cuminlatch.call.Load\022\026\n\016free_in_micros" +
+      "\030\003 \001(\003\"^\n\007Failure\022.\n\006reason\030\001 \001(\0162\036.cumi" +
+      "nlatch.call.FailureReason\022#\n\004load\030\002 \001(\0132" +
+      "\025.cuminlatch.call.Load\"&\n\005Hello\022\017\n\007addre" +
+      "ss\030\001 \001(\t\022\014\n\004node\030\002 \001(\t\"\025\n\004Ping\022\r\n\005nonce\030" +
+      "\001 \001(\006\"\025\n\004Pong\022\r\n\005nonce\030\001 \001(\006\"\353\002\n\014TargetS" +
+      "tatus\022\014\n\004node\030\001 \001(\t\022\016\n\006region\030\002 \001(\t\022\014\n\004z" +
+      "one\030\003 \001(\t\022+\n\005phase\030\004 \001(\0162\034.cuminlatch.ca" +
+      "ll.TargetPhase\022\020\n\010instance\030\005 \001(\t\022\023\n\013born" +
+      "_millis\030\006 \001(\003\022\017\n\007service\030\007 \001(\t\022\017\n\007versio" +
+      "n\030\010 \001(\t\022\r\n\005slots\030\t \001(\005\022\023\n\013cold_micros\030\n " +
+      "\001(\003\022\022\n\nnode_stops\030\013 \001(\010\022\026\n\016config_versio" +
+      "n\030\014 \001(\003\022\022\n\nstore_lost\030\r \001(\010\022)\n\005zones\030\016 \003" +
+      "(\0132\032.cuminlatch.call.ZoneState\022\027\n\017cold_p" +
+      "er_second\030\017 \001(\001\022\021\n\tstore_era\030\020 \001(\003\"F\n\tZo" +
+      "neState\022\014\n\004zone\030\001 \001(\t\022\021\n\tevacuated\030\002 \001(\010" +
+      "\022\013\n\003era\030\003 \001(\003\022\013\n\003end\030\004 \001(\003\"\335\001\n\010MoveFact\022" +
+      "\017\n\007service\030\001 \001(\t\022\r\n\005order\030\002 \001(\003\022)\n\005phase" +
+      "\030\003 \001(\0162\032.cuminlatch.call.MovePhase\022\026\n\016el" +
+      "apsed_micros\030\004 \001(\003\022\016\n\006stated\030\005 \001(\010\022\017\n\007ve" +
+      "rsion\030\006 \001(\t\022\025\n\rlength_micros\030\007 \001(\003\022\017\n\007re" +
+      "ad_as\030\010 \001(\003\022\022\n\nstated_era\030\t \001(\003\022\021\n\tended" +
+      "_era\030\n \001(\003\"\014\n\nConfigPull\":\n\014ConfigRecord" +
+      "\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\016\n\006offset\030\003" +
+      " \001(\003\"\036\n\rValidityQuery\022\r\n\005nonce\030\001 \001(\006\"D\n\016" +
+      "ValidityAnswer\022\r\n\005nonce\030\001 \001(\006\022\017\n\007version" +
+      "\030\002 \001(\003\022\022\n\nage_micros\030\003 \001(\003\"\234\001\n\014MoveEvide" +
+      "nce\022\020\n\010instance\030\001 \001(\t\022\017\n\007service\030\003 \001(\t\022\017" +
+      "\n\007version\030\004 \001(\t\022.\n\006counts\030\002 \003(\0132\036.cuminl" +
+      "atch.call.EvidenceCount\022(\n\005moves\030\005 \003(\0132\031" +
+      ".cuminlatch.call.MoveFact\"}\n\rEvidenceCou" +
+      "nt\022\r\n\005route\030\001 \001(\t\022\r\n\005calls\030\002 \001(\003\022\020\n\010fail" +
+      "ures\030\003 \001(\003\022\022\n\ncold_calls\030\004 \001(\003\022\025\n\rcold_f" +
+      "ailures\030\005 \001(\003\022\021\n\tlatencies\030\006 \003(\003\"\207\001\n\014Quo" +
+      "taRequest\022\014\n\004node\030\001 \001(\t\022\016\n\006number\030\002 \001(\004\022" +
+      "\r\n\005group\030\003 \001(\r\022\016\n\006counts\030\004 \001(\010\022\017\n\007starte" +
+      "d\030\005 \001(\010\022)\n\005needs\030\006 \003(\0132\032.cuminlatch.call" +
+      ".QuotaNeed\"P\n\tQuotaNeed\022\017\n\007account\030\001 \001(\t" +
+      "\022\016\n\006wanted\030\002 \001(\r\022\020\n\010released\030\003 \001(\r\022\020\n\010re" +
+      "turned\030\004 \001(\r\"K\n\013QuotaGrants\022\016\n\006number\030\001 " +
+      "\001(\004\022,\n\006tokens\030\002 \003(\0132\034.cuminlatch.call.Qu" +
+      "otaTokens\"B\n\013QuotaTokens\022\017\n\007account\030\001 \001(" +
+      "\t\022\017\n\007granted\030\002 \001(\r\022\021\n\texhausted\030\003 \001(\010*\350\001" +
+      "\n\rRefusalReason\022\027\n\023REFUSAL_UNSPECIFIED\020\000" +
+      "\022\014\n\010DRAINING\020\001\022\016\n\nQUEUE_FULL\020\002\022\014\n\010DEADLI" +
+      "NE\020\003\022\021\n\rWRONG_VERSION\020\004\022\017\n\013NOT_SERVING\020\005" +
+      "\022\026\n\022TARGET_UNREACHABLE\020\006\022\017\n\013TARGET_SHED\020" +
+      "\007\022\r\n\tWITHDRAWN\020\010\022\021\n\rNOT_KEY_OWNER\020\t\022\016\n\nU" +
+      "NSENDABLE\020\n\022\023\n\017TARGET_REPLACED\020\013*\232\001\n\rFai" +
+      "lureReason\022\027\n\023FAILURE_UNSPECIFIED\020\000\022\021\n\rT" +
+      "ARGET_BROKEN\020\001\022\022\n\016TARGET_TIMEOUT\020\002\022\025\n\021CO" +
+      "NNECTION_SILENT\020\003\022\022\n\016ANSWER_CROSSED\020\004\022\014\n" +
+      "\010KEY_SEEN\020\005\022\020\n\014KEY_IN_DOUBT\020\006*1\n\013TargetP" +
+      "hase\022\n\n\006ABSENT\020\000\022\t\n\005READY\020\001\022\013\n\007LEAVING\020\002" +
+      "*[\n\tMovePhase\022\020\n\014MOVE_RUNNING\020\000\022\022\n\016MOVE_" +
+      "FOUND_BAD\020\001\022\024\n\020MOVE_ROLLED_BACK\020\002\022\022\n\016MOV" +
+      "E_COMPLETED\020\003B\"\n\036org.cuminlatch.wire.pro" +
+      "to.callP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -265,7 +297,7 @@
     internal_static_cuminlatch_call_CallFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_CallFrame_descriptor,
-        new java.lang.String[] { "AttemptHigh", "AttemptLow", "Begin", "Body", "Credit", "Cancel", "Answer", "Refusal", "Failure", "Cancelled", "Ping", "Pong", "Rejoin", "Status", "Evidence", "ConfigPull", "ConfigRecord", "ValidityQuery", "ValidityAnswer", "Hello", "Kind", });
+        new java.lang.String[] { "AttemptHigh", "AttemptLow", "Begin", "Body", "Credit", "Cancel", "Answer", "Refusal", "Failure", "Cancelled", "Ping", "Pong", "Rejoin", "Status", "Evidence", "ConfigPull", "ConfigRecord", "ValidityQuery", "ValidityAnswer", "QuotaRequest", "QuotaGrants", "Hello", "Kind", });
     internal_static_cuminlatch_call_Header_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_cuminlatch_call_Header_fieldAccessorTable = new
@@ -404,6 +436,30 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_EvidenceCount_descriptor,
         new java.lang.String[] { "Route", "Calls", "Failures", "ColdCalls", "ColdFailures", "Latencies", });
+    internal_static_cuminlatch_call_QuotaRequest_descriptor =
+      getDescriptor().getMessageType(24);
+    internal_static_cuminlatch_call_QuotaRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cuminlatch_call_QuotaRequest_descriptor,
+        new java.lang.String[] { "Node", "Number", "Group", "Counts", "Started", "Needs", });
+    internal_static_cuminlatch_call_QuotaNeed_descriptor =
+      getDescriptor().getMessageType(25);
+    internal_static_cuminlatch_call_QuotaNeed_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cuminlatch_call_QuotaNeed_descriptor,
+        new java.lang.String[] { "Account", "Wanted", "Released", "Returned", });
+    internal_static_cuminlatch_call_QuotaGrants_descriptor =
+      getDescriptor().getMessageType(26);
+    internal_static_cuminlatch_call_QuotaGrants_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cuminlatch_call_QuotaGrants_descriptor,
+        new java.lang.String[] { "Number", "Tokens", });
+    internal_static_cuminlatch_call_QuotaTokens_descriptor =
+      getDescriptor().getMessageType(27);
+    internal_static_cuminlatch_call_QuotaTokens_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_cuminlatch_call_QuotaTokens_descriptor,
+        new java.lang.String[] { "Account", "Granted", "Exhausted", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrame.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrame.java
@@ -8,7 +8,8 @@
 /**
  * <pre>
  * The attempt id is set on frames that belong to an attempt. It is unset on ping, pong, status,
- * evidence, config_pull, config_record, validity_query, validity_answer and hello frames.
+ * evidence, config_pull, config_record, validity_query, validity_answer, quota_request, quota_grants
+ * and hello frames.
  * </pre>
  *
  * Protobuf type {@code cuminlatch.call.CallFrame}
@@ -71,6 +72,8 @@
     CONFIG_RECORD(17),
     VALIDITY_QUERY(18),
     VALIDITY_ANSWER(19),
+    QUOTA_REQUEST(20),
+    QUOTA_GRANTS(21),
     HELLO(22),
     KIND_NOT_SET(0);
     private final int value;
@@ -106,6 +109,8 @@
         case 17: return CONFIG_RECORD;
         case 18: return VALIDITY_QUERY;
         case 19: return VALIDITY_ANSWER;
+        case 20: return QUOTA_REQUEST;
+        case 21: return QUOTA_GRANTS;
         case 22: return HELLO;
         case 0: return KIND_NOT_SET;
         default: return null;
@@ -671,6 +676,68 @@
     return org.cuminlatch.wire.proto.call.ValidityAnswer.getDefaultInstance();
   }
 
+  public static final int QUOTA_REQUEST_FIELD_NUMBER = 20;
+  /**
+   * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+   * @return Whether the quotaRequest field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuotaRequest() {
+    return kindCase_ == 20;
+  }
+  /**
+   * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+   * @return The quotaRequest.
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.QuotaRequest getQuotaRequest() {
+    if (kindCase_ == 20) {
+       return (org.cuminlatch.wire.proto.call.QuotaRequest) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.QuotaRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.QuotaRequestOrBuilder getQuotaRequestOrBuilder() {
+    if (kindCase_ == 20) {
+       return (org.cuminlatch.wire.proto.call.QuotaRequest) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.QuotaRequest.getDefaultInstance();
+  }
+
+  public static final int QUOTA_GRANTS_FIELD_NUMBER = 21;
+  /**
+   * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+   * @return Whether the quotaGrants field is set.
+   */
+  @java.lang.Override
+  public boolean hasQuotaGrants() {
+    return kindCase_ == 21;
+  }
+  /**
+   * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+   * @return The quotaGrants.
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.QuotaGrants getQuotaGrants() {
+    if (kindCase_ == 21) {
+       return (org.cuminlatch.wire.proto.call.QuotaGrants) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.QuotaGrants.getDefaultInstance();
+  }
+  /**
+   * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+   */
+  @java.lang.Override
+  public org.cuminlatch.wire.proto.call.QuotaGrantsOrBuilder getQuotaGrantsOrBuilder() {
+    if (kindCase_ == 21) {
+       return (org.cuminlatch.wire.proto.call.QuotaGrants) kind_;
+    }
+    return org.cuminlatch.wire.proto.call.QuotaGrants.getDefaultInstance();
+  }
+
   public static final int HELLO_FIELD_NUMBER = 22;
   /**
    * <code>.cuminlatch.call.Hello hello = 22;</code>
@@ -773,6 +840,12 @@
     if (kindCase_ == 19) {
       output.writeMessage(19, (org.cuminlatch.wire.proto.call.ValidityAnswer) kind_);
     }
+    if (kindCase_ == 20) {
+      output.writeMessage(20, (org.cuminlatch.wire.proto.call.QuotaRequest) kind_);
+    }
+    if (kindCase_ == 21) {
+      output.writeMessage(21, (org.cuminlatch.wire.proto.call.QuotaGrants) kind_);
+    }
     if (kindCase_ == 22) {
       output.writeMessage(22, (org.cuminlatch.wire.proto.call.Hello) kind_);
     }
@@ -861,6 +934,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(19, (org.cuminlatch.wire.proto.call.ValidityAnswer) kind_);
     }
+    if (kindCase_ == 20) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, (org.cuminlatch.wire.proto.call.QuotaRequest) kind_);
+    }
+    if (kindCase_ == 21) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(21, (org.cuminlatch.wire.proto.call.QuotaGrants) kind_);
+    }
     if (kindCase_ == 22) {
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(22, (org.cuminlatch.wire.proto.call.Hello) kind_);
@@ -954,6 +1035,14 @@
         if (!getValidityAnswer()
             .equals(other.getValidityAnswer())) return false;
         break;
+      case 20:
+        if (!getQuotaRequest()
+            .equals(other.getQuotaRequest())) return false;
+        break;
+      case 21:
+        if (!getQuotaGrants()
+            .equals(other.getQuotaGrants())) return false;
+        break;
       case 22:
         if (!getHello()
             .equals(other.getHello())) return false;
@@ -1047,6 +1136,14 @@
         hash = (37 * hash) + VALIDITY_ANSWER_FIELD_NUMBER;
         hash = (53 * hash) + getValidityAnswer().hashCode();
         break;
+      case 20:
+        hash = (37 * hash) + QUOTA_REQUEST_FIELD_NUMBER;
+        hash = (53 * hash) + getQuotaRequest().hashCode();
+        break;
+      case 21:
+        hash = (37 * hash) + QUOTA_GRANTS_FIELD_NUMBER;
+        hash = (53 * hash) + getQuotaGrants().hashCode();
+        break;
       case 22:
         hash = (37 * hash) + HELLO_FIELD_NUMBER;
         hash = (53 * hash) + getHello().hashCode();
@@ -1154,7 +1251,8 @@
   /**
    * <pre>
    * The attempt id is set on frames that belong to an attempt. It is unset on ping, pong, status,
-   * evidence, config_pull, config_record, validity_query, validity_answer and hello frames.
+   * evidence, config_pull, config_record, validity_query, validity_answer, quota_request, quota_grants
+   * and hello frames.
    * </pre>
    *
    * Protobuf type {@code cuminlatch.call.CallFrame}
@@ -1243,6 +1341,12 @@
       if (validityAnswerBuilder_ != null) {
         validityAnswerBuilder_.clear();
       }
+      if (quotaRequestBuilder_ != null) {
+        quotaRequestBuilder_.clear();
+      }
+      if (quotaGrantsBuilder_ != null) {
+        quotaGrantsBuilder_.clear();
+      }
       if (helloBuilder_ != null) {
         helloBuilder_.clear();
       }
@@ -1361,6 +1465,14 @@
           validityAnswerBuilder_ != null) {
         result.kind_ = validityAnswerBuilder_.build();
       }
+      if (kindCase_ == 20 &&
+          quotaRequestBuilder_ != null) {
+        result.kind_ = quotaRequestBuilder_.build();
+      }
+      if (kindCase_ == 21 &&
+          quotaGrantsBuilder_ != null) {
+        result.kind_ = quotaGrantsBuilder_.build();
+      }
       if (kindCase_ == 22 &&
           helloBuilder_ != null) {
         result.kind_ = helloBuilder_.build();
@@ -1454,6 +1566,14 @@
           mergeValidityAnswer(other.getValidityAnswer());
           break;
         }
+        case QUOTA_REQUEST: {
+          mergeQuotaRequest(other.getQuotaRequest());
+          break;
+        }
+        case QUOTA_GRANTS: {
+          mergeQuotaGrants(other.getQuotaGrants());
+          break;
+        }
         case HELLO: {
           mergeHello(other.getHello());
           break;
@@ -1617,6 +1737,20 @@
               kindCase_ = 19;
               break;
             } // case 154
+            case 162: {
+              input.readMessage(
+                  internalGetQuotaRequestFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 20;
+              break;
+            } // case 162
+            case 170: {
+              input.readMessage(
+                  internalGetQuotaGrantsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              kindCase_ = 21;
+              break;
+            } // case 170
             case 178: {
               input.readMessage(
                   internalGetHelloFieldBuilder().getBuilder(),
@@ -4134,6 +4268,290 @@
       return validityAnswerBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.QuotaRequest, org.cuminlatch.wire.proto.call.QuotaRequest.Builder, org.cuminlatch.wire.proto.call.QuotaRequestOrBuilder> quotaRequestBuilder_;
+    /**
+     * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+     * @return Whether the quotaRequest field is set.
+     */
+    @java.lang.Override
+    public boolean hasQuotaRequest() {
+      return kindCase_ == 20;
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+     * @return The quotaRequest.
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.QuotaRequest getQuotaRequest() {
+      if (quotaRequestBuilder_ == null) {
+        if (kindCase_ == 20) {
+          return (org.cuminlatch.wire.proto.call.QuotaRequest) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.QuotaRequest.getDefaultInstance();
+      } else {
+        if (kindCase_ == 20) {
+          return quotaRequestBuilder_.getMessage();
+        }
+        return org.cuminlatch.wire.proto.call.QuotaRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+     */
+    public Builder setQuotaRequest(org.cuminlatch.wire.proto.call.QuotaRequest value) {
+      if (quotaRequestBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        quotaRequestBuilder_.setMessage(value);
+      }
+      kindCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+     */
+    public Builder setQuotaRequest(
+        org.cuminlatch.wire.proto.call.QuotaRequest.Builder builderForValue) {
+      if (quotaRequestBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        quotaRequestBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+     */
+    public Builder mergeQuotaRequest(org.cuminlatch.wire.proto.call.QuotaRequest value) {
+      if (quotaRequestBuilder_ == null) {
+        if (kindCase_ == 20 &&
+            kind_ != org.cuminlatch.wire.proto.call.QuotaRequest.getDefaultInstance()) {
+          kind_ = org.cuminlatch.wire.proto.call.QuotaRequest.newBuilder((org.cuminlatch.wire.proto.call.QuotaRequest) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 20) {
+          quotaRequestBuilder_.mergeFrom(value);
+        } else {
+          quotaRequestBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+     */
+    public Builder clearQuotaRequest() {
+      if (quotaRequestBuilder_ == null) {
+        if (kindCase_ == 20) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 20) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        quotaRequestBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+     */
+    public org.cuminlatch.wire.proto.call.QuotaRequest.Builder getQuotaRequestBuilder() {
+      return internalGetQuotaRequestFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.QuotaRequestOrBuilder getQuotaRequestOrBuilder() {
+      if ((kindCase_ == 20) && (quotaRequestBuilder_ != null)) {
+        return quotaRequestBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 20) {
+          return (org.cuminlatch.wire.proto.call.QuotaRequest) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.QuotaRequest.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.QuotaRequest, org.cuminlatch.wire.proto.call.QuotaRequest.Builder, org.cuminlatch.wire.proto.call.QuotaRequestOrBuilder> 
+        internalGetQuotaRequestFieldBuilder() {
+      if (quotaRequestBuilder_ == null) {
+        if (!(kindCase_ == 20)) {
+          kind_ = org.cuminlatch.wire.proto.call.QuotaRequest.getDefaultInstance();
+        }
+        quotaRequestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cuminlatch.wire.proto.call.QuotaRequest, org.cuminlatch.wire.proto.call.QuotaRequest.Builder, org.cuminlatch.wire.proto.call.QuotaRequestOrBuilder>(
+                (org.cuminlatch.wire.proto.call.QuotaRequest) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 20;
+      onChanged();
+      return quotaRequestBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.QuotaGrants, org.cuminlatch.wire.proto.call.QuotaGrants.Builder, org.cuminlatch.wire.proto.call.QuotaGrantsOrBuilder> quotaGrantsBuilder_;
+    /**
+     * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+     * @return Whether the quotaGrants field is set.
+     */
+    @java.lang.Override
+    public boolean hasQuotaGrants() {
+      return kindCase_ == 21;
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+     * @return The quotaGrants.
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.QuotaGrants getQuotaGrants() {
+      if (quotaGrantsBuilder_ == null) {
+        if (kindCase_ == 21) {
+          return (org.cuminlatch.wire.proto.call.QuotaGrants) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.QuotaGrants.getDefaultInstance();
+      } else {
+        if (kindCase_ == 21) {
+          return quotaGrantsBuilder_.getMessage();
+        }
+        return org.cuminlatch.wire.proto.call.QuotaGrants.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+     */
+    public Builder setQuotaGrants(org.cuminlatch.wire.proto.call.QuotaGrants value) {
+      if (quotaGrantsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        kind_ = value;
+        onChanged();
+      } else {
+        quotaGrantsBuilder_.setMessage(value);
+      }
+      kindCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+     */
+    public Builder setQuotaGrants(
+        org.cuminlatch.wire.proto.call.QuotaGrants.Builder builderForValue) {
+      if (quotaGrantsBuilder_ == null) {
+        kind_ = builderForValue.build();
+        onChanged();
+      } else {
+        quotaGrantsBuilder_.setMessage(builderForValue.build());
+      }
+      kindCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+     */
+    public Builder mergeQuotaGrants(org.cuminlatch.wire.proto.call.QuotaGrants value) {
+      if (quotaGrantsBuilder_ == null) {
+        if (kindCase_ == 21 &&
+            kind_ != org.cuminlatch.wire.proto.call.QuotaGrants.getDefaultInstance()) {
+          kind_ = org.cuminlatch.wire.proto.call.QuotaGrants.newBuilder((org.cuminlatch.wire.proto.call.QuotaGrants) kind_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          kind_ = value;
+        }
+        onChanged();
+      } else {
+        if (kindCase_ == 21) {
+          quotaGrantsBuilder_.mergeFrom(value);
+        } else {
+          quotaGrantsBuilder_.setMessage(value);
+        }
+      }
+      kindCase_ = 21;
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+     */
+    public Builder clearQuotaGrants() {
+      if (quotaGrantsBuilder_ == null) {
+        if (kindCase_ == 21) {
+          kindCase_ = 0;
+          kind_ = null;
+          onChanged();
+        }
+      } else {
+        if (kindCase_ == 21) {
+          kindCase_ = 0;
+          kind_ = null;
+        }
+        quotaGrantsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+     */
+    public org.cuminlatch.wire.proto.call.QuotaGrants.Builder getQuotaGrantsBuilder() {
+      return internalGetQuotaGrantsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+     */
+    @java.lang.Override
+    public org.cuminlatch.wire.proto.call.QuotaGrantsOrBuilder getQuotaGrantsOrBuilder() {
+      if ((kindCase_ == 21) && (quotaGrantsBuilder_ != null)) {
+        return quotaGrantsBuilder_.getMessageOrBuilder();
+      } else {
+        if (kindCase_ == 21) {
+          return (org.cuminlatch.wire.proto.call.QuotaGrants) kind_;
+        }
+        return org.cuminlatch.wire.proto.call.QuotaGrants.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.cuminlatch.wire.proto.call.QuotaGrants, org.cuminlatch.wire.proto.call.QuotaGrants.Builder, org.cuminlatch.wire.proto.call.QuotaGrantsOrBuilder> 
+        internalGetQuotaGrantsFieldBuilder() {
+      if (quotaGrantsBuilder_ == null) {
+        if (!(kindCase_ == 21)) {
+          kind_ = org.cuminlatch.wire.proto.call.QuotaGrants.getDefaultInstance();
+        }
+        quotaGrantsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.cuminlatch.wire.proto.call.QuotaGrants, org.cuminlatch.wire.proto.call.QuotaGrants.Builder, org.cuminlatch.wire.proto.call.QuotaGrantsOrBuilder>(
+                (org.cuminlatch.wire.proto.call.QuotaGrants) kind_,
+                getParentForChildren(),
+                isClean());
+        kind_ = null;
+      }
+      kindCase_ = 21;
+      onChanged();
+      return quotaGrantsBuilder_;
+    }
+
     private com.google.protobuf.SingleFieldBuilder<
         org.cuminlatch.wire.proto.call.Hello, org.cuminlatch.wire.proto.call.Hello.Builder, org.cuminlatch.wire.proto.call.HelloOrBuilder> helloBuilder_;
     /**
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrameOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/CallFrameOrBuilder.java
@@ -277,6 +277,36 @@
    */
   org.cuminlatch.wire.proto.call.ValidityAnswerOrBuilder getValidityAnswerOrBuilder();
 
+  /**
+   * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+   * @return Whether the quotaRequest field is set.
+   */
+  boolean hasQuotaRequest();
+  /**
+   * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+   * @return The quotaRequest.
+   */
+  org.cuminlatch.wire.proto.call.QuotaRequest getQuotaRequest();
+  /**
+   * <code>.cuminlatch.call.QuotaRequest quota_request = 20;</code>
+   */
+  org.cuminlatch.wire.proto.call.QuotaRequestOrBuilder getQuotaRequestOrBuilder();
+
+  /**
+   * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+   * @return Whether the quotaGrants field is set.
+   */
+  boolean hasQuotaGrants();
+  /**
+   * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+   * @return The quotaGrants.
+   */
+  org.cuminlatch.wire.proto.call.QuotaGrants getQuotaGrants();
+  /**
+   * <code>.cuminlatch.call.QuotaGrants quota_grants = 21;</code>
+   */
+  org.cuminlatch.wire.proto.call.QuotaGrantsOrBuilder getQuotaGrantsOrBuilder();
+
   /**
    * <code>.cuminlatch.call.Hello hello = 22;</code>
    * @return Whether the hello field is set.
