Name the conversions of quota frames after what they convert

Checkstyle asks for overloads to stand together; requests and grants are converted both ways, so that four names say more than two overloaded ones.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/QuotaControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/QuotaControl.java
@@ -91,7 +91,7 @@
       List<QuotaGrant> grants = grant(request);
       traffic.execute(() -> client.onGrants(request.number(), grants, clock.get()));
     } else {
-      links.sendTo(Address.parse(to), QuotaFrames.encode(request));
+      links.sendTo(Address.parse(to), QuotaFrames.encodeRequest(request));
     }
   }
 
@@ -103,12 +103,12 @@
 
   /** Returns the answer to another node's request, empty if the request is not valid. */
   Optional<CallFrame> answer(org.cuminlatch.wire.proto.call.QuotaRequest frame) {
-    return QuotaFrames.decode(frame)
-        .map(request -> QuotaFrames.encode(request.number(), grant(request)));
+    return QuotaFrames.decodeRequest(frame)
+        .map(request -> QuotaFrames.encodeGrants(request.number(), grant(request)));
   }
 
   void onGrants(QuotaGrants grants) {
-    client.onGrants(grants.getNumber(), QuotaFrames.decode(grants), clock.get());
+    client.onGrants(grants.getNumber(), QuotaFrames.decodeGrants(grants), clock.get());
   }
 
   /** Asks for a token for a request of an account with a quota. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/QuotaFrames.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/QuotaFrames.java
@@ -14,7 +14,7 @@
 
   private QuotaFrames() {}
 
-  static CallFrame encode(QuotaRequest request) {
+  static CallFrame encodeRequest(QuotaRequest request) {
     org.cuminlatch.wire.proto.call.QuotaRequest.Builder encoded =
         org.cuminlatch.wire.proto.call.QuotaRequest.newBuilder()
             .setNode(request.node())
@@ -34,7 +34,7 @@
   }
 
   /** Returns the request of a frame, empty if its fields can't be valid. */
-  static Optional<QuotaRequest> decode(org.cuminlatch.wire.proto.call.QuotaRequest frame) {
+  static Optional<QuotaRequest> decodeRequest(org.cuminlatch.wire.proto.call.QuotaRequest frame) {
     try {
       List<QuotaRequest.Need> needs =
           frame.getNeedsList().stream()
@@ -59,7 +59,7 @@
     }
   }
 
-  static CallFrame encode(long number, List<QuotaGrant> grants) {
+  static CallFrame encodeGrants(long number, List<QuotaGrant> grants) {
     QuotaGrants.Builder encoded = QuotaGrants.newBuilder().setNumber(number);
     for (QuotaGrant grant : grants) {
       encoded.addTokens(
@@ -72,7 +72,7 @@
   }
 
   /** Returns the grants of a frame without those whose fields can't be valid. */
-  static List<QuotaGrant> decode(QuotaGrants frame) {
+  static List<QuotaGrant> decodeGrants(QuotaGrants frame) {
     return frame.getTokensList().stream()
         .filter(tokens -> !tokens.getAccount().isBlank() && tokens.getGranted() >= 0)
         .map(
