--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -79,6 +79,12 @@
   /** Delay before the next read, in which addresses of new nodes accumulate. */
   private static final Duration NODES_BATCH_DELAY = Duration.ofMillis(2500);
 
+  /** Bounds the age of the configuration of a node that can read the store again. */
+  private static final Duration CONFIGURATION_MAX_RETRY_DELAY = Duration.ofMillis(1600);
+
+  /** Longer than that of the configuration, as new nodes also connect to the known ones. */
+  private static final Duration NODES_MAX_RETRY_DELAY = Duration.ofSeconds(5);
+
   private static final Duration MOVE_TICK_INTERVAL = Duration.ofMillis(400);
 
   /** Interval of the check whether another node has a newer configuration. */
@@ -383,6 +389,7 @@
         CONFIGURATION_FIRST_DELAY,
         CONFIGURATION_BATCH_DELAY,
         settings.revocationBound().isPresent(),
+        CONFIGURATION_MAX_RETRY_DELAY,
         this::readsForZone);
   }
 
@@ -405,6 +412,7 @@
         NODES_FIRST_DELAY,
         NODES_BATCH_DELAY,
         false,
+        NODES_MAX_RETRY_DELAY,
         this::readsForZone);
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MoveControl.java
@@ -22,6 +22,7 @@
 import org.cuminlatch.core.move.OrderHistory.Kind;
 import org.cuminlatch.core.move.OrderPosition;
 import org.cuminlatch.core.move.OrderedMove;
+import org.cuminlatch.core.retry.ExponentialBackoff;
 import org.cuminlatch.core.route.VersionRule;
 import org.cuminlatch.core.route.VersionRule.Fallback;
 import org.cuminlatch.core.store.StoreEras;
@@ -51,8 +52,14 @@
   /** Delay of a node's turn for each node that precedes it by name. */
   private static final Duration TURN_DELAY = Duration.ofMillis(700);
 
-  /** Delay before another attempt to read the stored statements. */
-  private static final Duration READ_RETRY_DELAY = Duration.ofMillis(700);
+  /** Delay before the second attempt to read the stored statements. */
+  private static final Duration MIN_READ_RETRY_DELAY = Duration.ofMillis(700);
+
+  /**
+   * Longest delay between two attempts to read the statements. Each call to the store has a cost,
+   * and a node that is cut off from it makes many; other nodes tell the state of moves meanwhile.
+   */
+  private static final Duration MAX_READ_RETRY_DELAY = Duration.ofSeconds(4);
 
   /** Minimum time between two attempts to write a statement. */
   private static final Duration MIN_WRITE_INTERVAL = Duration.ofMillis(300);
@@ -91,6 +98,7 @@
   private int positionTicks;
   private Map<String, VersionRule> rules = Map.of();
   private boolean statementsRequested;
+  private int failedReads;
   private boolean statementsLoaded;
   private Instant lastWriteAttemptAt = Instant.MIN;
   private boolean writing;
@@ -283,8 +291,11 @@
               if (error == null) {
                 onStatements(page);
               } else if (!statementsLoaded) {
-                control.schedule(
-                    this::readStatements, READ_RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+                Duration delay =
+                    new ExponentialBackoff(MIN_READ_RETRY_DELAY, MAX_READ_RETRY_DELAY)
+                        .maxDelayAfter(failedReads);
+                failedReads++;
+                control.schedule(this::readStatements, delay.toMillis(), TimeUnit.MILLISECONDS);
               }
             });
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StoreFollower.java
@@ -40,7 +40,6 @@
   private static final int MAX_WAIT_REDUCTION = 4;
 
   private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(150);
-  private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(1600);
 
   private final EventLoop loop;
   private final KeyedStore store;
@@ -84,6 +83,7 @@
    *     accumulate
    * @param keepsPeriod whether the wait is shortened by the time that the store has lately taken
    *     beyond it, so that slow responses don't make the proofs of {@link KeyProofs} older
+   * @param maxRetryDelay longest delay before a failed read is repeated
    * @param isReader returns whether this node is one of those that follow the stream
    */
   record Subscription(
@@ -92,6 +92,7 @@
       Duration firstDelay,
       Duration batchDelay,
       boolean keepsPeriod,
+      Duration maxRetryDelay,
       BooleanSupplier isReader) {}
 
   /** Receives the records in the order of the stream; called on the control loop. */
@@ -269,7 +270,7 @@
       schedule(
           breaks == 1
               ? Duration.ZERO
-              : RetryDelay.after(breaks, MIN_RETRY_DELAY, MAX_RETRY_DELAY, random));
+              : RetryDelay.after(breaks, MIN_RETRY_DELAY, subscription.maxRetryDelay(), random));
       return;
     }
     if (from.isEmpty()) {
@@ -339,7 +340,7 @@
     if (isTruncated(error)) {
       cursor.reset();
     }
-    schedule(RetryDelay.after(failures, MIN_RETRY_DELAY, MAX_RETRY_DELAY, random));
+    schedule(RetryDelay.after(failures, MIN_RETRY_DELAY, subscription.maxRetryDelay(), random));
   }
 
   private static boolean isTruncated(Throwable error) {
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/StoreFollowerTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/StoreFollowerTests.java
@@ -43,6 +43,7 @@
               Duration.ofMillis(10),
               Duration.ofMillis(10),
               false,
+              Duration.ofMillis(100),
               () -> reader),
           new SplittableRandom(1),
           EventLog.start(InstantSource.system(), "node"),
