Refuse a waiting request that needs much more work in place of one that would miss its goal

Within a priority, waiting requests went by their goals only, so that under overload a slot answered one long request where several short ones missed their goals. Where a request would miss its goal, the longest waiting one of the same rank, priority and share now gives way if it needs at least 1.5 times the work (Moore's rule).

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/admission/GoalQueue.java
@@ -9,6 +9,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.cuminlatch.core.admission.SlotDecision.Kind;
 import org.cuminlatch.core.retry.AttemptId;
 
@@ -27,10 +28,12 @@
  * </ol>
  *
  * <p>A request that can still meet its goal may wait if it will probably do so behind those that go
- * first. Otherwise it is refused on arrival: while load exceeds capacity, each slot that is spent
- * on a late answer is one that an answer in time does not get, and another target may have room. A
- * late request may wait as long as no other has to, as after a short burst. {@link #poll} refuses
- * it once another has to wait.
+ * first. If not, one of those is refused in its place if it needs much more work, as the slots then
+ * answer more requests in time (the rule of J. M. Moore, An n job, one machine sequencing algorithm
+ * for minimizing the number of late jobs, 1968). Otherwise the request is refused on arrival: while
+ * load exceeds capacity, each slot that is spent on a late answer is one that an answer in time
+ * does not get, and another target may have room. A late request may wait as long as no other has
+ * to, as after a short burst. {@link #poll} refuses it once another has to wait.
  *
  * <p>If the target names a {@link RequestRateLimit}, a slot is granted only with a permit of it,
  * and waiting times include the wait for permits. Not thread-safe.
@@ -59,11 +62,18 @@
    */
   static final double SAFE_DEVIATIONS = 1.25;
 
+  /**
+   * Work of a waiting request, in multiples of that of an arriving one, from which it is refused in
+   * its place. Service times are means of a route, so that small differences say little.
+   */
+  static final double DISPLACED_WORK = 1.5;
+
   private static final double OVERALL_MEAN_SMOOTHING = 0.05;
 
   private final int slots;
   private final RequestRateLimit rateLimit;
   private final double safeDeviations;
+  private final double displacedWork;
   private double overallMeanNanos = INITIAL_SERVICE_TIME_NANOS;
   private boolean answered;
   private final ServiceTimes serviceTimes = new ServiceTimes();
@@ -71,6 +81,9 @@
   private final AccountShares accountShares = new AccountShares();
   private final List<Waiting> queue = new ArrayList<>();
 
+  /** Attempts that others have taken the place of; {@link #poll} refuses them. */
+  private final List<Waiting> displaced = new ArrayList<>();
+
   /**
    * Creates an empty queue.
    *
@@ -78,14 +91,15 @@
    * @param rateLimit rate at which the target accepts requests
    */
   public GoalQueue(int slots, RequestRateLimit rateLimit) {
-    this(slots, rateLimit, SAFE_DEVIATIONS);
+    this(slots, rateLimit, SAFE_DEVIATIONS, DISPLACED_WORK);
   }
 
-  GoalQueue(int slots, RequestRateLimit rateLimit, double safeDeviations) {
+  GoalQueue(int slots, RequestRateLimit rateLimit, double safeDeviations, double displacedWork) {
     check(slots >= 1, "slots", "must be at least 1");
     this.slots = slots;
     this.rateLimit = notNull(rateLimit, "rateLimit");
     this.safeDeviations = safeDeviations;
+    this.displacedWork = displacedWork;
   }
 
   /**
@@ -113,7 +127,9 @@
     if (!arrived.isAnswerableBy(request.deadline(), wait, now)) {
       return Kind.DEADLINE;
     }
-    if (arrived.rank == Rank.IN_TIME && !arrived.meetsGoalAfter(wait, now)
+    if (arrived.rank == Rank.IN_TIME
+            && !arrived.meetsGoalAfter(wait, now)
+            && !displaceLonger(arrived, wait, now)
         || arrived.rank == Rank.LATE && !mayWaitThoughLate(arrived, wait, now)) {
       return Kind.QUEUE_FULL;
     }
@@ -121,6 +137,28 @@
     return Kind.QUEUED;
   }
 
+  /**
+   * Takes the waiting request with the most work out of the queue if the new attempt then meets its
+   * goal, and no request of a higher rank or with little more work has to give way.
+   */
+  private boolean displaceLonger(Waiting arrived, double wait, Instant now) {
+    Optional<Waiting> longest =
+        queue.stream()
+            .filter(waiting -> waiting.isEqualInRank(arrived))
+            .filter(waiting -> waiting.expectedNanos >= displacedWork * arrived.expectedNanos)
+            .max(Comparator.comparingDouble(waiting -> waiting.expectedNanos));
+    if (longest.isEmpty()) {
+      return false;
+    }
+    double shorterWait = wait - longest.get().expectedNanos / concurrency(now);
+    if (!arrived.meetsGoalAfter(shorterWait, now)) {
+      return false;
+    }
+    queue.remove(longest.get());
+    displaced.add(longest.get());
+    return true;
+  }
+
   /** Returns whether a slot is free and the target accepts a request now; takes a permit if so. */
   private boolean tryTakeSlot(Instant now) {
     return heldSlots.count() < concurrency(now) && rateLimit.tryAcquire(now);
@@ -165,6 +203,8 @@
    */
   public List<SlotDecision> poll(Instant now) {
     List<SlotDecision> decisions = new ArrayList<>();
+    displaced.forEach(waiting -> refuse(waiting, Kind.QUEUE_FULL, decisions));
+    displaced.clear();
     if (queue.isEmpty()) {
       return decisions;
     }
@@ -250,7 +290,8 @@
    * @return true if the attempt was waiting; it will then not be run
    */
   public boolean withdraw(AttemptId attempt) {
-    return queue.removeIf(waiting -> waiting.request.attempt().equals(attempt));
+    return queue.removeIf(waiting -> waiting.request.attempt().equals(attempt))
+        || displaced.removeIf(waiting -> waiting.request.attempt().equals(attempt));
   }
 
   /**
@@ -260,9 +301,10 @@
    */
   public List<SlotDecision> drain() {
     List<SlotDecision> decisions =
-        queue.stream()
+        Stream.concat(displaced.stream(), queue.stream())
             .map(waiting -> new SlotDecision(waiting.request.attempt(), Kind.DRAINING))
             .toList();
+    displaced.clear();
     queue.clear();
     return decisions;
   }
@@ -278,6 +320,16 @@
     return accountShares.isOverShare(request.origin(), expectedNanos(request.route()));
   }
 
+  /**
+   * Returns whether waiting requests have lost their place to others that need less work, so that
+   * {@link #poll} will refuse them.
+   *
+   * @return true if there are any
+   */
+  public boolean hasDisplaced() {
+    return !displaced.isEmpty();
+  }
+
   /**
    * Returns the number of slots in use.
    *
@@ -447,6 +499,13 @@
       return Duration.between(now, time).toNanos() >= waitNanos + expectedNanos;
     }
 
+    /** Returns whether the order of this attempt and a new one is that of their goals only. */
+    boolean isEqualInRank(Waiting arrived) {
+      return rank == arrived.rank
+          && request.priority() == arrived.request.priority()
+          && overShare == arrived.overShare;
+    }
+
     /** Returns whether this attempt gets a slot before one that has arrived later. */
     boolean goesBefore(Waiting arrived) {
       int byRank = rank.compareTo(arrived.rank);
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/GoalQueueTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/GoalQueueTests.java
@@ -268,6 +268,76 @@
     }
   }
 
+  @Nested
+  class WhenRequestsNeedUnequalWork {
+
+    private final GoalQueue queue = new GoalQueue(1, unlimited());
+
+    private GoalRequest request(String route, int priority, long goalMillis) {
+      return new GoalRequest(
+          new AttemptId(0, nextId++),
+          route,
+          priority,
+          now.plusMillis(goalMillis),
+          now.plusMillis(goalMillis + 500));
+    }
+
+    @BeforeEach
+    void learnServiceTimes() {
+      for (int i = 0; i < 40; i++) {
+        for (String route : List.of("brief", "long")) {
+          GoalRequest sample = request(route, 1, 5000);
+          queue.offer(sample, now);
+          now = now.plusMillis(route.equals("brief") ? 50 : 300);
+          queue.release(sample.attempt(), SlotEnd.ANSWERED, now);
+        }
+      }
+      queue.offer(request("brief", 1, 1000), now);
+    }
+
+    /** Guards against one long request that makes short ones miss their goals. */
+    @Test
+    void refusesLongOneInPlaceOfShortOneThatWouldMissItsGoal() {
+      GoalRequest waiting = request("long", 1, 600);
+      assertThat(queue.offer(waiting, now), is(Kind.QUEUED));
+      GoalRequest brief = request("brief", 1, 200);
+      assertThat(queue.offer(brief, now), is(Kind.QUEUED));
+
+      assertThat(queue.hasDisplaced(), is(true));
+      assertThat(queue.poll(now), contains(new SlotDecision(waiting.attempt(), Kind.QUEUE_FULL)));
+      assertThat(queue.queued(), is(1));
+    }
+
+    /** Guards against urgent requests that lose their place to cheap ones. */
+    @Test
+    void keepsLongOneOfHigherPriority() {
+      assertThat(queue.offer(request("long", 0, 600), now), is(Kind.QUEUED));
+
+      assertThat(queue.offer(request("brief", 1, 200), now), is(Kind.QUEUE_FULL));
+      assertThat(queue.hasDisplaced(), is(false));
+    }
+
+    /** Guards against a refusal that helps nobody. */
+    @Test
+    void keepsLongOneIfTheShortOneWouldMissItsGoalAllTheSame() {
+      assertThat(queue.offer(request("long", 1, 600), now), is(Kind.QUEUED));
+
+      assertThat(queue.offer(request("brief", 1, 60), now), is(Kind.QUEUE_FULL));
+      assertThat(queue.hasDisplaced(), is(false));
+    }
+
+    /** Guards against an answer to an attempt whose caller has left. */
+    @Test
+    void withdrawsDisplacedOne() {
+      GoalRequest waiting = request("long", 1, 600);
+      queue.offer(waiting, now);
+      queue.offer(request("brief", 1, 200), now);
+
+      assertThat(queue.withdraw(waiting.attempt()), is(true));
+      assertThat(queue.hasDisplaced(), is(false));
+    }
+  }
+
   @Nested
   class WhenTargetNamesRateLimit {
 
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/MeshOverloadTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/MeshOverloadTests.java
@@ -344,4 +344,86 @@
       assertThat(with.all.served(), greaterThanOrEqualTo(without.all.served()));
     }
   }
+
+  /** Load: at and above capacity, with two routes of one priority whose work differs fivefold. */
+  @Nested
+  class RequestsOfUnequalWork {
+
+    private static final Kind BRIEF =
+        new Kind(
+            "brief",
+            "front",
+            1,
+            0,
+            millis(60),
+            millis(300),
+            millis(1500),
+            millis(1500),
+            1,
+            0.3,
+            List.of());
+    private static final Kind LONG =
+        new Kind(
+            "long",
+            "front",
+            1,
+            0,
+            millis(300),
+            millis(900),
+            millis(3000),
+            millis(3000),
+            1,
+            0.3,
+            List.of());
+
+    private MeshSimulation play(double load, Set<Decision> without) {
+      MeshSimulation sum = null;
+      for (long seed = 1; seed <= SEEDS; seed++) {
+        MeshSimulation simulation = new MeshSimulation(seed, without, 0);
+        simulation.addTargets("front", 12, 6, 0.5, 1.6);
+        double perSecond = load * simulation.slotCapacity("front") / (0.06 + 0.3);
+        for (Kind kind : List.of(BRIEF, LONG)) {
+          simulation.addRequests(kind, OptionalInt.empty(), perSecond, Duration.ZERO, LENGTH);
+        }
+        simulation.play();
+        if (sum == null) {
+          sum = simulation;
+        } else {
+          sum.addResults(simulation);
+        }
+      }
+      return sum;
+    }
+
+    private void keepTables(double load, MeshSimulation with, MeshSimulation without) {
+      keep("work " + load, "with\n" + with.table() + "without\n" + without.table());
+    }
+
+    /** Guards against slots that answer few long requests in time instead of many short ones. */
+    @ParameterizedTest
+    @ValueSource(doubles = {1.0, 1.2, 1.5})
+    void areAnsweredInTimeMoreOftenByTheWorkThatTheyNeed(double load) {
+      MeshSimulation with = play(load, Set.of());
+      MeshSimulation without = play(load, EnumSet.of(Decision.DISPLACEMENT));
+      keepTables(load, with, without);
+
+      assertThat(with.all.inTimeShare(), greaterThan(without.all.inTimeShare() + NOISE));
+      assertThat(with.all.valueShare(), greaterThan(without.all.valueShare() + NOISE));
+      assertThat(with.all.served(), greaterThan(without.all.served()));
+    }
+
+    /** Guards against long requests that are refused although there is room for all. */
+    @Test
+    void areServedAlikeBelowCapacity() {
+      MeshSimulation with = play(0.8, Set.of());
+      MeshSimulation without = play(0.8, EnumSet.of(Decision.DISPLACEMENT));
+      keepTables(0.8, with, without);
+
+      for (String route : List.of("brief", "long")) {
+        assertThat(
+            with.byRoute.get(route).inTimeShare(),
+            greaterThanOrEqualTo(without.byRoute.get(route).inTimeShare() - NOISE));
+      }
+    }
+  }
 }
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/MeshSimulation.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/MeshSimulation.java
@@ -62,7 +62,8 @@
     NESTED_FIRST,
     ACCOUNT_SHARES,
     LOW_SAFETY,
-    SERVICE_TIME
+    SERVICE_TIME,
+    DISPLACEMENT
   }
 
   /** Requests of one route; {@code nested} are the calls that a run makes at the same moment. */
@@ -529,7 +530,12 @@
       limit.onAnswer(OptionalDouble.empty(), now, now);
       this.queue =
           new GoalQueue(
-              slots, limit, without.contains(Decision.LOW_SAFETY) ? 2 : GoalQueue.SAFE_DEVIATIONS);
+              slots,
+              limit,
+              without.contains(Decision.LOW_SAFETY) ? 2 : GoalQueue.SAFE_DEVIATIONS,
+              without.contains(Decision.DISPLACEMENT)
+                  ? Double.POSITIVE_INFINITY
+                  : GoalQueue.DISPLACED_WORK);
     }
 
     Optional<Member> choose(Kind kind, Set<String> tried) {
@@ -562,6 +568,9 @@
               request.deadline,
               request.origin);
       apply(new SlotDecision(attempt, queue.offer(offered, now)));
+      if (queue.hasDisplaced()) {
+        poll();
+      }
     }
 
     private void apply(SlotDecision decision) {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -46,6 +46,10 @@
     registry.counter("attempts_over_share{account=\"" + account + "\"}").inc();
   }
 
+  void countDisplaced() {
+    registry.counter("attempts_displaced").inc();
+  }
+
   void countWithdrawn(boolean running) {
     String state = running ? "running" : "waiting";
     registry.counter("attempts_withdrawn{state=\"" + state + "\"}").inc();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -388,6 +388,10 @@
       metrics.countOverShare(begin.getAccount());
     }
     apply(new SlotDecision(attempt.id(), kind));
+    if (slots.hasDisplaced()) {
+      metrics.countDisplaced();
+      admitWaiting();
+    }
     awaitPermit(now);
   }
 
