Fill the buckets of quotas by rate and burst in each period

The bucket now fills by rate and burst over a period and has the slack of the bound as its capacity. So that tokens held by nodes fit into it, nodes hold those for 0.2 s, and tokens for waiting requests count as used.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaAllocator.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaAllocator.java
@@ -243,9 +243,10 @@
       int tokens = (int) Math.min(need.wanted(), level);
       if (tokens > 0) {
         level -= tokens;
-        held += tokens;
+        int stock = Math.max(0, tokens - need.waiting());
+        held += stock;
         Holding holding = holdings.computeIfAbsent(node, unused -> new Holding());
-        holding.tokens += tokens;
+        holding.tokens += stock;
         holding.lastGrantAt = now;
       }
       return new QuotaGrant(need.account(), tokens, tokens < need.wanted());
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaBounds.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaBounds.java
@@ -8,11 +8,11 @@
 /**
  * Bound on the requests of an account that all nodes run, and how the allocation keeps it.
  *
- * <p>The bound allows a tenth and {@value #FIXED_SLACK} requests beyond the quota, its slack. An
- * account whose demand stays above its rate for several periods may use its burst in each of them,
- * so that a part of the burst is added to the rate at which its token bucket fills, and only the
- * rest to the capacity. Most of the slack raises the capacity, too, as the tokens that nodes hold
- * count against it. What remains covers two allocators that grant for a moment.
+ * <p>An account may use its burst in every {@link #PERIOD}, and the bound allows a tenth and
+ * {@value #FIXED_SLACK} requests beyond that, the slack. The token bucket of an account therefore
+ * fills at the rate and the burst over a period. The slack is divided between the fill rate, so
+ * that tokens that are lost leave no account below its quota, the capacity of the bucket, against
+ * which the tokens count that nodes hold, and the moments in which two allocators grant.
  */
 public final class QuotaBounds {
 
@@ -25,14 +25,11 @@
   private static final double RELATIVE_SLACK = 0.1;
   private static final int FIXED_SLACK = 20;
 
-  /** Part of the slack that raises the capacity; changes of the allocator need the rest. */
-  private static final double CAPACITY_PART = 0.8;
+  /** Part of the slack that is added to what the bucket fills by in a period. */
+  private static final double FILL_PART = 0.3;
 
-  /**
-   * Part of the burst by which the bucket fills in each period. With more, the capacity is too
-   * small for the tokens that nodes hold at usual demand.
-   */
-  private static final double REFILLED_BURST_PART = 0.6;
+  /** Part of the slack that is the capacity; what remains is for changes of the allocator. */
+  private static final double CAPACITY_PART = 0.6;
 
   private QuotaBounds() {}
 
@@ -54,19 +51,18 @@
    * @return the capacity in tokens
    */
   public static double capacity(Quota quota) {
-    return (1 - REFILLED_BURST_PART) * notNull(quota, "quota").burst()
-        + CAPACITY_PART * slack(quota);
+    return CAPACITY_PART * slack(notNull(quota, "quota"));
   }
 
   /**
    * Returns the rate at which the bucket of an account fills.
    *
    * @param quota quota of the account
-   * @return tokens per second, at least the rate of the quota
+   * @return tokens per second, at least the rate of the quota and its burst over a period
    */
   public static double fillRate(Quota quota) {
-    return notNull(quota, "quota").perSecond()
-        + REFILLED_BURST_PART * quota.burst() / seconds(PERIOD);
+    double perPeriod = nominal(notNull(quota, "quota")) + FILL_PART * slack(quota);
+    return perPeriod / seconds(PERIOD);
   }
 
   private static double nominal(Quota quota) {
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaClient.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaClient.java
@@ -46,7 +46,7 @@
   static final Duration START_PERIOD = Duration.ofSeconds(3);
 
   /** Expected use that the stock covers: the interval of requests and the way of an answer. */
-  private static final double STOCK_SECONDS = 0.35;
+  private static final double STOCK_SECONDS = 0.2;
 
   /** Expected use from which a node holds a stock; tokens held by many nodes lie unused. */
   private static final double MIN_STOCK = 1;
@@ -140,6 +140,12 @@
     private Duration rateAt = Duration.ZERO;
     private int released;
     private int returned;
+
+    /**
+     * Requests that waited when tokens were last asked for; the allocator counts theirs as used.
+     */
+    private int askedFor;
+
     private boolean exhausted;
 
     Stock(String account) {
@@ -172,7 +178,11 @@
       if (first.left()[0] == 0) {
         batches.poll();
       }
-      released++;
+      if (askedFor > 0) {
+        askedFor--;
+      } else {
+        released++;
+      }
       return true;
     }
 
@@ -190,9 +200,12 @@
 
     int wanted(Duration now) {
       double expected = rateAt(now) * STOCK_SECONDS;
-      int target = expected < MIN_STOCK ? 0 : (int) Math.ceil(expected);
-      int waitingNow = (int) waiting.stream().filter(request -> !request.waiter().isGone()).count();
-      return Math.max(0, waitingNow + target - held());
+      int target = expected < MIN_STOCK ? 0 : (int) Math.round(expected);
+      return Math.max(0, waitingNow() + target - held());
+    }
+
+    int waitingNow() {
+      return (int) waiting.stream().filter(request -> !request.waiter().isGone()).count();
     }
   }
 
@@ -334,7 +347,10 @@
         continue;
       }
       stock.expire(now);
-      Need need = new Need(stock.account, stock.wanted(now), stock.released, stock.returned);
+      stock.askedFor = stock.waitingNow();
+      Need need =
+          new Need(
+              stock.account, stock.wanted(now), stock.askedFor, stock.released, stock.returned);
       if (need.wanted() > 0 || need.released() > 0 || need.returned() > 0) {
         needs.add(need);
         stock.released = 0;
@@ -378,6 +394,7 @@
       }
       stock.expire(now);
       serveWaiting(stock);
+      stock.askedFor = 0;
       if (stock.exhausted) {
         refuseWaiting(stock);
       }
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaRequest.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaRequest.java
@@ -31,16 +31,18 @@
    *
    * @param account name of the account
    * @param wanted number of tokens that the node asks for
+   * @param waiting number of requests that wait for these tokens and will use them on arrival
    * @param released number of tokens of earlier grants that the node has given to requests or has
    *     let expire since its last report, so that it no longer holds them
    * @param returned number of tokens of earlier grants with which no request has run or will run
    */
-  public record Need(String account, int wanted, int released, int returned) {
+  public record Need(String account, int wanted, int waiting, int released, int returned) {
 
     /** Validates the components. */
     public Need {
       notBlank(account, "account");
       check(wanted >= 0, "wanted", "must not be negative");
+      check(waiting >= 0, "waiting", "must not be negative");
       check(released >= 0, "released", "must not be negative");
       check(returned >= 0, "returned", "must not be negative");
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/QuotaFrames.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/QuotaFrames.java
@@ -27,6 +27,7 @@
           QuotaNeed.newBuilder()
               .setAccount(need.account())
               .setWanted(need.wanted())
+              .setWaiting(need.waiting())
               .setReleased(need.released())
               .setReturned(need.returned()));
     }
@@ -43,6 +44,7 @@
                       new QuotaRequest.Need(
                           need.getAccount(),
                           need.getWanted(),
+                          need.getWaiting(),
                           need.getReleased(),
                           need.getReturned()))
               .toList();
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/Call.java
@@ -266,27 +266,27 @@
       "taRequest\022\014\n\004node\030\001 \001(\t\022\016\n\006number\030\002 \001(\004\022" +
       "\r\n\005group\030\003 \001(\r\022\016\n\006counts\030\004 \001(\010\022\017\n\007starte" +
       "d\030\005 \001(\010\022)\n\005needs\030\006 \003(\0132\032.cuminlatch.call" +
-      ".QuotaNeed\"P\n\tQuotaNeed\022\017\n\007account\030\001 \001(\t" +
+      ".QuotaNeed\"a\n\tQuotaNeed\022\017\n\007account\030\001 \001(\t" +
       "\022\016\n\006wanted\030\002 \001(\r\022\020\n\010released\030\003 \001(\r\022\020\n\010re" +
-      "turned\030\004 \001(\r\"K\n\013QuotaGrants\022\016\n\006number\030\001 " +
-      "\001(\004\022,\n\006tokens\030\002 \003(\0132\034.cuminlatch.call.Qu" +
-      "otaTokens\"B\n\013QuotaTokens\022\017\n\007account\030\001 \001(" +
-      "\t\022\017\n\007granted\030\002 \001(\r\022\021\n\texhausted\030\003 \001(\010*\350\001" +
-      "\n\rRefusalReason\022\027\n\023REFUSAL_UNSPECIFIED\020\000" +
-      "\022\014\n\010DRAINING\020\001\022\016\n\nQUEUE_FULL\020\002\022\014\n\010DEADLI" +
-      "NE\020\003\022\021\n\rWRONG_VERSION\020\004\022\017\n\013NOT_SERVING\020\005" +
-      "\022\026\n\022TARGET_UNREACHABLE\020\006\022\017\n\013TARGET_SHED\020" +
-      "\007\022\r\n\tWITHDRAWN\020\010\022\021\n\rNOT_KEY_OWNER\020\t\022\016\n\nU" +
-      "NSENDABLE\020\n\022\023\n\017TARGET_REPLACED\020\013*\232\001\n\rFai" +
-      "lureReason\022\027\n\023FAILURE_UNSPECIFIED\020\000\022\021\n\rT" +
-      "ARGET_BROKEN\020\001\022\022\n\016TARGET_TIMEOUT\020\002\022\025\n\021CO" +
-      "NNECTION_SILENT\020\003\022\022\n\016ANSWER_CROSSED\020\004\022\014\n" +
-      "\010KEY_SEEN\020\005\022\020\n\014KEY_IN_DOUBT\020\006*1\n\013TargetP" +
-      "hase\022\n\n\006ABSENT\020\000\022\t\n\005READY\020\001\022\013\n\007LEAVING\020\002" +
-      "*[\n\tMovePhase\022\020\n\014MOVE_RUNNING\020\000\022\022\n\016MOVE_" +
-      "FOUND_BAD\020\001\022\024\n\020MOVE_ROLLED_BACK\020\002\022\022\n\016MOV" +
-      "E_COMPLETED\020\003B\"\n\036org.cuminlatch.wire.pro" +
-      "to.callP\001b\006proto3"
+      "turned\030\004 \001(\r\022\017\n\007waiting\030\005 \001(\r\"K\n\013QuotaGr" +
+      "ants\022\016\n\006number\030\001 \001(\004\022,\n\006tokens\030\002 \003(\0132\034.c" +
+      "uminlatch.call.QuotaTokens\"B\n\013QuotaToken" +
+      "s\022\017\n\007account\030\001 \001(\t\022\017\n\007granted\030\002 \001(\r\022\021\n\te" +
+      "xhausted\030\003 \001(\010*\350\001\n\rRefusalReason\022\027\n\023REFU" +
+      "SAL_UNSPECIFIED\020\000\022\014\n\010DRAINING\020\001\022\016\n\nQUEUE" +
+      "_FULL\020\002\022\014\n\010DEADLINE\020\003\022\021\n\rWRONG_VERSION\020\004" +
+      "\022\017\n\013NOT_SERVING\020\005\022\026\n\022TARGET_UNREACHABLE\020" +
+      "\006\022\017\n\013TARGET_SHED\020\007\022\r\n\tWITHDRAWN\020\010\022\021\n\rNOT" +
+      "_KEY_OWNER\020\t\022\016\n\nUNSENDABLE\020\n\022\023\n\017TARGET_R" +
+      "EPLACED\020\013*\232\001\n\rFailureReason\022\027\n\023FAILURE_U" +
+      "NSPECIFIED\020\000\022\021\n\rTARGET_BROKEN\020\001\022\022\n\016TARGE" +
+      "T_TIMEOUT\020\002\022\025\n\021CONNECTION_SILENT\020\003\022\022\n\016AN" +
+      "SWER_CROSSED\020\004\022\014\n\010KEY_SEEN\020\005\022\020\n\014KEY_IN_D" +
+      "OUBT\020\006*1\n\013TargetPhase\022\n\n\006ABSENT\020\000\022\t\n\005REA" +
+      "DY\020\001\022\013\n\007LEAVING\020\002*[\n\tMovePhase\022\020\n\014MOVE_R" +
+      "UNNING\020\000\022\022\n\016MOVE_FOUND_BAD\020\001\022\024\n\020MOVE_ROL" +
+      "LED_BACK\020\002\022\022\n\016MOVE_COMPLETED\020\003B\"\n\036org.cu" +
+      "minlatch.wire.proto.callP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -447,7 +447,7 @@
     internal_static_cuminlatch_call_QuotaNeed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_cuminlatch_call_QuotaNeed_descriptor,
-        new java.lang.String[] { "Account", "Wanted", "Released", "Returned", });
+        new java.lang.String[] { "Account", "Wanted", "Released", "Returned", "Waiting", });
     internal_static_cuminlatch_call_QuotaGrants_descriptor =
       getDescriptor().getMessageType(26);
     internal_static_cuminlatch_call_QuotaGrants_fieldAccessorTable = new
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/QuotaNeed.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/QuotaNeed.java
@@ -128,6 +128,21 @@
     return returned_;
   }
 
+  public static final int WAITING_FIELD_NUMBER = 5;
+  private int waiting_ = 0;
+  /**
+   * <pre>
+   * Number of requests that wait for these tokens and will use them on arrival.
+   * </pre>
+   *
+   * <code>uint32 waiting = 5;</code>
+   * @return The waiting.
+   */
+  @java.lang.Override
+  public int getWaiting() {
+    return waiting_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -154,6 +169,9 @@
     if (returned_ != 0) {
       output.writeUInt32(4, returned_);
     }
+    if (waiting_ != 0) {
+      output.writeUInt32(5, waiting_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -178,6 +196,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(4, returned_);
     }
+    if (waiting_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(5, waiting_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -201,6 +223,8 @@
         != other.getReleased()) return false;
     if (getReturned()
         != other.getReturned()) return false;
+    if (getWaiting()
+        != other.getWaiting()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -220,6 +244,8 @@
     hash = (53 * hash) + getReleased();
     hash = (37 * hash) + RETURNED_FIELD_NUMBER;
     hash = (53 * hash) + getReturned();
+    hash = (37 * hash) + WAITING_FIELD_NUMBER;
+    hash = (53 * hash) + getWaiting();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -355,6 +381,7 @@
       wanted_ = 0;
       released_ = 0;
       returned_ = 0;
+      waiting_ = 0;
       return this;
     }
 
@@ -400,6 +427,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.returned_ = returned_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.waiting_ = waiting_;
+      }
     }
 
     @java.lang.Override
@@ -428,6 +458,9 @@
       if (other.getReturned() != 0) {
         setReturned(other.getReturned());
       }
+      if (other.getWaiting() != 0) {
+        setWaiting(other.getWaiting());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -474,6 +507,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              waiting_ = input.readUInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -695,6 +733,50 @@
       return this;
     }
 
+    private int waiting_ ;
+    /**
+     * <pre>
+     * Number of requests that wait for these tokens and will use them on arrival.
+     * </pre>
+     *
+     * <code>uint32 waiting = 5;</code>
+     * @return The waiting.
+     */
+    @java.lang.Override
+    public int getWaiting() {
+      return waiting_;
+    }
+    /**
+     * <pre>
+     * Number of requests that wait for these tokens and will use them on arrival.
+     * </pre>
+     *
+     * <code>uint32 waiting = 5;</code>
+     * @param value The waiting to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWaiting(int value) {
+
+      waiting_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of requests that wait for these tokens and will use them on arrival.
+     * </pre>
+     *
+     * <code>uint32 waiting = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWaiting() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      waiting_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:cuminlatch.call.QuotaNeed)
   }
 
--- a/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/QuotaNeedOrBuilder.java
+++ b/cuminlatch-wire/src/main/java/org/cuminlatch/wire/proto/call/QuotaNeedOrBuilder.java
@@ -51,4 +51,14 @@
    * @return The returned.
    */
   int getReturned();
+
+  /**
+   * <pre>
+   * Number of requests that wait for these tokens and will use them on arrival.
+   * </pre>
+   *
+   * <code>uint32 waiting = 5;</code>
+   * @return The waiting.
+   */
+  int getWaiting();
 }
