Compute the weights of a ranking once for each node

The comparator hashed both names at each comparison: a node of a mesh of 900 took about 0.15 s of processor time for the rankings of its nine groups whenever the known nodes changed.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/AllocatorSelection.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/AllocatorSelection.java
@@ -57,10 +57,15 @@
   }
 
   private List<String> rank(int group) {
+    record Weighted(String node, long weight) {}
+
     String role = "quota-allocator-" + group;
-    Comparator<String> byWeight =
-        (a, b) -> Long.compareUnsigned(Rendezvous.weight(role, b), Rendezvous.weight(role, a));
-    return known.stream().sorted(byWeight.thenComparing(Comparator.naturalOrder())).toList();
+    Comparator<Weighted> byWeight = (a, b) -> Long.compareUnsigned(b.weight(), a.weight());
+    return known.stream()
+        .map(node -> new Weighted(node, Rendezvous.weight(role, node)))
+        .sorted(byWeight.thenComparing(Weighted::node))
+        .map(Weighted::node)
+        .toList();
   }
 
   /**
