--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaAllocator.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaAllocator.java
@@ -25,8 +25,14 @@
  */
 public final class QuotaAllocator {
 
-  /** Time for which a vote counts after it was received. */
-  public static final Duration VOTE_LIFETIME = Duration.ofSeconds(1);
+  /** Time after which a vote that was received counts no more: twice the interval of votes. */
+  private static final Duration VOTE_LIFETIME = Duration.ofMillis(800);
+
+  /** Interval at which votes that count no more are removed, as each removal visits all votes. */
+  private static final Duration VOTE_CHECK_INTERVAL = Duration.ofMillis(50);
+
+  /** Time for which a vote may count after it was received. */
+  static final Duration MAX_VOTE_LIFETIME = VOTE_LIFETIME.plus(VOTE_CHECK_INTERVAL);
 
   /** Time without requests after which the bucket of an account is forgotten. */
   private static final Duration BUCKET_IDLE_TIMEOUT = Duration.ofSeconds(60);
@@ -56,6 +62,8 @@
    */
   private final Map<String, Duration> starts = new HashMap<>();
 
+  private Duration votesExpiredAt = Duration.ZERO;
+  private int countedVotes;
   private double share;
   private Duration lastBucketCheck = Duration.ZERO;
 
@@ -82,9 +90,11 @@
    * @return one grant for each need that asks for tokens
    */
   public List<QuotaGrant> handle(QuotaRequest request, int knownNodes, Duration now) {
-    countVotes(knownNodes, now);
-    votes.put(notNull(request, "request").node(), new Vote(now, request.counts()));
-    countVotes(knownNodes, now);
+    expireVotes(now);
+    Vote vote = new Vote(now, request.counts());
+    Vote before = votes.put(notNull(request, "request").node(), vote);
+    countedVotes += (vote.counts() ? 1 : 0) - (before != null && before.counts() ? 1 : 0);
+    updateShare(knownNodes, now);
     boolean starting = now.minus(startedAt).compareTo(QuotaClient.START_PERIOD) < 0;
     if (starting && request.counts() && request.started() && isFirstVote(request.node(), now)) {
       starts.put(request.node(), now);
@@ -119,11 +129,23 @@
     return buckets.size();
   }
 
-  /** Fills the buckets at the share up to now, and then changes the share if votes have ended. */
-  private void countVotes(int knownNodes, Duration now) {
-    votes.values().removeIf(vote -> now.compareTo(vote.receivedAt().plus(VOTE_LIFETIME)) > 0);
-    long counted = votes.values().stream().filter(Vote::counts).count();
-    double newShare = Math.min(1, counted / (double) Math.max(1, knownNodes));
+  private void expireVotes(Duration now) {
+    if (now.minus(votesExpiredAt).compareTo(VOTE_CHECK_INTERVAL) < 0) {
+      return;
+    }
+    votesExpiredAt = now;
+    for (Iterator<Vote> all = votes.values().iterator(); all.hasNext(); ) {
+      Vote vote = all.next();
+      if (now.compareTo(vote.receivedAt().plus(VOTE_LIFETIME)) > 0) {
+        countedVotes -= vote.counts() ? 1 : 0;
+        all.remove();
+      }
+    }
+  }
+
+  /** Fills the buckets at the share up to now, and then changes the share if votes have changed. */
+  private void updateShare(int knownNodes, Duration now) {
+    double newShare = Math.min(1, countedVotes / (double) Math.max(1, knownNodes));
     if (newShare != share) {
       buckets.forEach((account, bucket) -> bucket.fill(account, now));
       share = newShare;
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaBounds.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaBounds.java
@@ -26,10 +26,13 @@
   private static final int FIXED_SLACK = 20;
 
   /** Part of the slack that is added to what the bucket fills by in a period. */
-  private static final double FILL_PART = 0.3;
+  private static final double FILL_PART = 0.05;
 
-  /** Part of the slack that is the capacity; what remains is for changes of the allocator. */
-  private static final double CAPACITY_PART = 0.6;
+  /**
+   * Part of the slack that is the capacity. What remains is for changes of the allocator and for
+   * requests that wait for a token: of those sent in a period, some run after it.
+   */
+  private static final double CAPACITY_PART = 0.5;
 
   private QuotaBounds() {}
 
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaClient.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaClient.java
@@ -30,7 +30,7 @@
   /** Interval at which a node asks for tokens that it will need; requests share the frame. */
   private static final Duration REQUEST_INTERVAL = Duration.ofMillis(150);
 
-  /** Interval of the votes; two may be lost or late before a vote no longer counts. */
+  /** Interval of the votes; one may be late before a vote no longer counts. */
   private static final Duration VOTE_INTERVAL = Duration.ofMillis(400);
 
   /** Time after which a request that was not answered is sent again, before waiting ends. */
@@ -315,7 +315,7 @@
         return;
       }
       if (!ballot.allocator.isEmpty()) {
-        ballot.countsElsewhereUntil = ballot.votedAt.plus(QuotaAllocator.VOTE_LIFETIME);
+        ballot.countsElsewhereUntil = ballot.votedAt.plus(QuotaAllocator.MAX_VOTE_LIFETIME);
       }
       ballot.allocator = allocator;
     }
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/quota/QuotaSimulation.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/quota/QuotaSimulation.java
@@ -26,6 +26,7 @@
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
   private final Map<String, List<Long>> accepted = new HashMap<>();
+  private final Map<String, List<Long>> arrivals = new HashMap<>();
   private final Map<String, List<Long>> refused = new HashMap<>();
   private final Map<String, List<Long>> offered = new HashMap<>();
   private final Set<Long> cutLinks = new HashSet<>();
@@ -288,6 +289,7 @@
   }
 
   private void acquire(String account, Node node) {
+    final long arrivedAt = now;
     node.client.acquire(
         account,
         new QuotaClient.Waiter() {
@@ -297,6 +299,7 @@
               at(now + 400_000, () -> node.client.giveBack(token));
             } else {
               accepted.computeIfAbsent(account, unused -> new ArrayList<>()).add(now);
+              arrivals.computeIfAbsent(account, unused -> new ArrayList<>()).add(arrivedAt);
             }
           }
 
@@ -332,18 +335,25 @@
     return Duration.ofNanos(now * 1000);
   }
 
-  /** Returns the most requests of an account that ran within any period of the bound. */
+  /**
+   * Returns the most requests of an account within any period of the bound, by the times at which
+   * they got their tokens or by those at which they were sent.
+   */
   int worstPeriod(String account, double fromSecond) {
+    return Math.max(
+        worstPeriod(accepted.getOrDefault(account, List.of()), fromSecond),
+        worstPeriod(arrivals.getOrDefault(account, List.of()), fromSecond));
+  }
+
+  private static int worstPeriod(List<Long> unordered, double fromSecond) {
     long width = QuotaBounds.PERIOD.toNanos() / 1000;
-    List<Long> times = accepted.getOrDefault(account, List.of());
+    List<Long> times =
+        unordered.stream().filter(time -> time >= fromSecond * 1e6).sorted().toList();
     int worst = 0;
     int first = 0;
     for (int last = 0; last < times.size(); last++) {
-      while (times.get(last) - times.get(first) >= width || times.get(first) < fromSecond * 1e6) {
+      while (times.get(last) - times.get(first) >= width) {
         first++;
-        if (first > last) {
-          break;
-        }
       }
       worst = Math.max(worst, last - first + 1);
     }
