End an attempt at once if the status of its response is invalid

Cause: every status below 200 counted as that of an interim response, so that a request whose target responded with 000, 001, 099 or 101 waited until its deadline; 600 and 999 were passed on to callers. A status that is not three digits ended the attempt, but if its body quoted a response, that was taken for the answer.

Change: 100 to 199 except 101 are interim responses, 200 to 599 final ones. Any other status, also one that is not three digits, fails the attempt as one that may have run and closes the connection. The line target-failed names the status; invalid_statuses{from} counts the responses.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -177,8 +177,13 @@
   }
 
   private void begin(HttpResponse response) {
+    int status = response.status().code();
+    boolean interim = ResponseStatus.isInterim(status);
+    if (!interim && !ResponseStatus.isFinal(status)) {
+      failForStatus(ResponseStatus.text(status));
+      return;
+    }
     bodiless = withoutBody(response);
-    boolean interim = response.status().code() < 200;
     owner = interim ? ResponseOwner.THIS_REQUEST : request.ownerOfResponse().apply(bodiless);
     if (decoder.isHeadAmbiguous() && (hasReceivedResponse || owner != ResponseOwner.THIS_REQUEST)) {
       client.onUnsolicitedBytes(Position.WITHIN_RESPONSE, decoder.unread().readableBytes());
@@ -196,6 +201,12 @@
     }
   }
 
+  /** Ends the request, which may have been executed, as the response can't be interpreted. */
+  private void failForStatus(String status) {
+    client.onInvalidStatus(status);
+    fail("response has invalid status " + status);
+  }
+
   private static ClientResponse withoutBody(HttpResponse response) {
     List<Map.Entry<String, String>> headers = new ArrayList<>(response.headers().size());
     response.headers().forEach(entry -> headers.add(Map.entry(entry.getKey(), entry.getValue())));
@@ -279,7 +290,7 @@
         new ClientResponse(bodiless.status(), bodiless.headers(), ByteBufUtil.getBytes(body));
     discardResponse();
     held = false;
-    if (responseHead.status().code() < 200) {
+    if (ResponseStatus.isInterim(responseHead.status().code())) {
       countSkippedResponse(); // an interim response
       return;
     }
@@ -368,7 +379,11 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    if (cause instanceof DecoderException) {
+    if (request == null) {
+      close(); // the decoder reads the same bytes once more when the connection is closed
+    } else if (cause.getCause() instanceof InvalidStatusException invalid) {
+      failForStatus(invalid.status());
+    } else if (cause instanceof DecoderException) {
       fail("response could not be decoded: " + cause.getCause());
     } else {
       fail("connection failed: " + cause.getMessage());
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
@@ -36,6 +36,7 @@
   private final int maxBodyBytes;
   private final long maxBufferedBytes;
   private Consumer<UnsolicitedBytes> unsolicitedBytesListener = bytes -> {};
+  private Consumer<String> invalidStatusListener = status -> {};
   private final ConnectionReusePolicy reusePolicy = new ConnectionReusePolicy();
   private long bufferedBytes;
   private final Deque<ClientConnection> idleConnections = new ArrayDeque<>();
@@ -76,6 +77,16 @@
     unsolicitedBytesListener = notNull(listener, "listener");
   }
 
+  /**
+   * Sets the listener for responses with an invalid status: one that is not 100 to 599, or 101.
+   * Such a response ends its request and the connection.
+   *
+   * @param listener called on the event loop with the status as the server sent it, cut short
+   */
+  public void listenForInvalidStatus(Consumer<String> listener) {
+    invalidStatusListener = notNull(listener, "listener");
+  }
+
   /**
    * Sends a request.
    *
@@ -165,6 +176,10 @@
     unsolicitedBytesListener.accept(new UnsolicitedBytes(position, bytes));
   }
 
+  void onInvalidStatus(String status) {
+    invalidStatusListener.accept(status);
+  }
+
   /** Returns whether a connection may carry another request after its present one. */
   boolean permitsReuse() {
     return reusePolicy.permitsReuse(clock.instant());
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseDecoder.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseDecoder.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntConsumer;
 
@@ -132,6 +133,7 @@
       return;
     }
     skipEmptyLines(in);
+    checkStatus(in, in.writerIndex());
     if (in.indexOf(in.readerIndex(), in.writerIndex(), (byte) '\n') >= 0) {
       throw new IllegalArgumentException("first line is no status line");
     }
@@ -140,6 +142,17 @@
     }
   }
 
+  /**
+   * Fails if the first line is complete and a status line but for its status. A status line that
+   * was cut short is followed by other bytes on the same line, and is skipped.
+   */
+  private static void checkStatus(ByteBuf in, int to) {
+    Optional<String> status = ResponseHeads.invalidStatus(in, in.readerIndex(), to);
+    if (status.isPresent()) {
+      throw new InvalidStatusException(status.get());
+    }
+  }
+
   private void skipEmptyLines(ByteBuf in) {
     int length = 0;
     while (length < in.readableBytes() && isLineEnd(in.getByte(in.readerIndex() + length))) {
@@ -156,6 +169,7 @@
     skipEmptyLines(in);
     int length = statusLine - in.readerIndex();
     if (!skipsResponse && length > 0) {
+      checkStatus(in, statusLine);
       skippedListener.accept(length);
     }
     skip(in, length);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseHeads.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ResponseHeads.java
@@ -21,6 +21,12 @@
       Unpooled.unreleasableBuffer(
           Unpooled.copiedBuffer("\r\n", StandardCharsets.US_ASCII).asReadOnly());
 
+  /** Length of a status line up to the status. */
+  private static final int STATUS_START = "HTTP/1.0 ".length();
+
+  /** Length up to which an invalid status is kept for logs. */
+  private static final int MAX_STATUS_CHARS = 8;
+
   private ResponseHeads() {}
 
   /**
@@ -53,6 +59,27 @@
     return 0;
   }
 
+  /**
+   * Returns the status of the line at a position if it is complete and a status line, but for a
+   * status that is not three digits.
+   *
+   * @return the status, cut short; empty if the line is incomplete or something else
+   */
+  static Optional<String> invalidStatus(ByteBuf bytes, int start, int to) {
+    int lineEnd = bytes.indexOf(start, to, (byte) '\n');
+    int length = statusLineLength(bytes, start, to);
+    if (lineEnd < start + STATUS_START
+        || length < STATUS_START
+        || length == STATUS_LINE_PREFIX_LENGTH) {
+      return Optional.empty();
+    }
+    int from = start + STATUS_START;
+    String rest =
+        bytes.toString(
+            from, Math.min(lineEnd - from, MAX_STATUS_CHARS), StandardCharsets.ISO_8859_1);
+    return Optional.of(rest.split("[ \r]", 2)[0]);
+  }
+
   /** Returns how many bytes from a position on could be the start of a status line. */
   private static int statusLineLength(ByteBuf bytes, int start, int to) {
     int length = 0;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -88,6 +88,15 @@
     registry.counter("unsolicited_bytes{from=\"" + server + "\",position=\"" + label + "\"}").inc();
   }
 
+  /**
+   * Counts a response with an invalid status.
+   *
+   * @param server kind of the server that sent it
+   */
+  public void countInvalidStatus(String server) {
+    registry.counter("invalid_statuses{from=\"" + server + "\"}").inc();
+  }
+
   /**
    * Records a call to the store.
    *
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -131,6 +131,7 @@
     this.check = new TargetCheck(loop, target, clock, names, log, metrics, new CheckListener());
     this.lastAnswerAt = clock.instant();
     target.listenForUnsolicitedBytes(this::onUnsolicitedBytes);
+    target.listenForInvalidStatus(status -> metrics.countInvalidStatus("target"));
   }
 
   /** Receives events of the gate and supplies the frames that it sends to other nodes. */
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/HttpClientTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/HttpClientTests.java
@@ -1,6 +1,8 @@
 package org.cuminlatch.node.http;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
@@ -20,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.cuminlatch.core.membership.Address;
@@ -220,6 +223,87 @@
     }
   }
 
+  /** Guards against requests that wait until their deadline, and against callers that get 999. */
+  @Nested
+  class WhenTheStatusIsInvalid {
+
+    private static final String INTERIM = "HTTP/1.1 103 Early Hints\r\n\r\n";
+
+    private final List<String> invalid = new CopyOnWriteArrayList<>();
+
+    /** Answers the next request and returns its end; the server keeps the connection open. */
+    private Object answerAndStay(String bytes) throws Exception {
+      client.listenForInvalidStatus(invalid::add);
+      CompletableFuture<Object> end = send();
+      try (Socket socket = listener.accept()) {
+        socket.getInputStream().read(new byte[1024]);
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+        Object result = end.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        if (result instanceof ClientListener.Failure) {
+          socket.setSoTimeout(WAIT_SECONDS * 1000);
+          assertThat("connection is closed", socket.getInputStream().read(), is(-1));
+        }
+        return result;
+      }
+    }
+
+    private void assertFails(String status, String bytes) throws Exception {
+      Object end = answerAndStay(bytes);
+      assertThat(end, instanceOf(ClientListener.Failure.class));
+      assertThat(((ClientListener.Failure) end).sent(), is(true));
+      assertThat(invalid, contains(status));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+        strings = {"000", "001", "099", "101", "600", "999", "", "+99", "20", "2000", "OK"})
+    void failsAtOnceAndCloses(String status) throws Exception {
+      assertFails(status, "HTTP/1.1 " + status + " X\r\nId: a\r\nContent-Length: 4\r\n\r\ndone");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "600", "2000"})
+    void failsAtOnceWithoutBodyOrReason(String status) throws Exception {
+      assertFails(status, "HTTP/1.1 " + status + "\r\n\r\n");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"099", "600"})
+    void failsIfItFollowsAnInterimResponse(String status) throws Exception {
+      assertFails(status, INTERIM + "HTTP/1.1 " + status + " X\r\n\r\n");
+    }
+
+    // guards against the body of such a response being read as the response
+    @ParameterizedTest
+    @ValueSource(strings = {"099", "600", "2000", "x"})
+    void failsIfItsBodyQuotesResponse(String status) throws Exception {
+      String quoted = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+      assertFails(
+          status,
+          "HTTP/1.1 " + status + " X\r\nContent-Length: " + quoted.length() + "\r\n\r\n" + quoted);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {200, 299, 304, 404, 599})
+    void completesResponsesWithOtherStatus(int status) throws Exception {
+      String head = "HTTP/1.1 " + status + " X\r\nId: a\r\nContent-Length: 0\r\n\r\n";
+
+      assertThat(((ClientResponse) answerAndStay(INTERIM + head)).status(), is(status));
+      assertThat(invalid, empty());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"100", "102", "199"})
+    void skipsInterimResponses(String status) throws Exception {
+      String last = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 4\r\n\r\ndone";
+
+      Object end = answerAndStay("HTTP/1.1 " + status + " X\r\n\r\n" + last);
+
+      assertThat(((ClientResponse) end).status(), is(200));
+      assertThat(invalid, empty());
+    }
+  }
+
   @Nested
   class WhenTheServerWritesWithoutEnd {
 
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/TargetCheckTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/TargetCheckTests.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against requests to a target that has told an earlier process that it leaves. */
 @DisplayName("The gate of a target that has run before the process")
@@ -88,6 +90,17 @@
     assertThat(check.isDone(), is(true));
   }
 
+  /** Guards against trusting the headers of a response whose status no target can mean. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 600, 999})
+  void sendsAttemptsIfTheStatusIsInvalid(int status) throws Exception {
+    setHealthPath(Optional.of(GateFixture.HEALTH_PATH));
+    fixture.onLoop(() -> fixture.begin(1));
+    answerCheck(status, Map.of("Leaving", "1"));
+
+    fixture.awaitFrame(1, KindCase.ANSWER);
+  }
+
   @Test
   void refusesAttemptsOfServiceWithColdTargetsUntilThePathIsKnown() throws Exception {
     fixture.onLoop(() -> fixture.beginCold(1, 12));
