Fail attempts with an invalid status on the path of the JDK's client

Cause: the gate of the older path passed any status on, so that callers got 600 or 999, and a health response with a status below 200 counted as that of a healthy target.

Change: a status that is not 200 to 599 cancels the exchange, which closes its connection, and fails the attempt as one that may have run. HttpLogClient already fails on all but the statuses that it knows.

The JDK's client rejects 0 and 99 as sent by the test's server (fewer than three digits) by itself.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/AnswerForwarder.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/AnswerForwarder.java
@@ -60,6 +60,11 @@
     gate.fail(attempt, FailureReason.ANSWER_CROSSED, SlotEnd.OTHER, Result.FAILURE);
   }
 
+  @Override
+  public void onInvalidStatus(int status) {
+    gate.fail(attempt, FailureReason.TARGET_BROKEN, SlotEnd.OTHER, Result.FAILURE);
+  }
+
   @Override
   public void onProgress() {
     attempt.recordProgress(clock.instant());
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/TargetAnswerSubscriber.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/TargetAnswerSubscriber.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Flow.Subscription;
+import org.cuminlatch.node.http.ResponseStatus;
 
 /**
  * Receives the target's answer and passes it to a {@link Listener}; a short answer is passed in one
@@ -33,6 +34,7 @@
   private boolean requested;
   private boolean headPassed;
   private boolean shed;
+  private boolean invalid;
   private volatile boolean crossed;
 
   TargetAnswerSubscriber(String expectedToken, long credit, Listener listener) {
@@ -46,6 +48,7 @@
     head = info;
     HttpHeaders headers = info.headers();
     length = headers.firstValueAsLong(CallHeaders.CONTENT_LENGTH).orElse(-1);
+    invalid = !ResponseStatus.isFinal(info.statusCode());
     shed =
         info.statusCode() == SERVICE_UNAVAILABLE
             && headers.firstValue(CallHeaders.NOT_RUN).map("true"::equals).orElse(false);
@@ -73,6 +76,11 @@
       listener.onCrossed();
       return;
     }
+    if (invalid) {
+      newSubscription.cancel();
+      listener.onInvalidStatus(head.statusCode());
+      return;
+    }
     synchronized (this) {
       subscription = newSubscription;
     }
@@ -176,6 +184,9 @@
 
     void onCrossed();
 
+    /** Called instead of all others if the status is not that of a final response. */
+    void onInvalidStatus(int status);
+
     void onProgress();
   }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/call/TargetClient.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/call/TargetClient.java
@@ -12,6 +12,7 @@
 import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import org.cuminlatch.node.http.ResponseStatus;
 import org.cuminlatch.wire.proto.call.Begin;
 import org.cuminlatch.wire.proto.call.Header;
 
@@ -87,7 +88,10 @@
     return newClient()
         .sendAsync(request, BodyHandlers.discarding())
         .handle(
-            (response, error) -> error == null && response.statusCode() < MIN_SERVER_ERROR_STATUS);
+            (response, error) ->
+                error == null
+                    && ResponseStatus.isFinal(response.statusCode())
+                    && response.statusCode() < MIN_SERVER_ERROR_STATUS);
   }
 
   /** Replaces the connection pool unless it is younger than {@link #MIN_POOL_LIFETIME}. */
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/call/SurplusAnswerTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/call/SurplusAnswerTests.java
@@ -197,6 +197,11 @@
       end.complete("shed");
     }
 
+    @Override
+    public void onInvalidStatus(int status) {
+      end.complete("invalid status " + status);
+    }
+
     @Override
     public void onCrossed() {
       end.complete("crossed");
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/call/TargetFaultTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/call/TargetFaultTests.java
@@ -24,6 +24,8 @@
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @DisplayName("If a target fails")
 class TargetFaultTests {
@@ -109,6 +111,23 @@
     }
   }
 
+  @Nested
+  class ByRespondingWithInvalidStatus {
+
+    /** Guards against callers that get a status which they can't interpret. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 99, 600, 999})
+    void requestThatMayNotBeRepeatedFailsWithUnknownOutcome(int status) throws Exception {
+      targetNode.target().setBehaviour(exchange -> ScriptedTarget.answer(exchange, status, "x"));
+
+      HttpResponse<String> answer = mesh.post(entry, "/book", "crane 1");
+
+      assertThat(answer.statusCode(), is(502));
+      assertThat(CallMesh.outcome(answer), is("unknown"));
+      assertThat(targetNode.target().runs(), is(1));
+    }
+  }
+
   @Nested
   class ByRefusingBeforeRunning {
 
