Guard the time for which a late answer is awaited

Cause: no test covered EntryCall.DEADLINE_GRACE (250 ms), and 120 ms was proposed so that callers get their refusal sooner. It would not help them: a gate refuses what can't be answered in time before the deadline, and gives up an attempt that runs 150 ms after it, so that callers of a reachable gate get 504 then. The 250 ms only take effect if the gate is silent. With 120 ms, the entry node takes attempts back before their gates give them up; a gate records no failure for those, so that a target or version that hangs is never found bad.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -47,7 +47,11 @@
  */
 final class EntryCall implements AttemptListener {
 
-  /** Time after the deadline for which an answer is still awaited. */
+  /**
+   * Time after the deadline for which an answer is still awaited. Longer than that of the gate and
+   * the way from it: an attempt that is taken back before the gate has given it up does not count
+   * as a failure of its target.
+   */
   private static final Duration DEADLINE_GRACE = Duration.ofMillis(250);
 
   /** Minimum time before the deadline in which another target is tried. */
