Let waiting requests wait again while the first targets are full

Cause: found by a test with three nodes that start together. All requests that waited came to the first linked target within some milliseconds. Most had missed their goals during the wait, and a gate lets few late requests wait, so that they were refused as QUEUE_FULL with seconds of their time left.

Change: during the start, a call that has waited and was refused by all linked targets without reaching one waits again, for as long as a refused caller would be told to stay away, at least 0.1 s and at most six times, within the same 2 s. A request that has not waited is refused at once as before.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.cuminlatch.core.admission.RequestOrigin;
 import org.cuminlatch.core.admission.StartupBacklog.Arrival;
 import org.cuminlatch.core.config.Route;
@@ -63,6 +64,12 @@
   /** Size of the part of an answer that may be on its way to a caller that reads slowly. */
   static final int ANSWER_WINDOW_BYTES = 256 * 1024;
 
+  /** Waits of one call while targets that are linked during the node's start are full. */
+  private static final int MAX_START_WAITS = 6;
+
+  /** Lower bound of such a wait; each costs a message to a gate and its refusal. */
+  private static final double MIN_START_WAIT_SECONDS = 0.1;
+
   private static final int BODY_FRAME_BYTES = 256 * 1024;
 
   /** Lower bound of the delay after which a refused caller should retry. */
@@ -86,6 +93,11 @@
   private final Set<String> triedInstances = new HashSet<>();
   private int placements;
   private int targetAttempts;
+
+  /** Waits during the start of the node, including one before the call was created. */
+  private int startWaits;
+
+  private boolean waitExpired;
   private boolean mayHaveRun;
   private double slotFreeInSeconds = Double.MAX_VALUE;
   private String lastReason = "no target";
@@ -128,6 +140,7 @@
     this.startedAt = times.arrivedAt();
     this.goal = times.goal();
     this.idempotent = isIdempotent(exchange, route);
+    this.startWaits = entry.startup().isStartingWaiting() ? 1 : 0;
     this.deadline = times.deadline();
     Duration maxWait = Duration.between(entry.now(), deadline).plus(DEADLINE_GRACE);
     this.timer = entry.loop().schedule(this::onTimeout, maxWait.toMillis(), TimeUnit.MILLISECONDS);
@@ -486,27 +499,56 @@
     finish();
   }
 
-  /** Tries again to find a target, after a wait for the first one of the service. */
+  /** Tries all targets again after a wait during the start of the node. */
   void resume() {
-    if (!ended) {
-      place();
-    }
+    placements = 0;
+    triedInstances.clear();
+    slotFreeInSeconds = Double.MAX_VALUE;
+    place();
+  }
+
+  /** Ends the call, which has waited as long as it may. */
+  void expireWait() {
+    waitExpired = true;
+    endUnanswered();
   }
 
-  boolean hasTarget() {
+  private boolean hasTarget() {
     return entry.hasTargetOf(service, homeRegions());
   }
 
+  /**
+   * Lets the call wait during the start of the node if there is no target of its service yet; or if
+   * it has waited before and the few targets that are linked first are full, as all waiting calls
+   * come to them at once. The call has not reached a target.
+   */
   private boolean waitsForTarget() {
-    return placements == 0
-        && !hasTarget()
-        && entry
-            .startup()
-            .awaitTarget(this, id, new Arrival(startedAt, deadline, exchange.body().length));
+    if (targetAttempts > 0 || mayHaveRun || waitExpired) {
+      return false;
+    }
+    boolean full = hasTarget();
+    if (full && (startWaits == 0 || startWaits > MAX_START_WAITS)) {
+      return false;
+    }
+    Duration minWait = full ? minStartWait() : Duration.ZERO;
+    Arrival arrival = new Arrival(startedAt, deadline, exchange.body().length);
+    Instant tryAt = entry.now().plus(minWait);
+    BooleanSupplier ready = () -> hasTarget() && !entry.now().isBefore(tryAt);
+    String reason = full ? "targets are full" : "no target";
+    boolean waits = entry.startup().awaitTarget(this, id, reason, arrival, ready);
+    if (waits) {
+      startWaits++;
+      attempt = null; // it was refused
+    }
+    return waits;
+  }
+
+  private Duration minStartWait() {
+    return Duration.ofNanos((long) (Math.max(MIN_START_WAIT_SECONDS, retryAfterSeconds()) * 1e9));
   }
 
   /** Ends a call that gets no further attempt, with the 5xx answer of an earlier one if any. */
-  void endUnanswered() {
+  private void endUnanswered() {
     if (waitsForTarget()) {
       return;
     }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StartupWait.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StartupWait.java
@@ -33,6 +33,7 @@
   private final StartupBacklog<Waiting> backlog;
   private final Map<Object, Waiting> waitingByOwner = new IdentityHashMap<>();
   private boolean checkScheduled;
+  private boolean startsWaiting;
 
   StartupWait(EntryHandler entry) {
     this.entry = entry;
@@ -80,20 +81,14 @@
   }
 
   /**
-   * Lets a call wait for the first target of its service.
+   * Lets a call wait for a target of its service.
    *
    * @return false if it may not wait
    */
-  boolean awaitTarget(EntryCall call, String id, Arrival arrival) {
+  boolean awaitTarget(
+      EntryCall call, String id, String reason, Arrival arrival, BooleanSupplier ready) {
     return offer(
-        new Waiting(
-            call,
-            id,
-            "no target",
-            arrival.arrivedAt(),
-            call::hasTarget,
-            call::resume,
-            call::endUnanswered),
+        new Waiting(call, id, reason, arrival.arrivedAt(), ready, call::resume, call::expireWait),
         arrival);
   }
 
@@ -136,10 +131,17 @@
           .with("reason", waiting.reason())
           .with("tookMillis", Duration.between(waiting.since(), now).toMillis())
           .write();
+      startsWaiting = true;
       run(waiting, waiting.start());
+      startsWaiting = false;
     }
   }
 
+  /** Returns whether the request that is being handled has waited. */
+  boolean isStartingWaiting() {
+    return startsWaiting;
+  }
+
   /** Runs an action on a request; an error must not keep the other requests from being handled. */
   private void run(Waiting waiting, Runnable action) {
     try {
