--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -13,7 +13,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.cuminlatch.core.admission.RequestOrigin;
+import org.cuminlatch.core.admission.StartupBacklog.Arrival;
 import org.cuminlatch.core.config.Route;
 import org.cuminlatch.core.config.RoutePolicy.Repeatability;
 import org.cuminlatch.core.membership.Locality.Distance;
@@ -47,7 +49,11 @@
  */
 final class EntryCall implements AttemptListener {
 
-  /** Time after the deadline for which an answer is still awaited. */
+  /**
+   * Time after the deadline for which an answer is still awaited. Longer than that of the gate and
+   * the way from it: an attempt that is taken back before the gate has given it up does not count
+   * as a failure of its target.
+   */
   private static final Duration DEADLINE_GRACE = Duration.ofMillis(250);
 
   /** Minimum time before the deadline in which another target is tried. */
@@ -59,6 +65,12 @@
   /** Size of the part of an answer that may be on its way to a caller that reads slowly. */
   static final int ANSWER_WINDOW_BYTES = 256 * 1024;
 
+  /** Waits of one call while targets that are linked during the node's start are full. */
+  private static final int MAX_START_WAITS = 6;
+
+  /** Lower bound of such a wait; each costs a message to a gate and its refusal. */
+  private static final double MIN_START_WAIT_SECONDS = 0.1;
+
   private static final int BODY_FRAME_BYTES = 256 * 1024;
 
   /** Lower bound of the delay after which a refused caller should retry. */
@@ -83,6 +95,11 @@
   private final Set<String> triedInstances = new HashSet<>();
   private int placements;
   private int targetAttempts;
+
+  /** Waits during the start of the node, including one before the call was created. */
+  private int startWaits;
+
+  private boolean waitExpired;
   private boolean mayHaveRun;
   private double slotFreeInSeconds = Double.MAX_VALUE;
   private String lastReason = "no target";
@@ -127,6 +144,7 @@
     this.startedAt = times.arrivedAt();
     this.goal = times.goal();
     this.idempotent = isIdempotent(exchange, route);
+    this.startWaits = entry.startup().isStartingWaiting() ? 1 : 0;
     this.deadline = times.deadline();
     Duration maxWait = Duration.between(entry.now(), deadline).plus(DEADLINE_GRACE);
     this.timer = entry.loop().schedule(this::onTimeout, maxWait.toMillis(), TimeUnit.MILLISECONDS);
@@ -488,8 +506,59 @@
     finish();
   }
 
+  /** Tries all targets again after a wait during the start of the node. */
+  void resume() {
+    placements = 0;
+    triedInstances.clear();
+    slotFreeInSeconds = Double.MAX_VALUE;
+    place();
+  }
+
+  /** Ends the call, which has waited as long as it may. */
+  void expireWait() {
+    waitExpired = true;
+    endUnanswered();
+  }
+
+  private boolean hasTarget() {
+    return entry.hasTargetOf(service, homeRegions());
+  }
+
+  /**
+   * Lets the call wait during the start of the node if there is no target of its service yet; or if
+   * it has waited before and the few targets that are linked first are full, as all waiting calls
+   * come to them at once. The call has not reached a target.
+   */
+  private boolean waitsForTarget() {
+    if (targetAttempts > 0 || mayHaveRun || waitExpired) {
+      return false;
+    }
+    boolean full = hasTarget();
+    if (full && (startWaits == 0 || startWaits > MAX_START_WAITS)) {
+      return false;
+    }
+    Duration minWait = full ? minStartWait() : Duration.ZERO;
+    Arrival arrival = new Arrival(startedAt, deadline, exchange.body().length);
+    Instant tryAt = entry.now().plus(minWait);
+    BooleanSupplier ready = () -> hasTarget() && !entry.now().isBefore(tryAt);
+    String reason = full ? "targets are full" : "no target";
+    boolean waits = entry.startup().awaitTarget(this, id, reason, arrival, ready);
+    if (waits) {
+      startWaits++;
+      attempt = null; // it was refused
+    }
+    return waits;
+  }
+
+  private Duration minStartWait() {
+    return Duration.ofNanos((long) (Math.max(MIN_START_WAIT_SECONDS, retryAfterSeconds()) * 1e9));
+  }
+
   /** Ends a call that gets no further attempt, with the 5xx answer of an earlier one if any. */
   private void endUnanswered() {
+    if (waitsForTarget()) {
+      return;
+    }
     if (failureAnswer != null) {
       exchange.respond(
           failureAnswer.getStatus(),
@@ -509,8 +578,7 @@
       entry.metrics().countFailed(lastReason);
       exchange.respond(status, List.of(), (lastReason + "\n").getBytes(StandardCharsets.UTF_8));
     } else {
-      String reason =
-          entry.hasTargetOf(service, homeRegions()) ? lastReason : "no target of " + service;
+      String reason = hasTarget() ? lastReason : "no target of " + service;
       token.ifPresent(entry::giveBack);
       entry.refuse(exchange, id, reason, retryAfterSeconds());
     }
@@ -518,6 +586,9 @@
   }
 
   private double retryAfterSeconds() {
+    if (entry.startup().isStarting() && !hasTarget()) {
+      return entry.startup().retryAfterSeconds(deadline);
+    }
     double freeIn = slotFreeInSeconds == Double.MAX_VALUE ? 0.2 : slotFreeInSeconds;
     double jittered = freeIn * (0.75 + 0.5 * entry.random().nextDouble());
     return Math.max(MIN_RETRY_AFTER_SECONDS, Math.min(MAX_RETRY_AFTER_SECONDS, jittered));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -76,6 +76,7 @@
 
   private static final double MAX_QUOTA_RETRY_AFTER_SECONDS = 1.2;
 
+  private static final String NO_CONFIGURATION = "no configuration yet";
   private static final String NO_HOME_TARGET = "no target in the home regions of ";
 
   private final EventLoop loop;
@@ -99,6 +100,7 @@
   private Optional<StopAdmission> stop = Optional.empty();
   private final CallerPatience patience = new CallerPatience();
   private final Set<EntryCall> calls = new HashSet<>();
+  private final StartupWait startup;
 
   EntryHandler(
       EventLoop loop,
@@ -127,6 +129,7 @@
     this.metrics = metrics;
     this.regionLink = new LinkBudget(REGION_LINK_BYTES_PER_SECOND, clock.instant());
     this.balancer = new ServiceBalancer(loads, regionLink, links.coldTargets());
+    this.startup = new StartupWait(this);
   }
 
   @Override
@@ -143,7 +146,7 @@
     }
     RoutingView current = view.get();
     if (current.table().isEmpty()) {
-      refuse(exchange, id, "no configuration yet", DEFAULT_RETRY_AFTER_SECONDS);
+      startup.handleLater(exchange, id, NO_CONFIGURATION, () -> view.get().table().isPresent());
       return;
     }
     Optional<Route> route = current.table().get().match(requestHead(exchange));
@@ -154,7 +157,7 @@
     List<String> authorization = exchange.headers(AUTHORIZATION);
     boolean keysAreValid = authorization.isEmpty() || keyProofs.cover(current);
     if (!keysAreValid && !route.get().policy().publicAccess()) {
-      refuse(exchange, id, KeyProofs.REFUSAL, DEFAULT_RETRY_AFTER_SECONDS);
+      startup.handleLater(exchange, id, KeyProofs.REFUSAL, () -> keyProofs.cover(view.get()));
       return;
     }
     CallerIdentity caller =
@@ -194,7 +197,7 @@
     }
     String service = selectService(route.get());
     HomeRegions homeRegions = homeRegions(route.get(), caller);
-    if (homeRegions.isRestricted() && !hasTargetOf(service, homeRegions)) {
+    if (homeRegions.isRestricted() && !startup.isStarting() && !hasTargetOf(service, homeRegions)) {
       refuse(exchange, id, NO_HOME_TARGET + service, DEFAULT_RETRY_AFTER_SECONDS);
       return;
     }
@@ -334,6 +337,7 @@
 
   void onEnded(EntryCall call) {
     calls.remove(call);
+    startup.drop(call);
   }
 
   RetryBudget retryBudget(String service) {
@@ -397,7 +401,7 @@
   }
 
   /** Returns the estimated arrival of a request: half of the lag before it was read. */
-  private Instant estimatedArrival(ServerExchange exchange) {
+  Instant estimatedArrival(ServerExchange exchange) {
     return now().minus(exchange.age()).minus(lag.value().dividedBy(2));
   }
 
@@ -441,8 +445,12 @@
     return view.get().version();
   }
 
+  StartupWait startup() {
+    return startup;
+  }
+
   boolean isIdle() {
-    return calls.isEmpty() && !quotas.hasWaiting();
+    return calls.isEmpty() && startup.size() == 0 && !quotas.hasWaiting();
   }
 
   Duration oldestCall() {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -67,6 +67,10 @@
     registry.counter("attempts_refused_cold").inc();
   }
 
+  void countStartup(String outcome) {
+    registry.counter("startup_requests{outcome=\"" + outcome + "\"}").inc();
+  }
+
   void countRepeated(String service) {
     registry.counter("attempts_repeated{service=\"" + service + "\"}").inc();
   }
@@ -101,6 +105,15 @@
     registry.counter("unsolicited_bytes{from=\"" + server + "\",position=\"" + label + "\"}").inc();
   }
 
+  /**
+   * Counts a response with an invalid status.
+   *
+   * @param server kind of the server that sent it
+   */
+  public void countInvalidStatus(String server) {
+    registry.counter("invalid_statuses{from=\"" + server + "\"}").inc();
+  }
+
   /**
    * Records a call to the store.
    *
