Leave nodes that have stopped out of the shares of quotas

A node that stops as planned now counts as gone once it has said so, and removes its address from the store at its end; it writes it again when it starts.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshControl.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.ObjLongConsumer;
@@ -374,6 +375,12 @@
     return view.table().isPresent() && !stopping;
   }
 
+  /** Removes the address of this node from the store; completes when the store has answered. */
+  CompletableFuture<Void> unregister() {
+    return CompletableFuture.supplyAsync(nodes::unregister, control)
+        .thenCompose(CompletionStage::toCompletableFuture);
+  }
+
   void announceStop() {
     control.execute(
         () -> {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -15,7 +15,9 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -52,6 +54,9 @@
    */
   private static final Duration STOP_NOTICE_PERIOD = Duration.ofMillis(3200);
 
+  /** A part of the time that a stop leaves before the process is killed. */
+  private static final Duration UNREGISTER_TIMEOUT = Duration.ofMillis(400);
+
   private static final long CLOSE_TIMEOUT_MILLIS = 500;
 
   /** With a period of 0, an event loop that is running tasks can end with its channels open. */
@@ -348,11 +353,23 @@
           callers.close();
           return true;
         });
+    unregister();
     log.event("stopped").with("idle", String.valueOf(idle)).write();
     pause(SWEEP_INTERVAL);
     log.flush();
   }
 
+  /** Removes the address from the store; the end of the process waits only shortly for that. */
+  private void unregister() {
+    try {
+      control.unregister().get(UNREGISTER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException notRemoved) {
+      log.event("address-not-removed").with("reason", String.valueOf(notRemoved)).write();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Shuts down both event loops at once; calls in progress are cut off. */
   @Override
   public void close() {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/NodeDirectory.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/NodeDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -27,7 +28,8 @@
  * <p>A node that is not in the store yet writes its address and then reads the others' again. Of
  * two nodes that start at the same time, the one that writes later therefore finds the other, which
  * learns of it by the connection. Only the readers of the zones follow the stream. A store that has
- * returned from an older copy may have lost the address, which is then written as at the start.
+ * returned from an older copy may have lost the address, which is then written as at the start. A
+ * node that stops as planned removes its address.
  */
 final class NodeDirectory {
 
@@ -49,6 +51,7 @@
   private final Consumer<Set<Address>> listener;
   private final Set<Address> others = new HashSet<>();
   private boolean registered;
+  private boolean leaving;
 
   /** When the store was first known to hold the own address; empty while it is being written. */
   private Optional<StoredMark> storedMark = Optional.empty();
@@ -96,7 +99,7 @@
   }
 
   void onPageRead() {
-    if (!registered) {
+    if (!registered && !leaving) {
       registered = true;
       register();
     }
@@ -176,6 +179,26 @@
             control);
   }
 
+  /**
+   * Removes the own address from the store at the end of a planned stop, so that a node that does
+   * not come back is not counted as a part of the mesh.
+   *
+   * @return completes when the store has answered
+   */
+  CompletionStage<Void> unregister() {
+    leaving = true;
+    storedMark = Optional.empty();
+    return store
+        .append(Stream.NODES, ownAddress.toString(), new byte[0], OptionalLong.empty())
+        .handle(
+            (appended, error) -> {
+              if (error != null) {
+                log.event("address-not-removed").with("reason", String.valueOf(error)).write();
+              }
+              return null;
+            });
+  }
+
   private void readOthers() {
     store
         .newest(Stream.NODES)
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/PeerLinks.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -69,6 +70,10 @@
   private final PeerListener listener;
   private final Map<Address, PeerLink> links = new HashMap<>();
   private Set<Address> knownNodes = Set.of();
+
+  /** Known nodes that have said that they stop and have not said otherwise since. */
+  private final Set<Address> stoppedNodes = new HashSet<>();
+
   private final Map<CallChannel, PeerLink> linkByChannel = new HashMap<>();
   private final Map<String, TargetLink> linkByInstance = new HashMap<>();
   private Optional<Member> localTarget = Optional.empty();
@@ -201,7 +206,8 @@
         closeLink(links.remove(known));
       }
     }
-    knownNodes = Set.copyOf(addresses);
+    stoppedNodes.retainAll(addresses);
+    updateKnownNodes();
     check();
   }
 
@@ -230,11 +236,22 @@
         .toList();
   }
 
-  /** Returns the addresses of all other nodes; the same object until they change. */
+  /**
+   * Returns the addresses of all other nodes, without those that have stopped as planned; the same
+   * object until they change.
+   */
   Set<Address> knownNodes() {
     return knownNodes;
   }
 
+  private void updateKnownNodes() {
+    Set<Address> known = new HashSet<>(links.keySet());
+    known.removeAll(stoppedNodes);
+    if (!known.equals(knownNodes)) {
+      knownNodes = Set.copyOf(known);
+    }
+  }
+
   /** Sends a frame to a node if it is connected. */
   void sendTo(Address node, CallFrame frame) {
     PeerLink link = links.get(node);
@@ -338,6 +355,11 @@
   private void updateStatus(PeerLink link, TargetStatus status) {
     final boolean same = link.status().filter(known -> sameTarget(known, status)).isPresent();
     link.setStatus(status);
+    if (status.getNodeStops()
+        ? stoppedNodes.add(link.address())
+        : stoppedNodes.remove(link.address())) {
+      updateKnownNodes();
+    }
     rememberExit(link, status);
     listener.onStatus(status, link.address());
     if (same) {
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/NodeDirectoryTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/NodeDirectoryTests.java
@@ -143,6 +143,20 @@
     assertThat(store.calls.get(), is(CALLS_OF_A_START));
   }
 
+  /** Guards against addresses of nodes that are gone, which count as a part of the mesh. */
+  @Test
+  void removesItsAddressWhenItStops() throws InterruptedException {
+    Starting one = new Starting(ONE);
+    one.read(store.page());
+    GateFixture.await(() -> store.holds(ONE));
+
+    loop.submit(one.directory::unregister).sync();
+    one.read(store.page());
+    loop.submit(() -> {}).sync();
+
+    assertThat(store.holds(ONE), is(false));
+  }
+
   @Nested
   class AfterReturnOfTheStoreFromAnOlderCopy {
 
@@ -224,7 +238,11 @@
     }
 
     boolean holds(String address) {
-      return items.stream().anyMatch(item -> item.key().equals(address));
+      return items.stream()
+          .filter(item -> item.key().equals(address))
+          .reduce((earlier, later) -> later)
+          .filter(item -> item.value().length > 0)
+          .isPresent();
     }
 
     @Override
