Stream bodies of more than 256 KiB through the mesh

Cause: a caller's body was read whole at the entry node, copied, sent to the gate without flow control, gathered there and copied again. A node has a heap of 96 MB, and a body may have 64 MiB.

Change: the entry node hands such a request over with its first 256 KiB and reads on only as far as the gate of the target grants credit. The gate queues the attempt at once, grants credit when it has a slot and an open connection to the target, sends the head with the first part, and grants more when parts were written to the target's socket. A request of which no part was sent is placed elsewhere or refused as not run; after the first part it is never repeated. A body that ends early closes the connection to the target before its end.

A reset by a target that has responded early no longer loses the response: a failed write doesn't close an upload's connection before it was read.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -10,16 +10,22 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -53,6 +59,13 @@
   private ClientRequest request;
   private ClientListener listener;
   private ChannelFuture writeFuture;
+
+  /** Whether an upload holds the connection whose request has not been started. */
+  private boolean reserved;
+
+  /** Whether the body of the request has been passed on to the channel up to its end. */
+  private boolean bodyPassedOn;
+
   private HttpResponse head;
   private ClientResponse bodiless;
   private ResponseOwner owner;
@@ -85,11 +98,8 @@
   }
 
   ClientCall send(ClientRequest newRequest, ClientListener newListener) {
-    request = newRequest;
-    listener = newListener;
-    skippedResponses = 0;
-    held = false;
-    decoder.awaitResponse();
+    awaitResponse(newRequest, newListener);
+    bodyPassedOn = true;
     DefaultFullHttpRequest message =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -106,6 +116,84 @@
     return new RunningCall(newRequest);
   }
 
+  private void awaitResponse(ClientRequest newRequest, ClientListener newListener) {
+    request = newRequest;
+    listener = newListener;
+    skippedResponses = 0;
+    held = false;
+    decoder.awaitResponse();
+  }
+
+  /** Keeps the connection for an upload; the listener is told if it is lost meanwhile. */
+  void reserve(ClientListener newListener) {
+    reserved = true;
+    listener = newListener;
+  }
+
+  boolean isReserved() {
+    return reserved;
+  }
+
+  /** Sends the head of an upload; returns false if the connection can't be used any more. */
+  boolean start(ClientRequest newRequest, long length) {
+    boolean usable = reserved && channel.isActive() && probeIsQuiet();
+    reserved = false;
+    if (!usable) {
+      listener = null;
+      close();
+      return false;
+    }
+    awaitResponse(newRequest, listener);
+    bodyPassedOn = false;
+    HttpRequest message =
+        new DefaultHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(newRequest.method()),
+            newRequest.requestTarget());
+    for (Map.Entry<String, String> header : newRequest.headers()) {
+      message.headers().add(header.getKey(), header.getValue());
+    }
+    if (length >= 0) {
+      message.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+    } else {
+      message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    }
+    // a server that responds early may reset the connection; a failed write must not close it
+    // before
+    // the response was read
+    channel.config().setAutoClose(false);
+    writeFuture = channel.write(message);
+    return true;
+  }
+
+  /** Sends a part of an upload's body, unless the upload has ended. */
+  ChannelFuture sendPart(ClientRequest upload, byte[] content, boolean last) {
+    if (request != upload) {
+      return channel.newFailedFuture(new ClosedChannelException());
+    }
+    bodyPassedOn = last;
+    ByteBuf part = Unpooled.wrappedBuffer(content);
+    writeFuture =
+        channel.writeAndFlush(
+            last ? new DefaultLastHttpContent(part) : new DefaultHttpContent(part));
+    return writeFuture;
+  }
+
+  /** Cancels an upload, whether its request has been started or not. */
+  void cancelUpload(ClientRequest upload) {
+    if (reserved) {
+      reserved = false;
+      listener = null;
+      close();
+    } else if (upload != null) {
+      cancel(upload);
+    }
+  }
+
+  boolean hasResponseStarted(ClientRequest sent) {
+    return request == sent && head != null;
+  }
+
   private static boolean omitsEmptyBody(String method) {
     return method.equals("GET") || method.equals("HEAD") || method.equals("DELETE");
   }
@@ -307,6 +395,7 @@
     if (!hasFraming(responseHead)
         || !endsInput
         || !HttpUtil.isKeepAlive(responseHead)
+        || !bodyPassedOn
         || !writeFuture.isSuccess()
         || !channel.isActive()
         || !client.permitsReuse()) {
@@ -315,6 +404,7 @@
     }
     idleTimeout = idleTimeoutOf(responseHead);
     idleSinceNanos = System.nanoTime();
+    channel.config().setAutoClose(true);
     client.onReleased(this);
   }
 
@@ -337,12 +427,14 @@
 
   private void fail(String reason) {
     final ClientListener endedListener = listener;
+    final boolean sent = !reserved;
     request = null;
     listener = null;
+    reserved = false;
     discardResponse();
     close();
     if (endedListener != null) {
-      endedListener.onFailure(new ClientListener.Failure(true, reason));
+      endedListener.onFailure(new ClientListener.Failure(sent, reason));
     }
   }
 
@@ -356,7 +448,13 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     client.onClosed(this);
-    if (held && request != null) {
+    if (reserved) {
+      reserved = false;
+      final ClientListener waiting = listener;
+      listener = null;
+      waiting.onFailure(
+          new ClientListener.Failure(false, "connection closed before the request was sent"));
+    } else if (held && request != null) {
       complete();
     } else if (request != null) {
       fail(
@@ -391,7 +489,7 @@
 
     @Override
     public boolean hasResponseStarted() {
-      return request == sent && head != null;
+      return ClientConnection.this.hasResponseStarted(sent);
     }
   }
 
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ExchangeHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ExchangeHandler.java
@@ -5,7 +5,8 @@
 public interface ExchangeHandler {
 
   /**
-   * Handles a completely received request.
+   * Handles a request: a completely received one or, if the handler receives bodies in parts, one
+   * with a large body of which the beginning has been received.
    *
    * @param exchange the request, to which the handler must respond, at once or later
    */
@@ -22,6 +23,16 @@
     return false;
   }
 
+  /**
+   * Returns whether requests with bodies of more than {@link HttpServer#STREAMED_BODY_BYTES} are
+   * handed over before their bodies are complete.
+   *
+   * @return true if the handler gets them with {@link ServerExchange#receiveBody}
+   */
+  default boolean receivesBodiesInParts() {
+    return false;
+  }
+
   /**
    * Called instead of {@link #handle} if the caller had closed the connection before its request
    * could be handled.
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpClient.java
@@ -89,7 +89,35 @@
       return idleConnection.send(request, listener);
     }
     PendingCall pending = new PendingCall(request, listener);
-    bootstrap()
+    openConnection()
+        .addListener((ChannelFuture connectFuture) -> pending.onConnected(connectFuture));
+    return pending;
+  }
+
+  /**
+   * Reserves a connection for a request whose body is sent in parts. Nothing is sent before the
+   * request is started.
+   *
+   * @param maxIdleTime maximum time for which a reused connection may have been idle
+   * @param listener notified of the open connection, and then of the response or the failure
+   * @return the request, which is to be started once the connection is open
+   */
+  public ClientUpload openUpload(Duration maxIdleTime, UploadListener listener) {
+    PendingUpload pending = new PendingUpload(notNull(listener, "listener"));
+    ClientConnection idleConnection = takeIdle(maxIdleTime);
+    if (idleConnection != null) {
+      group.next().execute(() -> pending.onReserved(idleConnection));
+      idleConnection.reserve(listener);
+      pending.connection = idleConnection;
+    } else {
+      openConnection()
+          .addListener((ChannelFuture connectFuture) -> pending.onConnected(connectFuture));
+    }
+    return pending;
+  }
+
+  private ChannelFuture openConnection() {
+    return bootstrap()
         .handler(
             new ChannelInitializer<ProbedSocketChannel>() {
               @Override
@@ -99,9 +127,7 @@
                 connection.addTo(channel.pipeline());
               }
             })
-        .connect(server.host(), server.port())
-        .addListener((ChannelFuture connectFuture) -> pending.onConnected(connectFuture));
-    return pending;
+        .connect(server.host(), server.port());
   }
 
   /**
@@ -234,4 +260,61 @@
       return running != null && running.hasResponseStarted();
     }
   }
+
+  /** A request whose body is sent in parts, on a connection that is being opened or reserved. */
+  private static final class PendingUpload implements ClientUpload {
+
+    private final UploadListener listener;
+    private ClientConnection connection;
+    private ClientRequest started;
+    private boolean cancelled;
+
+    PendingUpload(UploadListener listener) {
+      this.listener = listener;
+    }
+
+    void onConnected(ChannelFuture connectFuture) {
+      if (cancelled) {
+        connectFuture.channel().close();
+      } else if (connectFuture.isSuccess()) {
+        connection = connectFuture.channel().pipeline().get(ClientConnection.class);
+        connection.reserve(listener);
+        listener.onOpened();
+      } else {
+        listener.onFailure(
+            new ClientListener.Failure(
+                false, "connection could not be opened: " + connectFuture.cause()));
+      }
+    }
+
+    void onReserved(ClientConnection reserved) {
+      if (!cancelled && reserved.isReserved()) {
+        listener.onOpened();
+      }
+    }
+
+    @Override
+    public boolean start(ClientRequest request, long length) {
+      started = request;
+      return !cancelled && connection.start(request, length);
+    }
+
+    @Override
+    public ChannelFuture send(byte[] content, boolean last) {
+      return connection.sendPart(started, content, last);
+    }
+
+    @Override
+    public void cancel() {
+      cancelled = true;
+      if (connection != null) {
+        connection.cancelUpload(started);
+      }
+    }
+
+    @Override
+    public boolean hasResponseStarted() {
+      return started != null && connection.hasResponseStarted(started);
+    }
+  }
 }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpServer.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/HttpServer.java
@@ -30,6 +30,12 @@
  */
 public final class HttpServer {
 
+  /**
+   * Size in bytes beyond which a body is handed over in parts, if the handler receives such.
+   * Smaller ones are handed over whole, so that they can be sent again to another target.
+   */
+  public static final int STREAMED_BODY_BYTES = 256 * 1024;
+
   private static final int ACCEPT_BACKLOG = 1024;
 
   /** Maximum number of reads from one connection before the others get their turn. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -68,6 +68,10 @@
   private int pipelinedBytes;
   private HttpRequest head;
   private ByteBuf body;
+
+  /** Request that was handed over and whose body is still being received, null if there is none. */
+  private ServerExchange streamed;
+
   private ScheduledFuture<?> readTimeoutTimer;
   private ScheduledFuture<?> idleTimer;
   private long idleSinceNanos = System.nanoTime();
@@ -92,7 +96,7 @@
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(ChannelHandlerContext context, Object message) {
-        if (head == null && readTimeoutTimer == null && !rejecting) {
+        if (head == null && streamed == null && readTimeoutTimer == null && !rejecting) {
           startReadTimeout(server.limits().headerTimeout());
         }
         context.fireChannelRead(message);
@@ -174,6 +178,10 @@
   }
 
   private void append(HttpContent content) {
+    if (streamed != null) {
+      appendStreamed(content);
+      return;
+    }
     if (content.content().isReadable()) {
       if (body == null) {
         body = Unpooled.buffer(content.content().readableBytes());
@@ -194,11 +202,77 @@
       pipelinedBytes += bodyBytes.length;
       pauseOrResumeReading();
       scheduleNext();
+    } else if (body != null
+        && body.readableBytes() > HttpServer.STREAMED_BODY_BYTES
+        && server.handler().receivesBodiesInParts()) {
+      startStreaming();
+    }
+  }
+
+  /** Hands over a request whose body is received in parts from now on. */
+  private void startStreaming() {
+    stopReadTimeout(); // from now on, the deadline of the request limits the time
+    byte[] received = ByteBufUtil.getBytes(body);
+    streamed = new ServerExchange(this, head, received, new StreamedBody(received));
+    head = null;
+    body = null;
+    pipelined.add(streamed);
+    pipelinedBytes += received.length;
+    pauseOrResumeReading();
+    scheduleNext();
+  }
+
+  private void appendStreamed(HttpContent content) {
+    StreamedBody rest = streamed.streamedBody().orElseThrow();
+    rest.add(ByteBufUtil.getBytes(content.content()));
+    if (rest.receivedBytes() > server.limits().maxBodyBytes()) {
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      return;
+    }
+    if (content instanceof LastHttpContent) {
+      final ServerExchange ended = streamed;
+      rest.end();
+      streamed = null;
+      idleSinceNanos = System.nanoTime();
+      deliverBody(ended);
     }
+    pauseOrResumeReading();
+  }
+
+  /** Delivers what was read of a request's body, and reads further if there is room. */
+  void deliverBody(ServerExchange exchange) {
+    exchange.streamedBody().ifPresent(StreamedBody::deliver);
+    if (channel.isActive()) {
+      pauseOrResumeReading();
+    }
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (streamed != null) {
+      deliverBody(streamed);
+    }
+    context.fireChannelReadComplete();
+  }
+
+  /** Ends a request whose body was handed over in part and can't be received to its end. */
+  private void abortStreamed(HttpResponseStatus status) {
+    ServerExchange aborted = streamed;
+    streamed = null;
+    if (pipelined.remove(aborted)) {
+      pipelinedBytes -= aborted.body().length;
+      return; // not started; responded to like one that was not handed over
+    }
+    aborted.streamedBody().orElseThrow().abort();
+    aborted.respond(status.code(), List.of(), new byte[0]); // unless the response has started
   }
 
   /** Pauses reading if too much has been read ahead; a close is not seen during the pause. */
   private void pauseOrResumeReading() {
+    if (streamed != null) {
+      channel.config().setAutoRead(streamed.streamedBody().orElseThrow().acceptsMore());
+      return;
+    }
     boolean withinLimits =
         pipelined.size() < MAX_PIPELINED_REQUESTS && pipelinedBytes < MAX_PIPELINED_BYTES;
     channel.config().setAutoRead(withinLimits || pipelined.size() <= 1);
@@ -266,7 +340,10 @@
         .with("reason", "request is malformed, over a limit or incomplete")
         .with("peer", peer())
         .write();
-    if (running.isEmpty() && pipelined.isEmpty()) {
+    if (streamed != null) {
+      abortStreamed(status);
+    }
+    if (!closing && running.isEmpty() && pipelined.isEmpty()) {
       writeRejection(status);
     } // otherwise the connection is closed once the earlier requests have been answered
   }
@@ -284,7 +361,7 @@
     running.remove(exchange);
     idleSinceNanos = System.nanoTime();
     if (!keepAlive) {
-      close(exchange.keepsConnection());
+      close(exchange.keepsConnection() || streamed == exchange);
     } else if (!running.isEmpty()) {
       releaseFirst();
       scheduleNext();
@@ -305,6 +382,7 @@
     stopReadTimeout();
     head = null;
     body = null;
+    streamed = null;
     pipelined.clear();
     if (!callerMaySend || !channel.isActive()) {
       channel.close();
@@ -324,7 +402,9 @@
    */
   boolean keepsAlive(ServerExchange exchange) {
     boolean closesAfterLast = server.isDraining() || (rejecting && pipelined.isEmpty());
-    return exchange.keepsConnection() && !(closesAfterLast && running.peekLast() == exchange);
+    return exchange.keepsConnection()
+        && exchange.isBodyReceived()
+        && !(closesAfterLast && running.peekLast() == exchange);
   }
 
   Channel channel() {
@@ -336,7 +416,7 @@
   }
 
   boolean isBusy() {
-    return !running.isEmpty() || head != null || !pipelined.isEmpty();
+    return !running.isEmpty() || head != null || streamed != null || !pipelined.isEmpty();
   }
 
   void closeIfIdle() {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
@@ -1,5 +1,7 @@
 package org.cuminlatch.node.http;
 
+import static org.cuminlatch.core.Preconditions.notNull;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.Unpooled;
@@ -28,15 +30,22 @@
 import java.util.Optional;
 
 /**
- * A completely received request and its response; used on one event loop.
+ * A request and its response; used on one event loop.
+ *
+ * <p>A request with a large body is handed to its handler before the body is complete, see {@link
+ * #isBodyComplete}. If its response is sent before the body was received to its end, the connection
+ * is closed after the response.
  *
  * <p>The response is held back until all earlier requests of the connection have been answered.
  */
 public final class ServerExchange {
 
+  private static final byte[] EMPTY_BODY = new byte[0];
+
   private final ServerConnection connection;
   private final HttpRequest head;
-  private final byte[] body;
+  private final Optional<StreamedBody> streamedBody;
+  private byte[] body;
   private Runnable disconnectListener = () -> {};
   private boolean started;
   private boolean ended;
@@ -51,9 +60,23 @@
   private record HeldPart(Object part, ChannelPromise written) {}
 
   ServerExchange(ServerConnection connection, HttpRequest head, byte[] body) {
+    this(connection, head, body, Optional.empty());
+  }
+
+  /** Creates the exchange of a request whose body is still being received. */
+  ServerExchange(ServerConnection connection, HttpRequest head, byte[] body, StreamedBody rest) {
+    this(connection, head, body, Optional.of(rest));
+  }
+
+  private ServerExchange(
+      ServerConnection connection,
+      HttpRequest head,
+      byte[] body,
+      Optional<StreamedBody> streamedBody) {
     this.connection = connection;
     this.head = head;
     this.body = body;
+    this.streamedBody = streamedBody;
   }
 
   /**
@@ -104,14 +127,74 @@
   }
 
   /**
-   * Returns the body.
+   * Returns the body, or its beginning if it was not complete when the request was handed over.
    *
-   * @return the body's bytes; must not be modified
+   * @return the bytes that had been received then, none once they are delivered to a receiver; must
+   *     not be modified
    */
   public byte[] body() {
     return body;
   }
 
+  /**
+   * Returns whether {@link #body} is the complete body. Otherwise, the body is only delivered to a
+   * receiver.
+   *
+   * @return false if the request was handed over before its body was complete
+   */
+  public boolean isBodyComplete() {
+    return streamedBody.isEmpty();
+  }
+
+  /**
+   * Returns the length of the body as the caller has declared it.
+   *
+   * @return the length in bytes, -1 if the body is sent in chunks
+   */
+  public long declaredLength() {
+    return HttpUtil.isTransferEncodingChunked(head) ? -1 : HttpUtil.getContentLength(head, 0L);
+  }
+
+  /**
+   * Sets the receiver of a body that is not complete. It gets the body from its first byte on, as
+   * far as it grants credit.
+   *
+   * @param receiver the receiver
+   */
+  public void receiveBody(BodyReceiver receiver) {
+    streamedBody.orElseThrow().setReceiver(notNull(receiver, "receiver"));
+    body = EMPTY_BODY;
+  }
+
+  /**
+   * Lets further bytes be delivered to the receiver. The caller's connection is read only a little
+   * further than its credit.
+   *
+   * @param bytes number of further bytes
+   */
+  public void grantCredit(int bytes) {
+    streamedBody.orElseThrow().grantCredit(bytes);
+    connection.deliverBody(this);
+  }
+
+  /** Returns the body that is still being received, empty if it was complete from the start. */
+  Optional<StreamedBody> streamedBody() {
+    return streamedBody;
+  }
+
+  /** Returns whether the body has been received to its end. */
+  boolean isBodyReceived() {
+    return streamedBody.isEmpty() || streamedBody.get().isEnded();
+  }
+
+  /** Stops the delivery of a body that no one needs any more after the start of the response. */
+  private void discardRestOfBody() {
+    if (streamedBody.isPresent()) {
+      streamedBody.get().discard();
+      connection.deliverBody(this);
+    }
+  }
+
   /**
    * Sets the listener for a caller that disconnects before the response is complete.
    *
@@ -121,7 +204,12 @@
     disconnectListener = listener;
   }
 
-  /** Returns the time since the last byte of the request was read. */
+  /**
+   * Returns the time since the last byte of the request was read, or since it was handed over if
+   * its body was not complete then.
+   *
+   * @return the time
+   */
   public Duration age() {
     return Duration.ofNanos(System.nanoTime() - receivedNanos);
   }
@@ -163,6 +251,7 @@
       ended = true;
       disconnectListener.run();
     }
+    streamedBody.ifPresent(StreamedBody::abort);
   }
 
   /**
@@ -179,6 +268,7 @@
     started = true;
     ended = true;
     keepAlive = connection.keepsAlive(this);
+    discardRestOfBody();
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
@@ -204,6 +294,7 @@
     }
     started = true;
     keepAlive = connection.keepsAlive(this);
+    discardRestOfBody();
     HttpResponse response =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     headers.forEach(entry -> response.headers().add(entry.getKey(), entry.getValue()));
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -29,7 +29,6 @@
 import org.cuminlatch.wire.call.CallFrames;
 import org.cuminlatch.wire.proto.call.Answer;
 import org.cuminlatch.wire.proto.call.Begin;
-import org.cuminlatch.wire.proto.call.Body;
 import org.cuminlatch.wire.proto.call.CallFrame;
 import org.cuminlatch.wire.proto.call.Cancel;
 import org.cuminlatch.wire.proto.call.Credit;
@@ -58,8 +57,6 @@
   /** Size of the part of an answer that may be on its way to a caller that reads slowly. */
   static final int ANSWER_WINDOW_BYTES = 256 * 1024;
 
-  private static final int BODY_FRAME_BYTES = 256 * 1024;
-
   /** Lower bound of the delay after which a refused caller should retry. */
   private static final double MIN_RETRY_AFTER_SECONDS = 0.02;
 
@@ -78,6 +75,7 @@
   private final Instant goal;
   private final Instant deadline;
   private final Future<?> timer;
+  private final Optional<EntryUpload> upload;
   private final Set<String> triedInstances = new HashSet<>();
   private int placements;
   private int targetAttempts;
@@ -127,6 +125,10 @@
     Duration maxWait = Duration.between(entry.now(), deadline).plus(DEADLINE_GRACE);
     this.timer = entry.loop().schedule(this::onTimeout, maxWait.toMillis(), TimeUnit.MILLISECONDS);
     exchange.onCallerDisconnected(this::handleCallerLeft);
+    this.upload =
+        exchange.isBodyComplete()
+            ? Optional.empty()
+            : Optional.of(new EntryUpload(exchange, entry.metrics(), this::onBodyAborted));
   }
 
   static boolean isIdempotent(ServerExchange exchange, Route route) {
@@ -212,19 +214,10 @@
           .with("config", entry.configVersion())
           .write();
     }
-    byte[] body = exchange.body();
-    boolean bodyComplete = body.length <= BODY_FRAME_BYTES;
-    ByteString firstPart = bodyComplete ? UnsafeByteOperations.unsafeWrap(body) : ByteString.EMPTY;
-    link.begin(
-        attempt,
-        CallFrames.of(attempt).setBegin(beginFrame(firstPart, bodyComplete)).build(),
-        this);
-    if (!bodyComplete) {
-      sendBody(body);
-    }
+    link.begin(attempt, CallFrames.of(attempt).setBegin(beginFrame()).build(), this);
   }
 
-  private Begin beginFrame(ByteString firstPart, boolean bodyComplete) {
+  private Begin beginFrame() {
     Begin.Builder begin = Begin.newBuilder();
     entry.namedLimits().of(target).ifPresent(begin::setLimitPerSecond);
     return begin
@@ -239,8 +232,12 @@
         .setDeadlineMicros(timeLeft().toNanos() / 1000)
         .setRetried(targetAttempts > 0)
         .setIdempotent(idempotent)
-        .setBody(firstPart)
-        .setBodyComplete(bodyComplete)
+        .setBody(
+            upload.isPresent()
+                ? ByteString.EMPTY
+                : UnsafeByteOperations.unsafeWrap(exchange.body()))
+        .setBodyComplete(upload.isEmpty())
+        .setContentLength(exchange.declaredLength())
         .setCredit(ANSWER_WINDOW_BYTES)
         .setRequestId(id)
         .setOriginService(entry.settings().service())
@@ -254,15 +251,17 @@
         .build();
   }
 
-  private void sendBody(byte[] body) {
-    for (int from = 0; from < body.length; from += BODY_FRAME_BYTES) {
-      int length = Math.min(BODY_FRAME_BYTES, body.length - from);
-      ByteString part = UnsafeByteOperations.unsafeWrap(body, from, length);
-      link.send(
-          CallFrames.of(attempt)
-              .setBody(Body.newBuilder().setContent(part).setLast(from + length == body.length))
-              .build());
-    }
+  /** Returns whether a part of the body was sent, after which no other target can be tried. */
+  private boolean isBodySent() {
+    return upload.filter(EntryUpload::isSent).isPresent();
+  }
+
+  /**
+   * Returns whether the outstanding attempt may have run. The gate sends nothing of an upload to
+   * its target before it has got the first part of the body.
+   */
+  private boolean attemptMayHaveRun() {
+    return attempt != null && (upload.isEmpty() || upload.get().isSent());
   }
 
   @Override
@@ -273,6 +272,8 @@
     switch (frame.getKindCase()) {
       case ANSWER -> onAnswer(frame.getAnswer());
       case BODY -> forwardBody(frame.getBody().getContent(), frame.getBody().getLast());
+      case CREDIT ->
+          upload.ifPresent(body -> body.onCredit(link, attempt, frame.getCredit().getBytes()));
       case REFUSAL -> onRefusal(frame.getRefusal());
       case FAILURE -> {
         recordLoad(frame.getFailure().getLoad());
@@ -307,6 +308,7 @@
       retry();
       return;
     }
+    upload.ifPresent(EntryUpload::stop);
     entry.recordAnswerSize(route.name(), answer.getContentLength());
     chargeRegionLink(answer.getContentLength());
     answerStarted = true;
@@ -373,12 +375,14 @@
     if (reason == RefusalReason.QUEUE_FULL || reason == RefusalReason.DEADLINE) {
       slotFreeInSeconds = Math.min(slotFreeInSeconds, refusal.getFreeInMicros() / 1e6);
     }
-    if (!reachedTarget) {
+    if (!reachedTarget && !isBodySent()) {
       place();
       return;
     }
     targetAttempts++;
-    if (targetAttempts < route.limits().maxAttempts() && entry.retryBudget(service).tryWithdraw()) {
+    if (!isBodySent()
+        && targetAttempts < route.limits().maxAttempts()
+        && entry.retryBudget(service).tryWithdraw()) {
       place();
     } else {
       endUnanswered();
@@ -389,6 +393,10 @@
     lastReason = reason;
     link.unregister(attempt);
     endAttempt(end);
+    if (!attemptMayHaveRun()) {
+      place();
+      return;
+    }
     targetAttempts++;
     mayHaveRun = true;
     entry
@@ -414,6 +422,7 @@
 
   private boolean mayRetryAfter(int attemptsUsed) {
     return idempotent
+        && !isBodySent()
         && attemptsUsed < route.limits().maxAttempts()
         && placements < MAX_PLACEMENTS
         && timeLeft().compareTo(MIN_TIME_LEFT) >= 0
@@ -444,7 +453,7 @@
       return;
     }
     cancelAttempt();
-    mayHaveRun |= attempt != null;
+    mayHaveRun |= attemptMayHaveRun();
     lastReason = "out of time";
     endUnanswered();
   }
@@ -456,6 +465,13 @@
     }
   }
 
+  private void onBodyAborted() {
+    if (!ended && !answerStarted) {
+      endEarly("body ended early");
+      cancelAttempt();
+    }
+  }
+
   private void cancelAttempt() {
     if (attempt != null) {
       link.send(CallFrames.of(attempt).setCancel(Cancel.getDefaultInstance()).build());
@@ -518,6 +534,7 @@
   private void finish() {
     ended = true;
     timer.cancel(false);
+    upload.ifPresent(EntryUpload::end);
     if (link != null && attempt != null) {
       link.unregister(attempt);
     }
@@ -532,7 +549,7 @@
     Instant now = entry.now();
     entry.loads().end(target.instance(), end, Duration.between(attemptStartedAt, now), now);
     attemptStartedAt = null;
-    chargeRegionLink(exchange.body().length);
+    chargeRegionLink(upload.map(EntryUpload::sentBytes).orElse((long) exchange.body().length));
   }
 
   /** Charges bytes to the budget of the link between the regions if they have crossed it. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -206,6 +206,11 @@
         .isPresent();
   }
 
+  @Override
+  public boolean receivesBodiesInParts() {
+    return true;
+  }
+
   @Override
   public void onAbandoned(ServerExchange exchange) {
     metrics.countAbandoned();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/GateAttempt.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/GateAttempt.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.cuminlatch.core.admission.GoalQueue;
 import org.cuminlatch.core.retry.AttemptId;
 import org.cuminlatch.node.http.ClientCall;
@@ -31,7 +32,7 @@
   private final CallChannel origin;
   private final Instant arrivedAt;
   private final Instant deadline;
-  private ByteString body;
+  private final Optional<GateUpload> upload;
   private Instant dispatchedAt;
   private GoalQueue queue;
   private ClientCall call;
@@ -46,7 +47,7 @@
     this.origin = origin;
     this.arrivedAt = now;
     this.deadline = now.plus(Duration.ofNanos(begin.getDeadlineMicros() * 1000));
-    this.body = begin.getBody();
+    this.upload = begin.getBodyComplete() ? Optional.empty() : Optional.of(new GateUpload(this));
     this.credit = begin.getCredit();
   }
 
@@ -71,11 +72,22 @@
   }
 
   byte[] body() {
-    return body.toByteArray();
+    return begin.getBody().toByteArray();
   }
 
-  void appendBody(ByteString part) {
-    body = body.concat(part);
+  /** Returns the body if the entry node sends it in parts. */
+  Optional<GateUpload> upload() {
+    return upload;
+  }
+
+  /** Returns whether any byte of the request may have been sent to the target. */
+  boolean isSent() {
+    return isDispatched() && upload.map(GateUpload::isStarted).orElse(true);
+  }
+
+  /** Returns whether the attempt waits for the entry node, not for the target. */
+  boolean awaitsSender() {
+    return upload.filter(GateUpload::awaitsSender).isPresent();
   }
 
   boolean isDispatched() {
@@ -109,6 +121,7 @@
   boolean isBetterRepeated() {
     return isDispatched()
         && begin.getIdempotent()
+        && upload.isEmpty()
         && answer == null
         && call != null
         && !call.hasResponseStarted();
@@ -158,6 +171,11 @@
     return answer == null ? 0 : answer.length - answerSent;
   }
 
+  /** Returns whether the target has answered; the rest of the request's body is dropped then. */
+  boolean isAnswered() {
+    return answer != null;
+  }
+
   boolean isAnswerSent() {
     return answer != null && answerSent == answer.length;
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -51,6 +51,20 @@
     registry.counter("attempts_withdrawn{state=\"" + state + "\"}").inc();
   }
 
+  /** Counts the end of a request whose body was sent in parts, by how much of it was sent. */
+  void countUpload(String sent) {
+    registry.counter("uploads{sent=\"" + sent + "\"}").inc();
+  }
+
+  void countUploadBytes(int bytes) {
+    registry.counter("upload_bytes").inc(bytes);
+  }
+
+  /** Counts a response of the target that came before the end of the request's body. */
+  void countAnsweredEarly() {
+    registry.counter("uploads_answered_early").inc();
+  }
+
   void countEvacuated() {
     registry.counter("attempts_refused_evacuated").inc();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/SlotGate.java
@@ -29,15 +29,17 @@
 import org.cuminlatch.core.target.ColdState;
 import org.cuminlatch.core.target.TargetReport;
 import org.cuminlatch.node.event.EventLog;
-import org.cuminlatch.node.http.ClientListener;
 import org.cuminlatch.node.http.ClientRequest;
 import org.cuminlatch.node.http.ClientResponse;
+import org.cuminlatch.node.http.ClientUpload;
 import org.cuminlatch.node.http.HttpClient;
 import org.cuminlatch.node.http.UnsolicitedBytes;
+import org.cuminlatch.node.http.UploadListener;
 import org.cuminlatch.wire.call.CallChannel;
 import org.cuminlatch.wire.call.CallFrameHandler;
 import org.cuminlatch.wire.call.CallFrames;
 import org.cuminlatch.wire.proto.call.Begin;
+import org.cuminlatch.wire.proto.call.Body;
 import org.cuminlatch.wire.proto.call.CallFrame;
 import org.cuminlatch.wire.proto.call.Cancelled;
 import org.cuminlatch.wire.proto.call.Failure;
@@ -298,7 +300,7 @@
     AttemptId id = CallFrames.attempt(frame);
     switch (frame.getKindCase()) {
       case BEGIN -> begin(channel, id, frame.getBegin());
-      case BODY -> find(id).ifPresent(attempt -> appendBody(attempt, frame));
+      case BODY -> find(id).ifPresent(attempt -> forwardBody(attempt, frame.getBody()));
       case CREDIT ->
           find(id).ifPresent(attempt -> addCredit(attempt, frame.getCredit().getBytes()));
       case CANCEL -> cancel(channel, id);
@@ -325,16 +327,33 @@
   private void begin(CallChannel channel, AttemptId id, Begin begin) {
     GateAttempt attempt = new GateAttempt(id, begin, channel, clock.instant());
     attempts.put(id, attempt);
-    if (begin.getBodyComplete()) {
-      scheduleOffer(attempt);
+    scheduleOffer(attempt);
+  }
+
+  /** Passes a part of a body on to the target; the request is sent before the first one. */
+  private void forwardBody(GateAttempt attempt, Body part) {
+    Optional<GateUpload> upload = attempt.upload();
+    if (upload.isEmpty() || !upload.get().isOpened()) {
+      withdraw(attempt); // the entry node does not keep to its credit
+      refuse(attempt, RefusalReason.WITHDRAWN);
+    } else if (!attempt.isAnswered()
+        && (upload.get().isStarted() || startUpload(attempt, upload.get()))) {
+      upload.get().send(part);
     }
   }
 
-  private void appendBody(GateAttempt attempt, CallFrame frame) {
-    attempt.appendBody(frame.getBody().getContent());
-    if (frame.getBody().getLast()) {
-      scheduleOffer(attempt);
+  /** Sends the head of a request whose body follows; returns false if the attempt was refused. */
+  private boolean startUpload(GateAttempt attempt, GateUpload upload) {
+    Duration timeLeft = Duration.between(clock.instant(), attempt.deadline());
+    boolean late = timeLeft.isNegative() || timeLeft.isZero();
+    if (!late && upload.start(request(attempt, timeLeft))) {
+      return true;
     }
+    attempt.cancelCall();
+    release(attempt, SlotEnd.OTHER, Result.NOT_RUN);
+    refuse(attempt, late ? RefusalReason.DEADLINE : RefusalReason.TARGET_UNREACHABLE);
+    admitWaiting();
+    return false;
   }
 
   /**
@@ -489,20 +508,35 @@
             () -> onTimeout(attempt),
             timeLeft.plus(DEADLINE_GRACE).toNanos(),
             TimeUnit.NANOSECONDS);
+    if (attempt.upload().isPresent()) {
+      ClientUpload call = target.openUpload(idleTimeout(attempt), new Execution(attempt));
+      attempt.upload().get().setCall(call);
+      attempt.setCall(call, timer);
+    } else {
+      attempt.setCall(target.send(request(attempt, timeLeft), new Execution(attempt)), timer);
+    }
+  }
+
+  private ClientRequest request(GateAttempt attempt, Duration timeLeft) {
     Begin begin = attempt.begin();
-    ClientRequest request =
-        new ClientRequest(
-            begin.getMethod(),
-            begin.getPath(),
-            ForwardedHeaders.toTarget(begin, names, timeLeft),
-            attempt.body(),
-            begin.getIdempotent() ? REPEATABLE_IDLE_TIMEOUT : UNREPEATABLE_IDLE_TIMEOUT,
-            response -> ForwardedHeaders.ownerOf(response, begin, names));
-    attempt.setCall(target.send(request, new Execution(attempt)), timer);
+    return new ClientRequest(
+        begin.getMethod(),
+        begin.getPath(),
+        ForwardedHeaders.toTarget(begin, names, timeLeft),
+        attempt.body(),
+        idleTimeout(attempt),
+        response -> ForwardedHeaders.ownerOf(response, begin, names));
+  }
+
+  /** Returns the idle time after which a connection is not reused; uploads are never repeated. */
+  private static Duration idleTimeout(GateAttempt attempt) {
+    return attempt.begin().getIdempotent() && attempt.upload().isEmpty()
+        ? REPEATABLE_IDLE_TIMEOUT
+        : UNREPEATABLE_IDLE_TIMEOUT;
   }
 
   /** Handles the end of an attempt at the target. */
-  private final class Execution implements ClientListener {
+  private final class Execution implements UploadListener {
 
     private final GateAttempt attempt;
 
@@ -510,8 +544,16 @@
       this.attempt = attempt;
     }
 
+    @Override
+    public void onOpened() {
+      attempt.upload().orElseThrow().onOpened();
+    }
+
     @Override
     public void onResponse(ClientResponse response) {
+      if (attempt.upload().filter(upload -> !upload.isComplete()).isPresent()) {
+        metrics.countAnsweredEarly();
+      }
       lastAnswerAt = clock.instant();
       connectFailures = 0;
       if (response.status() != 421 && attempt.queue() == slots) {
@@ -550,7 +592,9 @@
       } else {
         release(attempt, SlotEnd.OTHER, Result.NOT_RUN);
         refuse(attempt, RefusalReason.TARGET_UNREACHABLE);
-        onConnectFailed();
+        if (attempt.upload().filter(GateUpload::isOpened).isEmpty()) {
+          onConnectFailed();
+        }
       }
       admitWaiting();
     }
@@ -656,15 +700,24 @@
       return;
     }
     attempt.cancelCall();
-    release(attempt, SlotEnd.OVERLOADED, Result.FAILURE);
-    fail(attempt, FailureReason.TARGET_TIMEOUT);
+    if (!attempt.isSent()) {
+      release(attempt, SlotEnd.OTHER, Result.NOT_RUN);
+      refuse(attempt, RefusalReason.DEADLINE);
+    } else {
+      boolean senderIsSlow = attempt.awaitsSender(); // says nothing about the target
+      release(
+          attempt,
+          senderIsSlow ? SlotEnd.OTHER : SlotEnd.OVERLOADED,
+          senderIsSlow ? Result.NOT_RUN : Result.FAILURE);
+      fail(attempt, FailureReason.TARGET_TIMEOUT);
+    }
     admitWaiting();
   }
 
   private void cancel(CallChannel channel, AttemptId id) {
     GateAttempt attempt = attempts.get(id);
     if (attempt != null) {
-      boolean notRun = !attempt.isDispatched();
+      boolean notRun = !attempt.isSent();
       withdraw(attempt);
       channel.send(
           CallFrames.of(id).setCancelled(Cancelled.newBuilder().setNotRun(notRun)).build());
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/mesh/GateFixture.java
@@ -1,5 +1,6 @@
 package org.cuminlatch.node.mesh;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -31,6 +32,7 @@
 import org.cuminlatch.wire.call.CallChannel;
 import org.cuminlatch.wire.call.CallFrames;
 import org.cuminlatch.wire.proto.call.Begin;
+import org.cuminlatch.wire.proto.call.Body;
 import org.cuminlatch.wire.proto.call.CallFrame;
 import org.cuminlatch.wire.proto.call.Cancel;
 import org.cuminlatch.wire.proto.call.Credit;
@@ -212,6 +214,41 @@
     gate.onFrame(channel, CallFrames.of(attempt(number)).setBegin(begin).build());
   }
 
+  /** Offers an attempt whose body is sent in parts; must be called on the loop. */
+  void beginUpload(int number, long length) {
+    Begin begin =
+        Begin.newBuilder()
+            .setRoute("r-1")
+            .setMethod("POST")
+            .setPath("/")
+            .addHeaders(Header.newBuilder().setName("Host").setValue("shop.example"))
+            .addHeaders(
+                Header.newBuilder().setName(HEADERS.requestId()).setValue(Integer.toString(number)))
+            .setDeadlineMicros(TimeUnit.SECONDS.toMicros(60))
+            .setGoalMicros(TimeUnit.SECONDS.toMicros(60))
+            .setContentLength(length)
+            .setCredit(1 << 20)
+            .setRequestId(Integer.toString(number))
+            .setExpectedInstance(INSTANCE)
+            .build();
+    gate.onFrame(channel, CallFrames.of(attempt(number)).setBegin(begin).build());
+  }
+
+  /** Sends a part of the body of an attempt; must be called on the loop. */
+  void sendBody(int number, int bytes, boolean last) {
+    Body body =
+        Body.newBuilder().setContent(ByteString.copyFrom(new byte[bytes])).setLast(last).build();
+    gate.onFrame(channel, CallFrames.of(attempt(number)).setBody(body).build());
+  }
+
+  /** Returns the credit that the gate has granted for the body of an attempt, in bytes. */
+  long creditGranted(int number) {
+    return frames.stream()
+        .filter(frame -> CallFrames.attempt(frame).equals(attempt(number)))
+        .mapToLong(frame -> frame.getCredit().getBytes())
+        .sum();
+  }
+
   /** Offers an attempt of an entry node that knows the limit of cold targets. */
   void beginCold(int number, double coldPerSecond) {
     coldKnownToEntry = coldPerSecond;
