Bound what clients may occupy of a process

Cause: bodies were received without a common bound, heads and requests sent ahead were not counted, and connections were accepted until the descriptors were used up.

Change: - BodyBudget: a quarter of the heap for the bodies being received, waiting or handled at all addresses of a process, a quarter of that for small bodies. Without room, reading pauses; bodies that have stopped, and the latest of those that wait for 2 s, get 503. - Heads of more than about 100 fields, unfinished heads and requests sent ahead count in it. - MinimumRate: bodies and the reading of responses progress by 15 KiB in 15 s. - At most half of the descriptors that files leave are for callers, 64 each for the readiness, report and metrics addresses. The connection without progress for the longest time is closed. - ExchangeHandler.checkHead: id, configuration, route and key are checked before the body. Readiness and metrics keep no bodies. - A request whose reading is paused by the node is no longer ended by the read timeout.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ExchangeHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ExchangeHandler.java
@@ -1,5 +1,11 @@
 package org.cuminlatch.node.http;
 
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
 /** Handles the requests of an {@link HttpServer}; called on its event loop and must not block. */
 @FunctionalInterface
 public interface ExchangeHandler {
@@ -11,6 +17,42 @@
    */
   void handle(ServerExchange exchange);
 
+  /**
+   * Checks a request whose body has not been received yet. If it is rejected, its body is not kept,
+   * and {@link #reject} is called instead of {@link #handle}.
+   *
+   * @param head the request with an empty body, which must not be responded to
+   * @return the rejection, empty if the body is to be received
+   */
+  default Optional<Rejection> checkHead(ServerExchange head) {
+    return Optional.empty();
+  }
+
+  /**
+   * Responds to a request that was rejected at its head.
+   *
+   * @param exchange the request with an empty body
+   * @param rejection result of {@link #checkHead}
+   */
+  default void reject(ServerExchange exchange, Rejection rejection) {
+    List<Map.Entry<String, String>> headers =
+        rejection.retryAfterSeconds().stream()
+            .mapToObj(
+                seconds -> Map.entry("Retry-After", String.format(Locale.ROOT, "%.3f", seconds)))
+            .toList();
+    byte[] text = (rejection.reason() + "\n").getBytes(StandardCharsets.UTF_8);
+    exchange.respond(rejection.status(), headers, text);
+  }
+
+  /**
+   * Returns whether the handler needs no bodies. They are read and not kept then.
+   *
+   * @return true if all requests are handled with an empty body
+   */
+  default boolean ignoresBodies() {
+    return false;
+  }
+
   /**
    * Returns whether a request may be handled side by side with others that its caller has sent
    * before and after it on the same connection. Responses keep the order of the requests.
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -1,11 +1,13 @@
 package org.cuminlatch.node.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -25,9 +27,12 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -52,11 +57,35 @@
   /** Size of the responses that wait for an earlier one at which no further request is started. */
   private static final int MAX_HELD_BYTES = 512 * 1024;
 
+  /** Time after which a caller should repeat a request that was refused for a limit. */
+  private static final String RETRY_AFTER_SECONDS = "1";
+
   /** Time for which a closing connection still reads what the caller has sent before. */
   private static final Duration LINGER_TIMEOUT = Duration.ofMillis(500);
 
+  /** Largest body that is read to its end after a rejection, so that the connection is kept. */
+  private static final int MAX_DISCARDED_BYTES = 64 * 1024;
+
+  /** Memory that a field of a head occupies beside its characters. */
+  private static final int FIELD_OVERHEAD_BYTES = 150;
+
+  /** Memory that a request occupies beside its fields and body. */
+  private static final int REQUEST_OVERHEAD_BYTES = 1024;
+
+  /** Memory that a byte of an unfinished head may occupy: the shortest field has 4 bytes. */
+  private static final int MEMORY_PER_HEAD_BYTE = FIELD_OVERHEAD_BYTES / 4;
+
+  /** Memory up to which the only request of a connection is not counted: 100 fields. */
+  private static final int MAX_UNCOUNTED_HEAD_BYTES = 16 * 1024;
+
+  /** Bytes that may stand in front of a request and begin none: an empty line. */
+  private static final int EMPTY_LINE_BYTES = 2;
+
+  private static final byte[] NO_BODY = {};
+
   private final HttpServer server;
   private final Channel channel;
+  private final StrictRequestDecoder decoder;
   private final HeadAwareResponseEncoder encoder;
 
   /** Requests that have been read and not started. */
@@ -65,9 +94,20 @@
   /** Requests that are handled, in the order received; the first may send its response. */
   private final Deque<ServerExchange> running = new ArrayDeque<>();
 
+  /** Parts of requests that have been read and wait for room in the budget. */
+  private final Deque<HttpObject> unread = new ArrayDeque<>();
+
+  private final MinimumRate bodyRate;
+  private final MinimumRate responseRate;
+  private long enqueuedBytes;
+  private long lastFlushedBytes;
   private int pipelinedBytes;
   private HttpRequest head;
-  private ByteBuf body;
+  private BodyBuffer body;
+  private int discardedBytes;
+  private int headReservation;
+  private Optional<Rejection> headRejection = Optional.empty();
+  private Instant waitingSince;
   private ScheduledFuture<?> readTimeoutTimer;
   private ScheduledFuture<?> idleTimer;
   private long idleSinceNanos = System.nanoTime();
@@ -78,28 +118,75 @@
   /** Whether the last response has been sent; no further request is started. */
   private boolean closing;
 
-  ServerConnection(HttpServer server, Channel channel, HeadAwareResponseEncoder encoder) {
+  ServerConnection(
+      HttpServer server,
+      Channel channel,
+      StrictRequestDecoder decoder,
+      HeadAwareResponseEncoder encoder) {
     this.server = server;
     this.channel = channel;
+    this.decoder = decoder;
     this.encoder = encoder;
+    this.bodyRate = newRate(server);
+    this.responseRate = newRate(server);
+  }
+
+  private static MinimumRate newRate(HttpServer server) {
+    ServerLimits limits = server.serverLimits();
+    return new MinimumRate(server.clock(), limits.ratePeriod(), limits.minBytesPerPeriod());
   }
 
   /**
-   * Returns the handler that starts the header timeout. It precedes the decoder because the timeout
-   * starts with the first byte of a request.
+   * Returns the handler that starts the header timeout and counts bytes. It precedes the decoder
+   * because the timeout starts with the first byte of a request.
    */
-  ChannelInboundHandlerAdapter headerTimeoutHandler() {
-    return new ChannelInboundHandlerAdapter() {
+  ChannelDuplexHandler transferHandler() {
+    return new ChannelDuplexHandler() {
       @Override
       public void channelRead(ChannelHandlerContext context, Object message) {
-        if (head == null && readTimeoutTimer == null && !rejecting) {
+        if (isBetweenRequests()) {
           startReadTimeout(server.limits().headerTimeout());
         }
         context.fireChannelRead(message);
+        if (decoder.unfinishedHeadBytes() > EMPTY_LINE_BYTES && !rejecting) {
+          if (isBetweenRequests()) {
+            startReadTimeout(server.limits().headerTimeout());
+          }
+          reserveHead(decoder.unfinishedHeadBytes() * MEMORY_PER_HEAD_BYTE);
+        }
+      }
+
+      @Override
+      public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        enqueuedBytes += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+        context.write(message, promise);
       }
     };
   }
 
+  private boolean isBetweenRequests() {
+    return head == null && readTimeoutTimer == null && !rejecting && unread.isEmpty();
+  }
+
+  /**
+   * Changes the reservation for the head being read, and rejects the request if there is no room.
+   * Of the only request of a connection, a head of usual size is not counted, so that the budget
+   * never stops requests without a body.
+   */
+  private void reserveHead(int memoryBytes) {
+    boolean counted =
+        memoryBytes > MAX_UNCOUNTED_HEAD_BYTES || !running.isEmpty() || !pipelined.isEmpty();
+    int missing = (counted ? memoryBytes : 0) - headReservation;
+    if (missing < 0) {
+      server.serverLimits().budget().release(-missing);
+      headReservation += missing;
+    } else if (server.serverLimits().budget().tryReserveSmall(missing)) {
+      headReservation += missing;
+    } else {
+      refuse(ServerLimit.BODY_BUDGET);
+    }
+  }
+
   @Override
   public void channelActive(ChannelHandlerContext context) {
     scheduleIdleCheck(server.limits().idleTimeout());
@@ -109,23 +196,58 @@
   public void channelRead(ChannelHandlerContext context, Object message) {
     try {
       if (!rejecting && message instanceof HttpObject part) {
-        read(part);
+        if (!unread.isEmpty() || !tryRead(part)) {
+          waitForRoom(part);
+        }
       }
     } finally {
       ReferenceCountUtil.release(message);
     }
   }
 
-  private void read(HttpObject part) {
+  /** Reads a part of a request; returns false if there is no room for it. */
+  private boolean tryRead(HttpObject part) {
     if (part.decoderResult().isFailure()) {
       reject(statusOf(part.decoderResult().cause()));
-      return;
+      return true;
     }
     if (part instanceof HttpRequest request) {
       begin(request);
     }
-    if (!rejecting && part instanceof HttpContent content) {
-      append(content);
+    return rejecting || !(part instanceof HttpContent content) || tryAppend(content);
+  }
+
+  /** Pauses reading until the budget has room for a part of a body. */
+  private void waitForRoom(HttpObject part) {
+    unread.add(ReferenceCountUtil.retain(part));
+    if (waitingSince == null) {
+      waitingSince = server.clock().instant();
+      server.beginWait(this);
+      updateReading();
+    }
+  }
+
+  /** Goes on with the parts that waited for room, as far as there is room now. */
+  void resume() {
+    while (!unread.isEmpty()) {
+      HttpObject part = unread.poll();
+      if (!rejecting && !tryRead(part)) {
+        unread.addFirst(part);
+        return;
+      }
+      ReferenceCountUtil.release(part);
+    }
+    endWait();
+  }
+
+  private void endWait() {
+    unread.forEach(ReferenceCountUtil::release);
+    unread.clear();
+    if (waitingSince != null) {
+      waitingSince = null;
+      server.endWait(this);
+      bodyRate.restart();
+      updateReading();
     }
   }
 
@@ -140,7 +262,14 @@
 
   private void begin(HttpRequest request) {
     head = request;
+    headRejection = Optional.empty();
+    discardedBytes = 0;
+    bodyRate.restart();
     startReadTimeout(server.limits().idleTimeout());
+    reserveHead(memoryOf(request));
+    if (rejecting) {
+      return;
+    }
     if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
       reject(HttpResponseStatus.BAD_REQUEST);
     } else if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
@@ -148,10 +277,40 @@
     } else if (hasOtherTransferCoding(request)) {
       reject(HttpResponseStatus.NOT_IMPLEMENTED);
     } else {
+      checkHead(request);
       continueIfExpected();
     }
   }
 
+  private static int memoryOf(HttpRequest request) {
+    int bytes = REQUEST_OVERHEAD_BYTES + request.uri().length();
+    for (Map.Entry<String, String> field : request.headers()) {
+      bytes += FIELD_OVERHEAD_BYTES + field.getKey().length() + field.getValue().length();
+    }
+    return bytes;
+  }
+
+  /**
+   * Has the handler check the head of a request with a body before the body is received. A rejected
+   * request is answered at once, unless its body is so short that the connection can be kept.
+   */
+  private void checkHead(HttpRequest request) {
+    long declaredBytes = HttpUtil.getContentLength(request, 0L);
+    boolean chunked = HttpUtil.isTransferEncodingChunked(request);
+    if (declaredBytes == 0 && !chunked) {
+      return;
+    }
+    headRejection =
+        server.handler().checkHead(new ServerExchange(this, request, NO_BODY, 0, Optional.empty()));
+    boolean answeredAtOnce =
+        chunked || declaredBytes > MAX_DISCARDED_BYTES || HttpUtil.is100ContinueExpected(request);
+    if (headRejection.isPresent() && answeredAtOnce) {
+      rejecting = true;
+      stopReadTimeout();
+      enqueue(NO_BODY);
+    }
+  }
+
   /** Returns whether the body has a transfer coding besides chunked, which is the last one. */
   private static boolean hasOtherTransferCoding(HttpRequest request) {
     List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
@@ -168,40 +327,85 @@
     boolean expected = head != null && body == null && HttpUtil.is100ContinueExpected(head);
     if (expected && !rejecting && running.isEmpty() && pipelined.isEmpty()) {
       startReadTimeout(server.limits().idleTimeout());
+      bodyRate.restart();
       channel.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
   }
 
-  private void append(HttpContent content) {
-    if (content.content().isReadable()) {
+  /** Reads a part of a body; returns false if there is no room for it. */
+  private boolean tryAppend(HttpContent content) {
+    int bytes = content.content().readableBytes();
+    long received = (body == null ? discardedBytes : body.length()) + (long) bytes;
+    if (received > server.limits().maxBodyBytes()) {
+      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+      return true;
+    }
+    if (headRejection.isPresent() || server.handler().ignoresBodies()) {
+      discardedBytes += bytes;
+    } else if (bytes > 0) {
       if (body == null) {
-        body = Unpooled.buffer(content.content().readableBytes());
+        body = new BodyBuffer(server.serverLimits().budget(), HttpUtil.getContentLength(head, -1L));
       }
-      body.writeBytes(content.content());
-      if (body.readableBytes() > server.limits().maxBodyBytes()) {
-        reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-        return;
+      if (!body.tryAppend(content.content())) {
+        return false;
       }
     }
+    bodyRate.record(bytes);
     if (content instanceof LastHttpContent) {
       stopReadTimeout();
-      byte[] bodyBytes = body == null ? new byte[0] : ByteBufUtil.getBytes(body);
-      ServerExchange exchange = new ServerExchange(this, head, bodyBytes);
-      head = null;
-      body = null;
-      pipelined.add(exchange);
-      pipelinedBytes += bodyBytes.length;
-      pauseOrResumeReading();
-      scheduleNext();
+      enqueue(body == null ? NO_BODY : body.complete());
     }
+    return true;
   }
 
-  /** Pauses reading if too much has been read ahead; a close is not seen during the pause. */
-  private void pauseOrResumeReading() {
+  /** Adds the request that has been read to those to be handled. */
+  private void enqueue(byte[] bodyBytes) {
+    int reserved = headReservation + (body == null ? 0 : body.reserved());
+    headReservation = 0;
+    ServerExchange exchange = new ServerExchange(this, head, bodyBytes, reserved, headRejection);
+    head = null;
+    body = null;
+    pipelined.add(exchange);
+    pipelinedBytes += reserved;
+    updateReading();
+    scheduleNext();
+  }
+
+  /**
+   * Pauses reading if too much has been read ahead or there is no room for a body; a close is not
+   * seen during the pause.
+   */
+  private void updateReading() {
     boolean withinLimits =
         pipelined.size() < MAX_PIPELINED_REQUESTS && pipelinedBytes < MAX_PIPELINED_BYTES;
-    channel.config().setAutoRead(withinLimits || pipelined.size() <= 1);
+    boolean mayRead = waitingSince == null && (withinLimits || pipelined.size() <= 1);
+    if (mayRead && !channel.config().isAutoRead()) {
+      bodyRate.restart();
+    }
+    channel.config().setAutoRead(mayRead || closing);
+  }
+
+  private void releaseReservation(ServerExchange exchange) {
+    server.serverLimits().budget().release(exchange.takeReservedBytes());
+  }
+
+  /** Gives up what has been received of a request that will not be handled. */
+  private void discardUnfinished() {
+    head = null;
+    if (body != null) {
+      body.discard();
+      body = null;
+    }
+    server.serverLimits().budget().release(headReservation);
+    headReservation = 0;
+    endWait();
+  }
+
+  private void discardPipelined() {
+    pipelined.forEach(this::releaseReservation);
+    pipelined.clear();
+    pipelinedBytes = 0;
   }
 
   /**
@@ -231,18 +435,22 @@
   private void startNext() {
     if (!channel.isActive()) {
       pipelined.forEach(server.handler()::onAbandoned);
-      pipelined.clear();
+      discardPipelined();
       return;
     }
     while (mayStart(pipelined.peek())) {
       ServerExchange next = pipelined.poll();
-      pipelinedBytes -= next.body().length;
+      pipelinedBytes -= next.reservedBytes();
       running.add(next);
-      pauseOrResumeReading();
+      updateReading();
       if (running.getFirst() == next) {
         releaseFirst();
       }
-      server.handler().handle(next);
+      if (next.rejection().isPresent()) {
+        server.handler().reject(next, next.rejection().get());
+      } else {
+        server.handler().handle(next);
+      }
     }
   }
 
@@ -255,15 +463,18 @@
 
   /** Rejects a request that could not be read and closes the connection after the response. */
   private void reject(HttpResponseStatus status) {
+    reject(status, "request is malformed, over a limit or incomplete");
+  }
+
+  private void reject(HttpResponseStatus status, String reason) {
     stopReadTimeout();
     rejecting = true;
-    head = null;
-    body = null;
+    discardUnfinished();
     server
         .log()
         .request("rejected", "-")
         .with("status", status.code())
-        .with("reason", "request is malformed, over a limit or incomplete")
+        .with("reason", reason)
         .with("peer", peer())
         .write();
     if (running.isEmpty() && pipelined.isEmpty()) {
@@ -276,15 +487,109 @@
         new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+      response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+    }
     channel.writeAndFlush(response).addListener(written -> close(true));
   }
 
+  /** Rejects the request that is being read with 503, or closes a connection without one. */
+  private void refuse(ServerLimit limit) {
+    server.serverLimits().listener().accept(limit);
+    reject(HttpResponseStatus.SERVICE_UNAVAILABLE, limit.reason());
+  }
+
+  /** Rejects a request whose body is being received. */
+  void refuseBody(ServerLimit limit) {
+    if (head != null && !rejecting) {
+      refuse(limit);
+    }
+  }
+
+  void closeFor(ServerLimit limit) {
+    server.serverLimits().listener().accept(limit);
+    server
+        .log()
+        .request("connection-closed", "-")
+        .with("reason", limit.reason())
+        .with("peer", peer())
+        .write();
+    channel.close();
+  }
+
+  /** Rejects a body and closes a connection that make less progress than they must. */
+  void checkRates() {
+    if (isReceivingBody() && bodyRate.isMissed()) {
+      refuse(ServerLimit.BODY_RATE);
+    }
+    long flushed = flushedBytes();
+    if (flushed >= enqueuedBytes) {
+      responseRate.restart();
+    } else {
+      responseRate.record(flushed - lastFlushedBytes);
+      if (responseRate.isMissed()) {
+        closeFor(ServerLimit.RESPONSE_RATE);
+      }
+    }
+    lastFlushedBytes = flushed;
+  }
+
+  void restartRates() {
+    bodyRate.restart();
+    responseRate.restart();
+  }
+
+  /** Returns how many of the bytes written to the channel have been taken by the socket. */
+  private long flushedBytes() {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    return buffer == null || buffer.isEmpty()
+        ? enqueuedBytes
+        : Math.min(
+            enqueuedBytes - 1,
+            enqueuedBytes - buffer.totalPendingWriteBytes() + buffer.currentProgress());
+  }
+
+  /** Returns whether a body is received and reading is not paused by this side. */
+  private boolean isReceivingBody() {
+    return head != null && waitingSince == null && !rejecting && channel.config().isAutoRead();
+  }
+
+  boolean bodyStalledFor(Duration time) {
+    return isReceivingBody() && body != null && bodyRate.sinceProgress().compareTo(time) >= 0;
+  }
+
+  boolean responseStalledFor(Duration time) {
+    return flushedBytes() < enqueuedBytes && responseRate.sinceProgress().compareTo(time) >= 0;
+  }
+
+  boolean hasWaitedFor(Duration time) {
+    return waitingSince != null
+        && Duration.between(waitingSince, server.clock().instant()).compareTo(time) >= 0;
+  }
+
+  /** Returns the time since the client last sent a part of a body or was answered. */
+  Duration sinceProgress() {
+    Duration idle = Duration.ofNanos(System.nanoTime() - idleSinceNanos);
+    return head != null && bodyRate.sinceProgress().compareTo(idle) < 0
+        ? bodyRate.sinceProgress()
+        : idle;
+  }
+
+  boolean isHandling() {
+    return !running.isEmpty() || !pipelined.isEmpty();
+  }
+
+  boolean isClosed() {
+    return !channel.isOpen();
+  }
+
   /** Ends an exchange whose response was sent; the next one may send its response then. */
   void exchangeFinished(ServerExchange exchange, boolean keepAlive) {
     running.remove(exchange);
+    releaseReservation(exchange);
     idleSinceNanos = System.nanoTime();
     if (!keepAlive) {
-      close(exchange.keepsConnection());
+      close(exchange.keepsConnection() || exchange.rejection().isPresent());
     } else if (!running.isEmpty()) {
       releaseFirst();
       scheduleNext();
@@ -303,9 +608,8 @@
   private void close(boolean callerMaySend) {
     closing = true;
     stopReadTimeout();
-    head = null;
-    body = null;
-    pipelined.clear();
+    discardUnfinished();
+    discardPipelined();
     if (!callerMaySend || !channel.isActive()) {
       channel.close();
       return;
@@ -351,8 +655,14 @@
     if (idleTimer != null) {
       idleTimer.cancel(false);
     }
+    discardUnfinished();
     startNext();
-    List.copyOf(running).forEach(ServerExchange::callerDisconnected);
+    List.copyOf(running)
+        .forEach(
+            exchange -> {
+              exchange.callerDisconnected();
+              releaseReservation(exchange);
+            });
   }
 
   @Override
@@ -373,10 +683,16 @@
     readTimeoutTimer =
         channel
             .eventLoop()
-            .schedule(
-                () -> reject(HttpResponseStatus.REQUEST_TIMEOUT),
-                timeout.toMillis(),
-                TimeUnit.MILLISECONDS);
+            .schedule(() -> onReadTimeout(timeout), timeout.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Rejects a request that is not read to its end in time, unless reading is paused. */
+  private void onReadTimeout(Duration timeout) {
+    if (channel.config().isAutoRead()) {
+      reject(HttpResponseStatus.REQUEST_TIMEOUT);
+    } else {
+      startReadTimeout(timeout);
+    }
   }
 
   private void stopReadTimeout() {
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
@@ -37,6 +37,8 @@
   private final ServerConnection connection;
   private final HttpRequest head;
   private final byte[] body;
+  private final Optional<Rejection> rejection;
+  private int reservedBytes;
   private Runnable disconnectListener = () -> {};
   private boolean started;
   private boolean ended;
@@ -50,10 +52,38 @@
   /** A part of the response that waits for the responses to earlier requests. */
   private record HeldPart(Object part, ChannelPromise written) {}
 
-  ServerExchange(ServerConnection connection, HttpRequest head, byte[] body) {
+  /**
+   * Creates an exchange.
+   *
+   * @param reservedBytes bytes that are reserved in the body budget until the exchange ends
+   * @param rejection rejection at the head, empty if the request is to be handled
+   */
+  ServerExchange(
+      ServerConnection connection,
+      HttpRequest head,
+      byte[] body,
+      int reservedBytes,
+      Optional<Rejection> rejection) {
     this.connection = connection;
     this.head = head;
     this.body = body;
+    this.reservedBytes = reservedBytes;
+    this.rejection = rejection;
+  }
+
+  Optional<Rejection> rejection() {
+    return rejection;
+  }
+
+  /** Returns the number of bytes that are reserved in the body budget, and passes them on. */
+  int takeReservedBytes() {
+    int bytes = reservedBytes;
+    reservedBytes = 0;
+    return bytes;
+  }
+
+  int reservedBytes() {
+    return reservedBytes;
   }
 
   /**
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryHandler.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -31,6 +32,7 @@
 import org.cuminlatch.node.event.Decimals;
 import org.cuminlatch.node.event.EventLog;
 import org.cuminlatch.node.http.ExchangeHandler;
+import org.cuminlatch.node.http.Rejection;
 import org.cuminlatch.node.http.ServerExchange;
 
 /** Handles callers' requests at their entry into the mesh; used on the traffic loop. */
@@ -114,33 +116,50 @@
     this.balancer = new ServiceBalancer(loads, regionLink, links.coldTargets());
   }
 
-  @Override
-  public void handle(ServerExchange exchange) {
+  /**
+   * Result of the checks that need only the head of a request.
+   *
+   * @param rejection reason not to handle the request, empty if it may go on
+   * @param id id of the request
+   * @param route route of the request, null if it is rejected
+   * @param caller caller of the request, null if it is rejected
+   */
+  private record CheckedHead(
+      Optional<Rejection> rejection, String id, Route route, CallerIdentity caller) {
+
+    static CheckedHead rejected(String id, int status, String reason) {
+      return new CheckedHead(
+          Optional.of(new Rejection(id, status, reason, OptionalDouble.empty())), id, null, null);
+    }
+
+    static CheckedHead refused(String id, String reason) {
+      OptionalDouble retryAfter = OptionalDouble.of(DEFAULT_RETRY_AFTER_SECONDS);
+      return new CheckedHead(
+          Optional.of(new Rejection(id, 503, reason, retryAfter)), id, null, null);
+    }
+  }
+
+  private CheckedHead check(ServerExchange exchange) {
     List<String> ids = exchange.headers(settings.headers().requestId());
     if (ids.size() != 1 || ids.get(0).isEmpty() || ids.get(0).length() > MAX_REQUEST_ID_CHARS) {
-      reject(exchange, "-", 400, "request has no single id");
-      return;
+      return CheckedHead.rejected("-", 400, "request has no single id");
     }
     String id = ids.get(0);
     if (!exchange.requestTarget().startsWith("/")) {
-      reject(exchange, id, 400, "target of the request is not a path");
-      return;
+      return CheckedHead.rejected(id, 400, "target of the request is not a path");
     }
     RoutingView current = view.get();
     if (current.table().isEmpty()) {
-      refuse(exchange, id, "no configuration yet", DEFAULT_RETRY_AFTER_SECONDS);
-      return;
+      return CheckedHead.refused(id, "no configuration yet");
     }
     Optional<Route> route = current.table().get().match(requestHead(exchange));
     if (route.isEmpty()) {
-      reject(exchange, id, 404, "no route in configuration " + current.version());
-      return;
+      return CheckedHead.rejected(id, 404, "no route in configuration " + current.version());
     }
     List<String> authorization = exchange.headers(AUTHORIZATION);
     boolean keysAreValid = authorization.isEmpty() || keyProofs.cover(current);
     if (!keysAreValid && !route.get().policy().publicAccess()) {
-      refuse(exchange, id, KeyProofs.REFUSAL, DEFAULT_RETRY_AFTER_SECONDS);
-      return;
+      return CheckedHead.refused(id, KeyProofs.REFUSAL);
     }
     CallerIdentity caller =
         CallerIdentity.of(
@@ -148,26 +167,65 @@
             current.table().get().accounts(),
             route.get());
     if (caller == CallerIdentity.UNKNOWN) {
-      reject(exchange, id, 401, "no client account holds the key of the request");
+      return CheckedHead.rejected(id, 401, "no client account holds the key of the request");
+    }
+    return new CheckedHead(Optional.empty(), id, route.get(), caller);
+  }
+
+  @Override
+  public Optional<Rejection> checkHead(ServerExchange head) {
+    return check(head).rejection();
+  }
+
+  @Override
+  public void reject(ServerExchange exchange, Rejection rejection) {
+    if (rejection.retryAfterSeconds().isPresent()) {
+      refuse(
+          exchange,
+          rejection.requestId(),
+          rejection.reason(),
+          rejection.retryAfterSeconds().getAsDouble());
+      return;
+    }
+    log.request("rejected", rejection.requestId())
+        .with("status", rejection.status())
+        .with("reason", rejection.reason())
+        .with("path", exchange.requestTarget())
+        .write();
+    metrics.countRejected(rejection.status());
+    exchange.respond(
+        rejection.status(),
+        List.of(),
+        (rejection.reason() + "\n").getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Override
+  public void handle(ServerExchange exchange) {
+    CheckedHead checked = check(exchange);
+    if (checked.rejection().isPresent()) {
+      reject(exchange, checked.rejection().get());
       return;
     }
-    RequestOrigin origin = origins.of(caller, !authorization.isEmpty(), route.get());
+    String id = checked.id();
+    Route route = checked.route();
+    CallerIdentity caller = checked.caller();
+    boolean hasKey = !exchange.headers(AUTHORIZATION).isEmpty();
+    RequestOrigin origin = origins.of(caller, hasKey, route);
     Optional<Duration> retryAfter =
-        LagLimit.retryAfter(origin.nested() ? 0 : caller.priorityOn(route.get()), lag.value());
+        LagLimit.retryAfter(origin.nested() ? 0 : caller.priorityOn(route), lag.value());
     if (retryAfter.isPresent()) {
       refuse(exchange, id, "node is behind", retryAfter.get().toMillis() / 1000.0);
       return;
     }
     Instant arrivedAt = estimatedArrival(exchange);
     Optional<Duration> callerTimeout = EntryCall.callerTimeout(this, exchange);
-    callerTimeout.ifPresent(
-        timeout -> origins.observe(caller, route.get(), arrivedAt.plus(timeout)));
+    callerTimeout.ifPresent(timeout -> origins.observe(caller, route, arrivedAt.plus(timeout)));
     Duration waited =
         callerTimeout
-            .map(timeout -> patience.waitedBefore(route.get().name(), timeout))
+            .map(timeout -> patience.waitedBefore(route.name(), timeout))
             .orElse(Duration.ZERO);
-    Duration routeTimeout = route.get().limits().timeout();
-    Instant goal = arrivedAt.plus(route.get().policy().goal()).minus(waited);
+    Duration routeTimeout = route.limits().timeout();
+    Instant goal = arrivedAt.plus(route.policy().goal()).minus(waited);
     Instant deadline =
         arrivedAt.plus(
             callerTimeout
@@ -177,8 +235,8 @@
       refuse(exchange, id, "node stops", DEFAULT_RETRY_AFTER_SECONDS);
       return;
     }
-    String service = selectService(route.get());
-    HomeRegions homeRegions = homeRegions(route.get(), caller);
+    String service = selectService(route);
+    HomeRegions homeRegions = homeRegions(route, caller);
     if (homeRegions.isRestricted() && !hasTargetOf(service, homeRegions)) {
       refuse(exchange, id, NO_HOME_TARGET + service, DEFAULT_RETRY_AFTER_SECONDS);
       return;
@@ -188,7 +246,7 @@
             this,
             exchange,
             id,
-            route.get(),
+            route,
             caller,
             origin,
             service,
@@ -238,16 +296,6 @@
     return route.service();
   }
 
-  private void reject(ServerExchange exchange, String id, int status, String reason) {
-    log.request("rejected", id)
-        .with("status", status)
-        .with("reason", reason)
-        .with("path", exchange.requestTarget())
-        .write();
-    metrics.countRejected(status);
-    exchange.respond(status, List.of(), (reason + "\n").getBytes(StandardCharsets.UTF_8));
-  }
-
   /** Answers with 503 that a request was not executed, and after which time to retry it. */
   void refuse(ServerExchange exchange, String id, String reason, double retrySeconds) {
     log.request("refused", id)
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshMetrics.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.Snapshot;
 import java.time.Duration;
 import java.util.Locale;
+import org.cuminlatch.node.http.ServerLimit;
 import org.cuminlatch.node.http.UnsolicitedBytes;
 
 /** Counters and timers of a node, rendered as text for the metrics address; see docs/METRICS.md. */
@@ -13,6 +14,10 @@
 
   private final MetricRegistry registry = new MetricRegistry();
 
+  void countLimit(ServerLimit limit) {
+    registry.counter("clients_limited{limit=\"" + limit.label() + "\"}").inc();
+  }
+
   void countRejected(int status) {
     registry.counter("calls_rejected{status=\"" + status + "\"}").inc();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/MeshNode.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.cuminlatch.core.admission.LagLimit;
@@ -24,10 +25,12 @@
 import org.cuminlatch.core.config.CallerLimits;
 import org.cuminlatch.core.membership.Address;
 import org.cuminlatch.node.event.EventLog;
+import org.cuminlatch.node.http.BodyBudget;
 import org.cuminlatch.node.http.ExchangeHandler;
 import org.cuminlatch.node.http.HttpClient;
 import org.cuminlatch.node.http.HttpServer;
 import org.cuminlatch.node.http.ServerExchange;
+import org.cuminlatch.node.http.ServerLimits;
 import org.cuminlatch.wire.call.CallTransport;
 import org.cuminlatch.wire.proto.call.Hello;
 
@@ -43,6 +46,12 @@
   /** A third of the heap that deploy/system.toml gives to a node. */
   private static final int MAX_BUFFERED_ANSWER_BYTES = 32 << 20;
 
+  /**
+   * Connections to each of the addresses for readiness, reports and metrics. Their clients are the
+   * platform and the local target, with a few connections each.
+   */
+  private static final int MAX_CONTROL_CONNECTIONS = 64;
+
   private static final Duration SWEEP_INTERVAL = Duration.ofMillis(50);
   private static final Duration LINK_CHECK_INTERVAL = Duration.ofMillis(250);
 
@@ -64,6 +73,7 @@
   private final EventLoop traffic;
   private final EventLog log;
   private final MeshMetrics metrics = new MeshMetrics();
+  private final BodyBudget bodyBudget = BodyBudget.ofHeap(Runtime.getRuntime().maxMemory());
   private final LoopLag lag = new LoopLag(SWEEP_INTERVAL);
   private final MeshControl control;
   private final EntryHandler entry;
@@ -132,15 +142,17 @@
     control.connect(gate, links, new LocalLink(traffic, gate), keyProofs);
     this.callers =
         HttpServer.listen(
-            trafficGroup, socketAddress(settings.callers()), configuredLimits(), log, entry);
+            trafficGroup,
+            socketAddress(settings.callers()),
+            configuredLimits(),
+            serverLimits(DescriptorLimit.ofProcess().maxCallers()),
+            log,
+            entry);
     transport.listen(socketAddress(settings.peers()), gate);
     ExchangeHandler reportEndpoint = platform.reportEndpoint(control.reportHandler(), log);
-    HttpServer.listen(
-        controlGroup, socketAddress(settings.control()), defaultLimits(), log, reportEndpoint);
-    HttpServer.listen(
-        controlGroup, socketAddress(settings.ready()), defaultLimits(), log, this::serveReadiness);
-    HttpServer.listen(
-        controlGroup, socketAddress(settings.metrics()), defaultLimits(), log, this::serveMetrics);
+    listenOnControl(settings.control(), reportEndpoint);
+    listenOnControl(settings.ready(), withoutBodies(this::serveReadiness));
+    listenOnControl(settings.metrics(), withoutBodies(this::serveMetrics));
     addGauges();
     gauge("key_proof_age_seconds", keyProofs::ageSeconds);
     repeat(
@@ -155,6 +167,35 @@
     control.start();
   }
 
+  private void listenOnControl(Address address, ExchangeHandler handler) {
+    HttpServer.listen(
+        controlGroup,
+        socketAddress(address),
+        defaultLimits(),
+        serverLimits(MAX_CONTROL_CONNECTIONS),
+        log,
+        handler);
+  }
+
+  private ServerLimits serverLimits(int maxConnections) {
+    return ServerLimits.of(bodyBudget, maxConnections, metrics::countLimit);
+  }
+
+  /** Returns a handler of requests whose bodies are not kept. */
+  private static ExchangeHandler withoutBodies(Consumer<ServerExchange> handler) {
+    return new ExchangeHandler() {
+      @Override
+      public void handle(ServerExchange exchange) {
+        handler.accept(exchange);
+      }
+
+      @Override
+      public boolean ignoresBodies() {
+        return true;
+      }
+    };
+  }
+
   /** Supplies the parts of a node that depend on the operators' platform. */
   public interface Platform {
 
@@ -276,6 +317,7 @@
     gauge("gate_waiting", gate::waiting);
     gauge("target_limit_per_second", () -> gate.limitPerSecond().orElse(-1));
     gauge("links_open", links::openLinks);
+    gauge("body_bytes_reserved", bodyBudget::reserved);
     gauge("target_cold_per_second", () -> finiteOr(gate.coldPerSecond(), -1));
     gauge("zones_evacuated", links::evacuatedZones);
     gauge("loop_lag_seconds", () -> lag.value().toNanos() / 1e9);
