Serve one body at a time that is longer than the room for large bodies

Cause: with the budget, a body of more than 18 MB at a heap of 96 MB was refused even in calm.

Change: one oversized body of up to 44 % of the heap, held beside small bodies only. Its array has its full length at once if that is known, so that it is not copied in the end. Small bodies are those of up to 512 KiB, so that uploads of 360 KB are not kept out by an oversized one. A body near the end of the room takes less than a whole segment; without this, it could wait for ever for the rest.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/BodyBudget.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/BodyBudget.java
@@ -10,6 +10,9 @@
  * Number of bytes that the bodies and unfinished heads of all requests at a process may occupy. A
  * part of it is kept for small bodies, so that a few large ones don't stop all others.
  *
+ * <p>One body at a time may be longer than the room for large bodies. While it is held, there is
+ * room only for small ones, in their part of the budget.
+ *
  * <p>Thread-safe, as the servers of a process share it and run on several event loops.
  */
 public final class BodyBudget {
@@ -23,6 +26,15 @@
   /** Part of the budget that only small bodies may occupy: 96 uploads of 60 KB at 24 MB. */
   private static final int SMALL_DIVISOR = 4;
 
+  /**
+   * Share of the heap that one oversized body may occupy: 42 of 96 MB. It exists twice while it is
+   * sent; at 48 MB, the heap does not hold it.
+   */
+  private static final int OVERSIZED_PERCENT = 44;
+
+  private final long oversizedCapacity;
+  private boolean oversizedHeld;
+  private long oversizedBytes;
   private final long capacity;
   private final long smallReserve;
   private final List<Runnable> roomListeners = new CopyOnWriteArrayList<>();
@@ -34,8 +46,9 @@
    *
    * @param capacity size in bytes
    * @param smallReserve part of it that only small bodies may occupy, in bytes
+   * @param oversizedCapacity size of the one body that may be longer, in bytes
    */
-  public BodyBudget(long capacity, long smallReserve) {
+  public BodyBudget(long capacity, long smallReserve, long oversizedCapacity) {
     check(capacity >= 1, "capacity", "must be at least 1");
     check(
         smallReserve >= 0 && smallReserve <= capacity,
@@ -43,6 +56,7 @@
         "must be between 0 and the capacity");
     this.capacity = capacity;
     this.smallReserve = smallReserve;
+    this.oversizedCapacity = oversizedCapacity;
   }
 
   /**
@@ -53,7 +67,8 @@
    */
   public static BodyBudget ofHeap(long maxHeapBytes) {
     long capacity = Math.max(1, maxHeapBytes / HEAP_DIVISOR);
-    return new BodyBudget(capacity, capacity / SMALL_DIVISOR);
+    long oversizedCapacity = maxHeapBytes * OVERSIZED_PERCENT / 100;
+    return new BodyBudget(capacity, capacity / SMALL_DIVISOR, oversizedCapacity);
   }
 
   /**
@@ -62,8 +77,8 @@
    * @param bytes number of bytes
    * @return false if the budget has no room for them; nothing is reserved then
    */
-  public boolean tryReserve(int bytes) {
-    return reserveUpTo(bytes, capacity - smallReserve);
+  public synchronized boolean tryReserve(int bytes) {
+    return reserveUpTo(bytes, oversizedHeld ? 0 : capacity - smallReserve);
   }
 
   /**
@@ -72,11 +87,11 @@
    * @param bytes number of bytes
    * @return false if the budget has no room for them; nothing is reserved then
    */
-  public boolean tryReserveSmall(int bytes) {
-    return reserveUpTo(bytes, capacity);
+  public synchronized boolean tryReserveSmall(int bytes) {
+    return reserveUpTo(bytes, oversizedHeld ? smallReserve : capacity);
   }
 
-  private synchronized boolean reserveUpTo(int bytes, long limit) {
+  private boolean reserveUpTo(int bytes, long limit) {
     check(bytes >= 0, "bytes", "must not be negative");
     if (reserved + bytes > limit) {
       return false;
@@ -85,6 +100,50 @@
     return true;
   }
 
+  /** Returns whether a large body of a length can't fit, whatever others occupy. */
+  boolean isOversized(long bytes) {
+    return bytes > capacity - smallReserve;
+  }
+
+  /**
+   * Begins to hold an oversized body: one that does not fit into the room for large bodies.
+   *
+   * @param ownBytes bytes that it has reserved so far, which become part of the oversized body
+   * @return false if there is one already, or if other bodies occupy more than the small reserve
+   */
+  synchronized boolean tryBeginOversized(int ownBytes) {
+    if (oversizedHeld || reserved - ownBytes > smallReserve) {
+      return false;
+    }
+    oversizedHeld = true;
+    oversizedBytes = ownBytes;
+    reserved -= ownBytes;
+    return true;
+  }
+
+  /** Reserves bytes for the oversized body; returns false if it is longer than it may be. */
+  synchronized boolean tryReserveOversized(int bytes) {
+    if (oversizedBytes + bytes > oversizedCapacity) {
+      return false;
+    }
+    oversizedBytes += bytes;
+    return true;
+  }
+
+  /** Gives the oversized body up. */
+  void releaseOversized() {
+    boolean awaited;
+    synchronized (this) {
+      check(oversizedHeld, "oversizedHeld", "must not be released twice");
+      oversizedHeld = false;
+      oversizedBytes = 0;
+      awaited = waiters > 0;
+    }
+    if (awaited) {
+      roomListeners.forEach(Runnable::run);
+    }
+  }
+
   /**
    * Gives reserved bytes back and tells the listeners if something waits for room.
    *
@@ -134,10 +193,10 @@
   /**
    * Returns the number of reserved bytes.
    *
-   * @return the number of bytes, at most the capacity
+   * @return the number of bytes, with those of an oversized body
    */
   public synchronized long reserved() {
-    return reserved;
+    return reserved + oversizedBytes;
   }
 
   /**
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/BodyBuffer.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/BodyBuffer.java
@@ -10,8 +10,8 @@
  */
 final class BodyBuffer {
 
-  /** Largest body that is small: that of a photo upload is 60 KB on average. */
-  static final int MAX_SMALL_BYTES = 256 * 1024;
+  /** Largest body that is small: uploads of photos are at most 360 KB. */
+  static final int MAX_SMALL_BYTES = 512 * 1024;
 
   private static final int MIN_SEGMENT_BYTES = 1024;
   private static final int MAX_SEGMENT_BYTES = 64 * 1024;
@@ -25,6 +25,7 @@
   private int lastSegmentBytes;
   private int length;
   private int reserved;
+  private boolean oversized;
 
   BodyBuffer(BodyBudget budget, long declaredBytes) {
     this.budget = budget;
@@ -45,7 +46,10 @@
     }
     int segmentBytes = Math.max(missing, nextSegmentBytes());
     if (!tryReserve(segmentBytes)) {
-      return false;
+      segmentBytes = missing; // the last room of the budget may be shorter than a segment
+      if (!tryReserve(segmentBytes)) {
+        return tryBeginOversized(missing) && tryAppend(part);
+      }
     }
     fillLastSegment(part, free);
     segments.add(new byte[segmentBytes]);
@@ -54,6 +58,32 @@
     return true;
   }
 
+  /**
+   * Goes on as the oversized body of the process, if this one does not fit otherwise. Its length is
+   * reserved at once if it is known, and its only segment then needs no copy in the end.
+   */
+  private boolean tryBeginOversized(int missing) {
+    if (oversized || !budget.isOversized(reserved + (long) missing)) {
+      return false;
+    }
+    int rest = declaredBytes < 0 ? 0 : (int) (declaredBytes - reserved);
+    if (!budget.tryBeginOversized(reserved)) {
+      return false;
+    }
+    oversized = true;
+    if (!budget.tryReserveOversized(rest)) {
+      return false; // it waits as the oversized body, and is refused for that
+    }
+    if (declaredBytes >= 0) {
+      byte[] whole = join((int) declaredBytes);
+      segments.clear();
+      segments.add(whole);
+      lastSegmentBytes = length;
+      reserved = whole.length;
+    }
+    return true;
+  }
+
   /** Returns the size of the next segment: the received length, within bounds. */
   private int nextSegmentBytes() {
     int bytes = Math.max(MIN_SEGMENT_BYTES, Math.min(MAX_SEGMENT_BYTES, length));
@@ -61,10 +91,11 @@
   }
 
   private boolean tryReserve(int bytes) {
+    boolean large = declaredBytes > MAX_SMALL_BYTES || reserved + bytes > MAX_SMALL_BYTES;
     boolean done =
-        declaredBytes > MAX_SMALL_BYTES || reserved + bytes > MAX_SMALL_BYTES
-            ? budget.tryReserve(bytes)
-            : budget.tryReserveSmall(bytes);
+        oversized
+            ? budget.tryReserveOversized(bytes)
+            : large ? budget.tryReserve(bytes) : budget.tryReserveSmall(bytes);
     reserved += done ? bytes : 0;
     return done;
   }
@@ -86,32 +117,49 @@
     return length;
   }
 
-  /** Returns the number of bytes that this buffer has reserved. */
+  /** Returns the number of bytes that this buffer has reserved, 0 if it is oversized. */
   int reserved() {
-    return reserved;
+    return oversized ? 0 : reserved;
+  }
+
+  /** Returns whether this buffer holds the oversized body of the process. */
+  boolean isOversized() {
+    return oversized;
   }
 
   /** Returns the body in one piece, and reserves no more than that from now on. */
   byte[] complete() {
-    budget.release(reserved - length);
-    reserved = length;
+    if (!oversized) {
+      budget.release(reserved - length);
+      reserved = length;
+    }
     if (segments.size() == 1 && lastSegment().length == length) {
       return lastSegment();
     }
-    byte[] bytes = new byte[length];
+    byte[] bytes = join(length);
+    segments.clear();
+    return bytes;
+  }
+
+  private byte[] join(int arrayLength) {
+    byte[] bytes = new byte[arrayLength];
     int position = 0;
     for (byte[] segment : segments) {
       int used = Math.min(segment.length, length - position);
       System.arraycopy(segment, 0, bytes, position, used);
       position += used;
     }
-    segments.clear();
     return bytes;
   }
 
   /** Gives up the body. */
   void discard() {
-    budget.release(reserved);
+    if (oversized) {
+      budget.releaseOversized();
+    } else {
+      budget.release(reserved);
+    }
+    oversized = false;
     reserved = 0;
     segments.clear();
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -301,7 +301,9 @@
       return;
     }
     headRejection =
-        server.handler().checkHead(new ServerExchange(this, request, NO_BODY, 0, Optional.empty()));
+        server
+            .handler()
+            .checkHead(new ServerExchange(this, request, NO_BODY, 0, false, Optional.empty()));
     boolean answeredAtOnce =
         chunked || declaredBytes > MAX_DISCARDED_BYTES || HttpUtil.is100ContinueExpected(request);
     if (headRejection.isPresent() && answeredAtOnce) {
@@ -363,7 +365,9 @@
   private void enqueue(byte[] bodyBytes) {
     int reserved = headReservation + (body == null ? 0 : body.reserved());
     headReservation = 0;
-    ServerExchange exchange = new ServerExchange(this, head, bodyBytes, reserved, headRejection);
+    boolean oversized = body != null && body.isOversized();
+    ServerExchange exchange =
+        new ServerExchange(this, head, bodyBytes, reserved, oversized, headRejection);
     head = null;
     body = null;
     pipelined.add(exchange);
@@ -387,7 +391,7 @@
   }
 
   private void releaseReservation(ServerExchange exchange) {
-    server.serverLimits().budget().release(exchange.takeReservedBytes());
+    exchange.releaseReservation(server.serverLimits().budget());
   }
 
   /** Gives up what has been received of a request that will not be handled. */
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
@@ -39,6 +39,7 @@
   private final byte[] body;
   private final Optional<Rejection> rejection;
   private int reservedBytes;
+  private boolean oversized;
   private Runnable disconnectListener = () -> {};
   private boolean started;
   private boolean ended;
@@ -56,6 +57,7 @@
    * Creates an exchange.
    *
    * @param reservedBytes bytes that are reserved in the body budget until the exchange ends
+   * @param oversized whether the body is the oversized one of the process
    * @param rejection rejection at the head, empty if the request is to be handled
    */
   ServerExchange(
@@ -63,11 +65,13 @@
       HttpRequest head,
       byte[] body,
       int reservedBytes,
+      boolean oversized,
       Optional<Rejection> rejection) {
     this.connection = connection;
     this.head = head;
     this.body = body;
     this.reservedBytes = reservedBytes;
+    this.oversized = oversized;
     this.rejection = rejection;
   }
 
@@ -75,11 +79,14 @@
     return rejection;
   }
 
-  /** Returns the number of bytes that are reserved in the body budget, and passes them on. */
-  int takeReservedBytes() {
-    int bytes = reservedBytes;
+  /** Gives what is reserved for the request back to the budget. */
+  void releaseReservation(BodyBudget budget) {
+    budget.release(reservedBytes);
     reservedBytes = 0;
-    return bytes;
+    if (oversized) {
+      oversized = false;
+      budget.releaseOversized();
+    }
   }
 
   int reservedBytes() {
