--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
@@ -44,8 +44,11 @@
 
   private final ServerConnection connection;
   private final HttpRequest head;
-  private final Optional<StreamedBody> streamedBody;
+  private Optional<StreamedBody> streamedBody = Optional.empty();
   private byte[] body;
+  private final Optional<Rejection> rejection;
+  private int reservedBytes;
+  private boolean oversized;
   private Runnable disconnectListener = () -> {};
   private boolean started;
   private boolean ended;
@@ -59,24 +62,50 @@
   /** A part of the response that waits for the responses to earlier requests. */
   private record HeldPart(Object part, ChannelPromise written) {}
 
-  ServerExchange(ServerConnection connection, HttpRequest head, byte[] body) {
-    this(connection, head, body, Optional.empty());
-  }
-
-  /** Creates the exchange of a request whose body is still being received. */
-  ServerExchange(ServerConnection connection, HttpRequest head, byte[] body, StreamedBody rest) {
-    this(connection, head, body, Optional.of(rest));
-  }
-
-  private ServerExchange(
+  /**
+   * Creates an exchange.
+   *
+   * @param reservedBytes bytes that are reserved in the body budget until the exchange ends
+   * @param oversized whether the body is the oversized one of the process
+   * @param rejection rejection at the head, empty if the request is to be handled
+   */
+  ServerExchange(
       ServerConnection connection,
       HttpRequest head,
       byte[] body,
-      Optional<StreamedBody> streamedBody) {
+      int reservedBytes,
+      boolean oversized,
+      Optional<Rejection> rejection) {
     this.connection = connection;
     this.head = head;
     this.body = body;
-    this.streamedBody = streamedBody;
+    this.reservedBytes = reservedBytes;
+    this.oversized = oversized;
+    this.rejection = rejection;
+  }
+
+  /** Sets the rest of a body that is still being received. */
+  ServerExchange withRest(StreamedBody rest) {
+    streamedBody = Optional.of(rest);
+    return this;
+  }
+
+  Optional<Rejection> rejection() {
+    return rejection;
+  }
+
+  /** Gives what is reserved for the request back to the budget. */
+  void releaseReservation(BodyBudget budget) {
+    budget.release(reservedBytes);
+    reservedBytes = 0;
+    if (oversized) {
+      oversized = false;
+      budget.releaseOversized();
+    }
+  }
+
+  int reservedBytes() {
+    return reservedBytes;
   }
 
   /**
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/StreamedBody.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/StreamedBody.java
@@ -16,6 +16,12 @@
    */
   private static final int MAX_UNREAD_BYTES = HttpServer.STREAMED_BODY_BYTES + 128 * 1024;
 
+  /**
+   * Bytes that are counted for a body that is received in parts: what is undelivered, with one read
+   * beyond the limit, and what is on its way to the target.
+   */
+  static final int MAX_BYTES_HELD = 512 * 1024;
+
   /** Maximum size of a delivered part; small ones are joined to save frames. */
   private static final int MAX_PART_BYTES = 64 * 1024;
 
