--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/MeshOverloadTests.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/admission/MeshOverloadTests.java
@@ -103,7 +103,9 @@
     return List.of(lookup, lookup);
   }
 
-  /** Three services, three routes and 78 accounts: the demand and the goals of himcore. */
+  /**
+   * Three services, three routes and 78 accounts: the demand and goals of a deployment with keys.
+   */
   private static final class ManyAccounts {
 
     private final MeshSimulation simulation;
@@ -139,7 +141,7 @@
     }
   }
 
-  /** Three services and no accounts: targets, goals and deadlines of scrutinio, as it swings. */
+  /** Three services and no accounts: targets, goals and deadlines of one that swings. */
   private static MeshSimulation withoutAccounts(double load, Set<Decision> without) {
     MeshSimulation simulation = new MeshSimulation(1, without, 0);
     simulation.addTargets("first", 31, 9, 0.5, 1.6);
