--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerConnection.java
@@ -384,7 +384,10 @@
    */
   private boolean tryStartStreaming() {
     int missing = Math.max(0, StreamedBody.MAX_BYTES_HELD - body.reserved());
-    if (!server.serverLimits().budget().tryReserve(missing)) {
+    long declared = HttpUtil.getContentLength(head, -1L);
+    boolean small = declared >= 0 && declared <= BodyBuffer.MAX_SMALL_BYTES;
+    BodyBudget budget = server.serverLimits().budget();
+    if (!(small ? budget.tryReserveSmall(missing) : budget.tryReserve(missing))) {
       return false;
     }
     stopReadTimeout(); // from now on, the deadline of the request limits the time
@@ -444,9 +447,10 @@
     if (pipelined.remove(aborted)) {
       pipelinedBytes -= aborted.reservedBytes();
       releaseReservation(aborted);
+      updateReading();
       return; // not started; responded to like one that was not handed over
     }
-    aborted.streamedBody().orElseThrow().abort();
+    aborted.abortBody();
     aborted.respond(status.code(), List.of(), new byte[0]); // unless the response has started
   }
 
@@ -523,7 +527,7 @@
         || (running.size() < MAX_OVERLAPPING_REQUESTS
             && running.stream().mapToInt(ServerExchange::heldBytes).sum() < MAX_HELD_BYTES
             && !server.isDraining()
-            && running.getLast().keepsConnection()
+            && running.getLast().mayKeepConnection()
             && server.handler().mayOverlap(running.getLast())
             && server.handler().mayOverlap(next));
   }
@@ -594,14 +598,33 @@
 
   /** Rejects the request that is being read with 503, or closes a connection without one. */
   private void refuse(ServerLimit limit) {
-    if (streamed != null) {
-      closeFor(limit); // the request may have run, which a refusal would deny
+    if (streamed != null && !pipelined.contains(streamed)) {
+      closeAfterEarlierResponses(limit);
       return;
     }
     server.serverLimits().listener().accept(limit);
     reject(HttpResponseStatus.SERVICE_UNAVAILABLE, limit.reason());
   }
 
+  /**
+   * Ends the request whose body is passed on in parts, once earlier requests have been answered. It
+   * may have run, so that no status may deny that.
+   */
+  private void closeAfterEarlierResponses(ServerLimit limit) {
+    server.serverLimits().listener().accept(limit);
+    server
+        .log()
+        .request("connection-closed", "-")
+        .with("reason", limit.reason())
+        .with("peer", peer())
+        .write();
+    ServerExchange aborted = streamed;
+    streamed = null;
+    rejecting = true;
+    aborted.abortBody();
+    aborted.abort();
+  }
+
   /** Rejects a request whose body is being received. */
   void refuseBody(ServerLimit limit) {
     if ((head != null || streamed != null) && !rejecting) {
@@ -652,9 +675,15 @@
             enqueuedBytes - buffer.totalPendingWriteBytes() + buffer.currentProgress());
   }
 
+  /** Returns whether the caller waits for the interim response that earlier requests hold back. */
+  private boolean awaitsContinue() {
+    return body == null && HttpUtil.is100ContinueExpected(head) && isHandling();
+  }
+
   /** Returns whether a body is received and reading is not paused by this side. */
   private boolean isReceivingBody() {
-    return (head != null || streamed != null)
+    boolean streams = streamed != null && !streamed.streamedBody().orElseThrow().isDiscarding();
+    return (head != null && !awaitsContinue() || streams)
         && waitingSince == null
         && !rejecting
         && channel.config().isAutoRead();
@@ -698,7 +727,7 @@
     releaseReservation(exchange);
     idleSinceNanos = System.nanoTime();
     if (!keepAlive) {
-      boolean callerMaySend = streamed == exchange || exchange.rejection().isPresent();
+      boolean callerMaySend = !exchange.isBodyReceived() || exchange.rejection().isPresent();
       close(exchange.keepsConnection() || callerMaySend);
     } else if (!running.isEmpty()) {
       releaseFirst();
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
@@ -211,6 +211,28 @@
     return streamedBody;
   }
 
+  /**
+   * Ends a body before its last part. While no receiver is set, the listener for a caller that
+   * disconnects is told instead, so that a request which waits is not started.
+   */
+  void abortBody() {
+    StreamedBody rest = streamedBody.orElseThrow();
+    boolean received = rest.hasReceiver();
+    rest.abort();
+    if (!received && !ended) {
+      disconnectListener.run();
+    }
+  }
+
+  /**
+   * Returns the number of bytes that the body occupies while the request waits.
+   *
+   * @return the size of the body, or what is counted for one that is received in parts
+   */
+  public int heldBodyBytes() {
+    return isBodyComplete() ? body.length : StreamedBody.MAX_BYTES_HELD;
+  }
+
   /** Returns whether the body has been received to its end. */
   boolean isBodyReceived() {
     return streamedBody.isEmpty() || streamedBody.get().isEnded();
@@ -248,6 +270,11 @@
     return HttpUtil.isKeepAlive(head) && head.protocolVersion().equals(HttpVersion.HTTP_1_1);
   }
 
+  /** Returns whether the connection may stay open after the response, as far as is known. */
+  boolean mayKeepConnection() {
+    return keepsConnection() && (!started || keepAlive);
+  }
+
   int heldBytes() {
     return heldBytes;
   }
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/StreamedBody.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/StreamedBody.java
@@ -78,6 +78,14 @@
     credit += bytes;
   }
 
+  boolean isDiscarding() {
+    return discarding;
+  }
+
+  boolean hasReceiver() {
+    return receiver != null;
+  }
+
   /** Drops what was not delivered and what is received from now on. */
   void discard() {
     discarding = true;
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/EntryCall.java
@@ -482,16 +482,23 @@
 
   private void handleCallerLeft() {
     if (!ended) {
-      if (attempt == null) {
-        token.ifPresent(entry::giveBack);
-      }
+      giveBackUnused();
       endEarly("caller left");
       cancelAttempt();
     }
   }
 
+  /** Gives the token of the quota back if the request has certainly not run. */
+  private void giveBackUnused() {
+    boolean nothingSent = attempt == null || (upload.isPresent() && !isBodySent());
+    if (!mayHaveRun && nothingSent) {
+      token.ifPresent(entry::giveBack);
+    }
+  }
+
   private void onBodyAborted() {
     if (!ended && !answerStarted) {
+      giveBackUnused();
       endEarly("body ended early");
       cancelAttempt();
     }
@@ -554,7 +561,7 @@
       return false;
     }
     Duration minWait = full ? minStartWait() : Duration.ZERO;
-    Arrival arrival = new Arrival(startedAt, deadline, exchange.body().length);
+    Arrival arrival = new Arrival(startedAt, deadline, exchange.heldBodyBytes());
     Instant tryAt = entry.now().plus(minWait);
     BooleanSupplier ready = () -> hasTarget() && !entry.now().isBefore(tryAt);
     String reason = full ? "targets are full" : "no target";
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StartupWait.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/StartupWait.java
@@ -64,7 +64,7 @@
   void handleLater(ServerExchange exchange, String id, String reason, BooleanSupplier ready) {
     Instant arrivedAt = entry.estimatedArrival(exchange);
     Optional<Instant> deadline = EntryCall.callerTimeout(entry, exchange).map(arrivedAt::plus);
-    int bodyBytes = exchange.body().length;
+    int bodyBytes = exchange.heldBodyBytes();
     Arrival arrival =
         deadline
             .map(time -> new Arrival(arrivedAt, time, bodyBytes))
