Fix what the review of the quotas has found

It now adds up its share over time. Groups of accounts have an allocator each, so that votes for one don't count for another; a node without a configuration grants nothing; answers that come late count with the time of their request; tokens are given back within 2 s only; callers that have left are not counted as refused. QuotaTests passes.

--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaAllocator.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaAllocator.java
@@ -51,8 +51,13 @@
   private final Map<String, Vote> votes = new HashMap<>();
   private final Map<String, Bucket> buckets = new HashMap<>();
 
-  /** Since when votes have counted here without a break; empty if none does. */
-  private Optional<Duration> allocatesSince = Optional.empty();
+  /**
+   * Sum of the share over time in seconds, since votes have counted here without a break. A bucket
+   * that is created late holds what it would have been filled by in that time.
+   */
+  private double shareSeconds;
+
+  private Duration shareCountedAt = Duration.ZERO;
 
   private final Duration startedAt;
 
@@ -145,17 +150,17 @@
 
   /** Fills the buckets at the share up to now, and then changes the share if votes have changed. */
   private void updateShare(int knownNodes, Duration now) {
+    shareSeconds += share * QuotaBounds.seconds(now.minus(shareCountedAt));
+    shareCountedAt = now;
     double newShare = Math.min(1, countedVotes / (double) Math.max(1, knownNodes));
     if (newShare != share) {
       buckets.forEach((account, bucket) -> bucket.fill(account, now));
       share = newShare;
     }
     if (share == 0) {
-      allocatesSince = Optional.empty();
+      shareSeconds = 0;
       starts.clear();
       buckets.clear();
-    } else if (allocatesSince.isEmpty()) {
-      allocatesSince = Optional.of(now);
     }
   }
 
@@ -167,11 +172,7 @@
         .ifPresent(
             quota -> {
               double capacity = QuotaBounds.capacity(quota);
-              double filled =
-                  allocatesSince
-                      .map(since -> QuotaBounds.seconds(now.minus(since)))
-                      .map(seconds -> seconds * QuotaBounds.fillRate(quota) * share)
-                      .orElse(0.0);
+              double filled = shareSeconds * QuotaBounds.fillRate(quota);
               double unused = STARTED_PART * capacity * starts.size() / Math.max(1, knownNodes);
               bucket.level = Math.min(capacity * share, filled + unused);
             });
--- a/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaClient.java
+++ b/cuminlatch-core/src/main/java/org/cuminlatch/core/quota/QuotaClient.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -51,6 +52,12 @@
   /** Expected use from which a node holds a stock; tokens held by many nodes lie unused. */
   private static final double MIN_STOCK = 1;
 
+  /**
+   * Time within which a token may be given back. Tokens of an earlier time would add to what the
+   * bound allows in the present period.
+   */
+  private static final Duration RETURN_PERIOD = Duration.ofSeconds(2);
+
   /** Period over which the rate of an account's requests is averaged. */
   private static final double RATE_SECONDS = 1;
 
@@ -99,8 +106,9 @@
    * Permission to run one request of an account.
    *
    * @param account name of the account
+   * @param takenAt time at which a request took it
    */
-  public record QuotaToken(String account) {}
+  public record QuotaToken(String account, Duration takenAt) {}
 
   /** The node's vote for the allocator of a group, and its request that awaits an answer. */
   private static final class Ballot {
@@ -111,6 +119,9 @@
     private boolean awaitsAnswer;
     private long number;
 
+    /** Times of the latest requests to the allocator, whose answers may come late. */
+    private final Map<Long, Duration> sent = new LinkedHashMap<>();
+
     /** Whether the request under way withdraws the vote from the allocator. */
     private boolean leaving;
 
@@ -243,7 +254,7 @@
     stock.expire(now);
     stock.recordArrival(now);
     if (stock.waiting.isEmpty() && stock.take()) {
-      waiter.onToken(new QuotaToken(account));
+      waiter.onToken(new QuotaToken(account, now));
       return;
     }
     Duration maxWait = isStarting(now) ? MAX_WAIT_AT_START : MAX_WAIT;
@@ -257,10 +268,11 @@
    * Takes back the token of a request that has not run and will not run.
    *
    * @param token the token
+   * @param now time now
    */
-  public void giveBack(QuotaToken token) {
+  public void giveBack(QuotaToken token, Duration now) {
     Stock stock = stocks.get(token.account());
-    if (stock != null) {
+    if (stock != null && now.minus(token.takenAt()).compareTo(RETURN_PERIOD) <= 0) {
       stock.returned++;
     }
   }
@@ -275,7 +287,7 @@
       Stock stock = all.next();
       stock.expire(now);
       while (!stock.waiting.isEmpty() && now.compareTo(stock.waiting.peek().until()) >= 0) {
-        stock.waiting.poll().waiter().onRefused();
+        refuse(stock.waiting.poll().waiter());
       }
       if (stock.waiting.isEmpty()
           && stock.released == 0
@@ -337,6 +349,8 @@
     ballot.number = request.number();
     ballot.sentAt = now;
     ballot.awaitsAnswer = true;
+    ballot.sent.values().removeIf(at -> isExpired(at, now));
+    ballot.sent.put(request.number(), now);
     sender.send(ballot.allocator, request);
   }
 
@@ -371,21 +385,23 @@
   public void onGrants(long number, List<QuotaGrant> grants, Duration now) {
     Ballot ballot =
         ballots.values().stream()
-            .filter(candidate -> candidate.awaitsAnswer && candidate.number == number)
+            .filter(candidate -> candidate.sent.containsKey(number))
             .findFirst()
             .orElse(null);
     if (ballot == null) {
-      return; // tokens of a late answer count as held until they expire
+      return; // the tokens have expired
     }
-    ballot.awaitsAnswer = false;
-    if (ballot.leaving) {
+    final Duration askedAt = ballot.sent.remove(number);
+    boolean newest = ballot.number == number;
+    ballot.awaitsAnswer &= !newest;
+    if (newest && ballot.leaving) {
       // the allocator before no longer counts the vote, so that it counts at the next one at once
       ballot.leaving = false;
       ballot.allocator = "";
       request(ballot.group, now);
       return;
     }
-    Duration expiresAt = ballot.sentAt.plus(QuotaBounds.TOKEN_LIFETIME);
+    Duration expiresAt = askedAt.plus(QuotaBounds.TOKEN_LIFETIME);
     for (QuotaGrant grant : grants) {
       Stock stock = stocks.computeIfAbsent(grant.account(), Stock::new);
       stock.exhausted = grant.exhausted();
@@ -393,7 +409,7 @@
         stock.batches.add(new Batch(new int[] {grant.tokens()}, expiresAt));
       }
       stock.expire(now);
-      serveWaiting(stock);
+      serveWaiting(stock, now);
       stock.askedFor = 0;
       if (stock.exhausted) {
         refuseWaiting(stock);
@@ -402,14 +418,14 @@
     askForLateWaiters(now);
   }
 
-  private static void serveWaiting(Stock stock) {
+  private static void serveWaiting(Stock stock, Duration now) {
     while (!stock.waiting.isEmpty()) {
       Waiter waiter = stock.waiting.peek().waiter();
       if (waiter.isGone()) {
         stock.waiting.poll();
       } else if (stock.take()) {
         stock.waiting.poll();
-        waiter.onToken(new QuotaToken(stock.account));
+        waiter.onToken(new QuotaToken(stock.account, now));
       } else {
         return;
       }
@@ -419,7 +435,17 @@
   private static void refuseWaiting(Stock stock) {
     List<Waiting> refused = List.copyOf(stock.waiting);
     stock.waiting.clear();
-    refused.forEach(request -> request.waiter().onRefused());
+    refused.forEach(request -> refuse(request.waiter()));
+  }
+
+  private static void refuse(Waiter waiter) {
+    if (!waiter.isGone()) {
+      waiter.onRefused();
+    }
+  }
+
+  private static boolean isExpired(Duration askedAt, Duration now) {
+    return now.compareTo(askedAt.plus(QuotaBounds.TOKEN_LIFETIME)) >= 0;
   }
 
   /** Asks again for requests that arrived after the answered request was sent. */
--- a/cuminlatch-core/src/test/java/org/cuminlatch/core/quota/QuotaSimulation.java
+++ b/cuminlatch-core/src/test/java/org/cuminlatch/core/quota/QuotaSimulation.java
@@ -54,7 +54,8 @@
     private long connectedAt;
     private int incarnation;
     private QuotaClient client;
-    private QuotaAllocator allocator;
+    private final Map<Integer, QuotaAllocator> allocators = new HashMap<>();
+    private Duration startedAt;
     private AllocatorSelection selection;
 
     Node(int index) {
@@ -68,12 +69,20 @@
       connected = null;
       incarnation++;
       selection = new AllocatorSelection(address);
-      allocator = new QuotaAllocator(account -> Optional.ofNullable(quotas.get(account)), time());
+      startedAt = time();
+      allocators.clear();
       client = new QuotaClient(address, time(), selection, this::connected, this::send);
       updateKnown();
       tick(incarnation);
     }
 
+    QuotaAllocator allocator(int group) {
+      return allocators.computeIfAbsent(
+          group,
+          unused ->
+              new QuotaAllocator(account -> Optional.ofNullable(quotas.get(account)), startedAt));
+    }
+
     void updateKnown() {
       selection.setKnown(
           nodes.stream()
@@ -129,7 +138,9 @@
           target,
           () -> {
             List<QuotaGrant> grants =
-                target.allocator.handle(request, target.selection.knownNodes(), time());
+                target
+                    .allocator(request.group())
+                    .handle(request, target.selection.knownNodes(), time());
             target.deliver(
                 this,
                 () -> {
@@ -296,7 +307,7 @@
           @Override
           public void onToken(QuotaToken token) {
             if (random.nextDouble() < refusedShare) {
-              at(now + 400_000, () -> node.client.giveBack(token));
+              at(now + 400_000, () -> node.client.giveBack(token, time()));
             } else {
               accepted.computeIfAbsent(account, unused -> new ArrayList<>()).add(now);
               arrivals.computeIfAbsent(account, unused -> new ArrayList<>()).add(arrivedAt);
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/NodeDirectory.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/NodeDirectory.java
@@ -160,6 +160,9 @@
 
   /** Stores the node's address, which stays the same across restarts. */
   private void register() {
+    if (leaving) {
+      return;
+    }
     storedMark = Optional.empty();
     store
         .append(
--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/QuotaControl.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/mesh/QuotaControl.java
@@ -3,8 +3,10 @@
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -38,8 +40,12 @@
   /** Advances also while the machine is suspended, as tokens must not outlast their time. */
   private final Supplier<Duration> clock = new ElapsedClock();
 
+  private final Duration startedAt;
   private final AllocatorSelection selection;
-  private final QuotaAllocator allocator;
+
+  /** Allocators by group; the own node may be the allocator of several. */
+  private final Map<Integer, QuotaAllocator> allocators = new HashMap<>();
+
   private final QuotaClient client;
   private Set<Address> knownNodes = Set.of();
   private Optional<Snapshot> checkedSnapshot = Optional.empty();
@@ -60,10 +66,10 @@
     this.log = log;
     this.metrics = metrics;
     this.selection = new AllocatorSelection(self.toString());
-    this.allocator = new QuotaAllocator(this::quotaOf, clock.get());
+    this.startedAt = clock.get();
     this.client =
         new QuotaClient(
-            self.toString(), clock.get(), selection, this::connectedNodes, this::sendRequest);
+            self.toString(), startedAt, selection, this::connectedNodes, this::sendRequest);
   }
 
   private Optional<Quota> quotaOf(String account) {
@@ -96,14 +102,26 @@
   }
 
   private List<QuotaGrant> grant(QuotaRequest request) {
-    List<QuotaGrant> grants = allocator.handle(request, selection.knownNodes(), clock.get());
+    List<QuotaGrant> grants =
+        allocators
+            .computeIfAbsent(
+                request.group(), unused -> new QuotaAllocator(this::quotaOf, startedAt))
+            .handle(request, selection.knownNodes(), clock.get());
     metrics.countQuotaTokens(grants.stream().mapToLong(QuotaGrant::tokens).sum());
     return grants;
   }
 
-  /** Returns the answer to another node's request, empty if the request is not valid. */
+  /**
+   * Returns the answer to another node's request. It is empty if the request is not valid, or if
+   * this node knows no quotas yet: the other node asks again.
+   */
   Optional<CallFrame> answer(org.cuminlatch.wire.proto.call.QuotaRequest frame) {
+    if (snapshot().isEmpty()) {
+      return Optional.empty();
+    }
+    updateKnownNodes();
     return QuotaFrames.decodeRequest(frame)
+        .filter(request -> request.group() < selection.groups())
         .map(request -> QuotaFrames.encodeGrants(request.number(), grant(request)));
   }
 
@@ -119,7 +137,7 @@
 
   /** Takes back the token of a request that has not run and will not run. */
   void giveBack(QuotaToken token) {
-    client.giveBack(token);
+    client.giveBack(token, clock.get());
   }
 
   boolean hasWaiting() {
@@ -165,9 +183,21 @@
     }
   }
 
+  /**
+   * Returns the mean share of the votes over all groups, so that those of all nodes add up to 1.
+   */
+  private double voteShare() {
+    return allocators.values().stream().mapToDouble(QuotaAllocator::share).sum()
+        / selection.groups();
+  }
+
+  private int allocatedAccounts() {
+    return allocators.values().stream().mapToInt(QuotaAllocator::accounts).sum();
+  }
+
   void addGauges(MetricRegistry registry) {
-    registry.gauge("quota_vote_share", () -> allocator::share);
-    registry.gauge("quota_accounts", () -> allocator::accounts);
+    registry.gauge("quota_vote_share", () -> this::voteShare);
+    registry.gauge("quota_accounts", () -> this::allocatedAccounts);
     registry.gauge("quota_calls_waiting", () -> client::waiting);
   }
 }
