--- a/review/standin-2/Lab.java
+++ b/review/standin-2/Lab.java
@@ -29,6 +29,7 @@
   private final PrintWriter record;
   private final long startNanos = System.nanoTime();
   private final Deque<AutoCloseable> closeables = new ArrayDeque<>();
+  private boolean closed;
 
   /** What a case does; returns whether the rule was kept. */
   interface Body {
@@ -40,6 +41,7 @@
     prefix = freePrefix();
     storeIp = prefix + "250";
     record = new PrintWriter(Files.newBufferedWriter(recordFile));
+    Runtime.getRuntime().addShutdownHook(new Thread(this::close));
   }
 
   /** Runs a case and ends the process with its result; the record is written beside the script. */
@@ -84,7 +86,16 @@
     return prefix + number;
   }
 
-  <T extends AutoCloseable> T add(T closeable) {
+  /** Adds something to be closed at the end, or closes it if that has come. */
+  synchronized <T extends AutoCloseable> T add(T closeable) throws IOException {
+    if (closed) {
+      try {
+        closeable.close();
+      } catch (Exception notClosed) {
+        throw new IOException(notClosed);
+      }
+      throw new IOException("the case has ended");
+    }
     closeables.push(closeable);
     return closeable;
   }
@@ -110,8 +121,13 @@
     record("reached: " + what);
   }
 
+  /** Ends everything that was started; also called if the process is told to end. */
   @Override
-  public void close() {
+  public synchronized void close() {
+    if (closed) {
+      return;
+    }
+    closed = true;
     while (!closeables.isEmpty()) {
       try {
         closeables.pop().close();
