Fail responses without a length to streamed requests on a reset

Cause: a socket reports a reset to one call only. The decoder ended the body, as the channel was still active.

Evidence: a trace of the channel's events in the failing tests shows the failed write ("Connection reset by peer"), ChannelOutputShutdownEvent, ChannelInputShutdownEvent with the channel active, and the completed response, in this order. With the request in one piece the failed write closes the channel, and if the read meets the reset first, it fails.

Change: after a failed write, the end of the input ends the request as failed. Responses with a length or chunks have ended by their own framing before.

Why it works: the end of the input is ambiguous only if another call has taken the error, and the only such call on a connection with a request is a write.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.ChannelOutputShutdownEvent;
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -66,6 +67,9 @@
   /** Whether the body of the request has been passed on to the channel up to its end. */
   private boolean bodyPassedOn;
 
+  /** Whether a write has failed while the channel was kept open to read the response. */
+  private boolean outputFailed;
+
   private HttpResponse head;
   private ClientResponse bodiless;
   private ResponseOwner owner;
@@ -92,7 +96,7 @@
   void addTo(ChannelPipeline pipeline) {
     pipeline
         .addLast(new HttpRequestEncoder())
-        .addLast(new IdleInputGuard())
+        .addLast(new InputGuard())
         .addLast(decoder)
         .addLast(this);
   }
@@ -159,8 +163,7 @@
       message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     }
     // a server that responds early may reset the connection; a failed write must not close it
-    // before
-    // the response was read
+    // before the response was read
     channel.config().setAutoClose(false);
     writeFuture = channel.write(message);
     return true;
@@ -508,8 +511,11 @@
     }
   }
 
-  /** Keeps bytes that follow a response from being decoded. */
-  private final class IdleInputGuard extends ChannelInboundHandlerAdapter {
+  /**
+   * Keeps input from the decoder that it would take for a part of a response: bytes that follow a
+   * response, and an end of the input that may be due to a reset.
+   */
+  private final class InputGuard extends ChannelInboundHandlerAdapter {
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
@@ -524,5 +530,19 @@
         context.fireChannelRead(message);
       }
     }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (event instanceof ChannelOutputShutdownEvent) {
+        outputFailed = true;
+      }
+      // a socket reports a reset only once: after a failed write, a read returns the end of the
+      // input as if the server had sent it
+      if (event instanceof ChannelInputShutdownEvent && outputFailed && request != null && !held) {
+        fail("connection failed while the request was written");
+      } else {
+        context.fireUserEventTriggered(event);
+      }
+    }
   }
 }
