Wait in the relay until its connections are closed

Cause: SilentNodeTests.hasNoRequestRepeatedThatMayNotBeIfItsConnectionIsLost failed in about one of 14 runs, with 200 instead of 502.

Change: closeConnections closes them on the relay's thread and returns when that is done. The test and its expectations are unchanged.

--- a/cuminlatch-testkit/src/main/java/org/cuminlatch/testkit/relay/Relay.java
+++ b/cuminlatch-testkit/src/main/java/org/cuminlatch/testkit/relay/Relay.java
@@ -123,9 +123,12 @@
     faults.setDelay(notNull(delay, "delay"));
   }
 
-  /** Closes all connections that are currently open. */
+  /**
+   * Closes all connections that are currently open. Nothing is forwarded on them once this method
+   * has returned.
+   */
   public void closeConnections() {
-    connections.forEach(RelayedConnection::close);
+    group.submit(() -> connections.forEach(RelayedConnection::close)).syncUninterruptibly();
   }
 
   /** Permanently stops forwarding on connections that are currently open; new ones work. */
--- a/cuminlatch-testkit/src/test/java/org/cuminlatch/testkit/relay/RelayTests.java
+++ b/cuminlatch-testkit/src/test/java/org/cuminlatch/testkit/relay/RelayTests.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 
 @DisplayName("Relay")
@@ -81,6 +82,20 @@
     }
   }
 
+  // guards against bytes that are still forwarded when the connections count as closed
+  @RepeatedTest(100)
+  void forwardsNothingOnceItHasClosedConnections() throws IOException {
+    try (ConnectionPair pair = connect()) {
+      pair.client().getOutputStream().write(1);
+      pair.server().getInputStream().read();
+
+      relay.closeConnections();
+      pair.server().getOutputStream().write(2);
+
+      assertThat(pair.client().getInputStream().read(), is(-1));
+    }
+  }
+
   @Test
   void closesNewConnectionsWhileBlocked() throws IOException {
     relay.setBlocked(true);
