End a request of which a part can't be written

Cause: a write fails without any effect on the connection if there is no direct memory for its bytes. ClientConnection sent the next part behind the gap, and looked at the last write only before it kept the connection for other requests. A target could thus take later bytes, or the next request, for the missing ones (UNASKED). A request in one piece waited for its deadline.

Change: a write that fails while the connection works ends the request and closes the connection. A write that fails with the socket is left to the input, as before.

Result: FailedWriteTests failed in 3 of 3 cases before (the server held two of three parts on an open connection: 131,135 bytes with a length, 131,171 chunked; and the head alone of a request in one piece). All pass now, with ResponseWithoutLengthTests, HttpClientTests, GateUploadTests, SilentTargetTests and UnsolicitedBytesTests.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ClientConnection.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -116,7 +117,7 @@
     if (newRequest.body().length > 0 || !omitsEmptyBody(newRequest.method())) {
       message.headers().set(HttpHeaderNames.CONTENT_LENGTH, newRequest.body().length);
     }
-    writeFuture = channel.writeAndFlush(message);
+    watchWrite(channel.writeAndFlush(message), newRequest);
     return new RunningCall(newRequest);
   }
 
@@ -165,7 +166,7 @@
     // a server that responds early may reset the connection; a failed write must not close it
     // before the response was read
     channel.config().setAutoClose(false);
-    writeFuture = channel.write(message);
+    watchWrite(channel.write(message), newRequest);
     return true;
   }
 
@@ -176,10 +177,26 @@
     }
     bodyPassedOn = last;
     ByteBuf part = Unpooled.wrappedBuffer(content);
-    writeFuture =
+    return watchWrite(
         channel.writeAndFlush(
-            last ? new DefaultLastHttpContent(part) : new DefaultHttpContent(part));
-    return writeFuture;
+            last ? new DefaultLastHttpContent(part) : new DefaultHttpContent(part)),
+        upload);
+  }
+
+  /**
+   * Ends the request if a write fails while the connection works, as the server would take later
+   * bytes for the missing ones. If the connection has failed, the input tells how the request ends.
+   */
+  private ChannelFuture watchWrite(ChannelFuture write, ClientRequest written) {
+    writeFuture = write;
+    return write.addListener(
+        future -> {
+          if (request == written
+              && !future.isSuccess()
+              && !(future.cause() instanceof IOException)) {
+            fail("request could not be written: " + future.cause());
+          }
+        });
   }
 
   /** Cancels an upload, whether its request has been started or not. */
