Close a caller's connection if a part of a response can't be written

Cause: a write fails without any effect on the connection if there is no direct memory for its bytes. EntryCall asked for the next part whatever became of the write, and ServerExchange looked at the last write only before it kept the connection. The caller would have taken the head of its next response for the missing bytes (MIXED).

Change: a failed write of a response closes the connection, also if the response was held back behind others.

Result: PipelinedRequestTests.WhenPartOfTheirResponseCantBeWritten failed in 2 of 2 cases before: 12 bytes were announced, 8 written, and the head of the second response followed on the open connection. Both pass now, with the other PipelinedRequestTests, StreamedBodyTests, DepartedCallerTests, RequestFramingTests, ServerLimitTests and SlowCallerTests.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -286,7 +287,8 @@
       connection.channel().close();
       return;
     }
-    heldParts.forEach(held -> connection.channel().write(held.part(), held.written()));
+    heldParts.forEach(
+        held -> closeOnFailure(connection.channel().write(held.part(), held.written())));
     heldParts.clear();
     heldBytes = 0;
     connection.channel().flush();
@@ -415,7 +417,7 @@
   private ChannelFuture write(Object part, boolean flush) {
     Channel channel = connection.channel();
     if (released) {
-      return flush ? channel.writeAndFlush(part) : channel.write(part);
+      return closeOnFailure(flush ? channel.writeAndFlush(part) : channel.write(part));
     }
     ChannelPromise written = channel.newPromise();
     heldParts.add(new HeldPart(part, written));
@@ -423,6 +425,14 @@
     return written;
   }
 
+  /**
+   * Closes the connection if a write fails, as the caller would take later bytes for the missing
+   * ones. The channel does so itself only if its socket has failed.
+   */
+  private static ChannelFuture closeOnFailure(ChannelFuture write) {
+    return write.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+  }
+
   private void setConnectionHeader(HttpHeaders headers) {
     if (!keepAlive) {
       headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/PipelinedRequestTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/PipelinedRequestTests.java
@@ -2,11 +2,14 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -437,4 +440,61 @@
       assertThat(departed, empty());
     }
   }
+
+  /** Guards against a response whose missing bytes are taken from the one behind it. */
+  @Nested
+  class WhenPartOfTheirResponseCantBeWritten {
+
+    private static final String PART = "part";
+
+    private void respondInParts(String path) {
+      ByteBuf unwritable = Unpooled.copiedBuffer(PART, StandardCharsets.US_ASCII);
+      unwritable.release();
+      onLoop(
+          () -> {
+            ServerExchange exchange = exchanges.get(path);
+            exchange.start(200, List.of(), 3L * PART.length());
+            exchange.send(Unpooled.copiedBuffer(PART, StandardCharsets.US_ASCII));
+            exchange.send(unwritable);
+            exchange.send(Unpooled.copiedBuffer(PART, StandardCharsets.US_ASCII));
+            exchange.end();
+          });
+    }
+
+    private String readToEnd() throws IOException {
+      StringBuilder text = new StringBuilder();
+      try {
+        for (int next = caller.getInputStream().read(); next >= 0; ) {
+          text.append((char) next);
+          next = caller.getInputStream().read();
+        }
+      } catch (SocketTimeoutException stillOpen) {
+        throw new AssertionError("connection is still open after " + text, stillOpen);
+      }
+      return text.toString();
+    }
+
+    @Test
+    void areAnsweredNoMore() throws IOException {
+      send("/a", "/b");
+      awaitHandled("/a", "/b");
+
+      respondInParts("/a");
+      respond("/b");
+
+      assertThat(readToEnd(), not(containsString("/b")));
+    }
+
+    @Test
+    void areAnsweredNoMoreIfItWasHeldBack() throws IOException {
+      send("/a", "/b", "/c");
+      awaitHandled("/a", "/b", "/c");
+
+      respondInParts("/b");
+      respond("/c");
+      respond("/a");
+
+      assertThat(readToEnd(), not(containsString("/c")));
+    }
+  }
 }
