--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/FailedWriteTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/FailedWriteTests.java
@@ -81,7 +81,12 @@
     }
   }
 
-  private class EndListener implements ClientListener {
+  private final class EndListener implements UploadListener {
+
+    @Override
+    public void onOpened() {
+      // the test starts the request itself
+    }
 
     @Override
     public void onResponse(ClientResponse response) {
@@ -132,23 +137,14 @@
   }
 
   private void stream(ClientConnection connection, long length) {
-    UploadRecorder recorder = new UploadRecorder();
     ClientRequest upload = request(new byte[0]);
-    connection.reserve(recorder);
+    connection.reserve(new EndListener());
     connection.start(upload, length);
     for (int i = 1; i <= PARTS; i++) {
       connection.sendPart(upload, new byte[PART_BYTES], i == PARTS);
     }
   }
 
-  private final class UploadRecorder extends EndListener implements UploadListener {
-
-    @Override
-    public void onOpened() {
-      // the test starts the request itself
-    }
-  }
-
   /** Returns how many bytes reach the server until its connection is closed. */
   private int readToEnd() throws IOException {
     int bytes = 0;
