Log a response of which a part can't be written

Cause: the connection was closed without a line that says why. Change: the failed write is reported to the connection, which logs "connection-failed" with the cause and closes, as for its other failures. Result: PipelinedRequestTests write two such lines with peer and cause, and pass, with StreamedBodyTests, DepartedCallerTests, RequestFramingTests, ServerLimitTests and SlowCallerTests.

--- a/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
+++ b/cuminlatch-node/src/main/java/org/cuminlatch/node/http/ServerExchange.java
@@ -426,11 +426,11 @@
   }
 
   /**
-   * Closes the connection if a write fails, as the caller would take later bytes for the missing
-   * ones. The channel does so itself only if its socket has failed.
+   * Has the connection log a failed write and close, as the caller would take later bytes for the
+   * missing ones. The channel closes itself only if its socket has failed.
    */
   private static ChannelFuture closeOnFailure(ChannelFuture write) {
-    return write.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    return write.addListener(ChannelFutureListener.FIRE_EXCEPTION_ON_FAILURE);
   }
 
   private void setConnectionHeader(HttpHeaders headers) {
