Share the listener of the tests of requests

Cause: two new test classes each recorded the end of a request in the same way. Change: RequestEnd does so for both. No check changes.

--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/FailedWriteTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/FailedWriteTests.java
@@ -25,7 +25,6 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.cuminlatch.core.membership.Address;
@@ -46,7 +45,7 @@
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-  private final CompletableFuture<Object> end = new CompletableFuture<>();
+  private final RequestEnd end = new RequestEnd();
   private ServerSocket listener;
 
   @BeforeEach
@@ -81,24 +80,6 @@
     }
   }
 
-  private final class EndListener implements UploadListener {
-
-    @Override
-    public void onOpened() {
-      // the test starts the request itself
-    }
-
-    @Override
-    public void onResponse(ClientResponse response) {
-      end.complete(response);
-    }
-
-    @Override
-    public void onFailure(Failure failure) {
-      end.complete(failure);
-    }
-  }
-
   /** Opens a connection on which the write of a part fails, and uses it on its event loop. */
   private void connect(int failingPart, Consumer<ClientConnection> use) {
     HttpClient client =
@@ -138,7 +119,7 @@
 
   private void stream(ClientConnection connection, long length) {
     ClientRequest upload = request(new byte[0]);
-    connection.reserve(new EndListener());
+    connection.reserve(end);
     connection.start(upload, length);
     for (int i = 1; i <= PARTS; i++) {
       connection.sendPart(upload, new byte[PART_BYTES], i == PARTS);
@@ -161,7 +142,7 @@
   }
 
   private void assertThatRequestFails() throws Exception {
-    Object result = end.get(WAIT_SECONDS, TimeUnit.SECONDS);
+    Object result = end.await(WAIT_SECONDS);
     assertThat(result, instanceOf(ClientListener.Failure.class));
     assertThat(((ClientListener.Failure) result).sent(), is(true));
   }
@@ -177,7 +158,7 @@
 
   @Test
   void endsWithItsConnectionIfItIsSentInOnePiece() throws Exception {
-    connect(1, connection -> connection.send(request(new byte[PART_BYTES]), new EndListener()));
+    connect(1, connection -> connection.send(request(new byte[PART_BYTES]), end));
 
     assertThat(readToEnd(), lessThan(PART_BYTES));
     assertThatRequestFails();
--- a/cuminlatch-node/src/test/java/org/cuminlatch/node/http/ResponseWithoutLengthTests.java
+++ b/cuminlatch-node/src/test/java/org/cuminlatch/node/http/ResponseWithoutLengthTests.java
@@ -99,10 +99,9 @@
         response -> ResponseOwner.THIS_REQUEST);
   }
 
-  /** A request, which ends with a response or a failure. */
-  private final class SentRequest implements UploadListener {
+  /** A request of a form, which is sent when it is created. */
+  private final class SentRequest extends RequestEnd {
 
-    private final CompletableFuture<Object> end = new CompletableFuture<>();
     private final Form form;
     private final int parts;
     private final int partsAtOnce;
@@ -140,20 +139,6 @@
     void sendPart(boolean last) {
       upload.send(new byte[PART_BYTES], last);
     }
-
-    @Override
-    public void onResponse(ClientResponse response) {
-      end.complete(response);
-    }
-
-    @Override
-    public void onFailure(Failure failure) {
-      end.complete(failure);
-    }
-
-    Object await() throws Exception {
-      return end.get(WAIT_SECONDS, TimeUnit.SECONDS);
-    }
   }
 
   /** Writes a response without a length once the request has begun, and ends the connection. */
@@ -162,7 +147,7 @@
       beginResponse(socket);
       Thread.sleep(RECEIVE_MILLIS);
       connectionEnd.apply(socket);
-      return request.await();
+      return request.await(WAIT_SECONDS);
     }
   }
 
@@ -240,7 +225,7 @@
         beginResponse(socket);
         connectionEnd.apply(socket);
         serverIsDone.complete(null);
-        return request.await();
+        return request.await(WAIT_SECONDS);
       }
     }
 
